--- a/src/policy.rs
+++ b/src/policy.rs
@@ -7,7 +7,8 @@
 //!
 //! The ordinary path: the listed servers are dealt into groups, a table each; a proxy is bound, per class, to
 //! one group; bindings move by load only as proxies or servers come and go; a paced sender publishes what
-//! changed. Around it stand `SERVER_MOVES` (a server's states), the weights of lines, levels and the guards.
+//! changed. Around it stand a server's states (`SERVER_MOVES`), a group's (`GROUP_MOVES`), the weights of
+//! lines within a group, and the guards of the rules.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -18,24 +19,23 @@
 
 /// The controller looks round this often unasked, ms: well under the reports' period, and cheap.
 const TURN: Nanos = Nanos::from_millis(250);
-/// Half of what was measured is forgotten after this, ms: some report periods, so that noise evens out.
-const HALF_LIFE: Nanos = Nanos::from_millis(3_000);
-/// Proxies' traffic is forgotten this slowly, ms: bindings last, so they go by what lasts.
+/// Half of what proxies met is forgotten after this, ms: a few report periods, so that noise evens out.
+const HALF_LIFE: Nanos = Nanos::from_millis(2_000);
+/// Half of a proxy's traffic, as bindings see it, ms: bindings last, so they go by what lasts.
 const DEMAND_HALF_LIFE: Nanos = Nanos::from_millis(8_000);
 /// The design's step, ms: a new server has half its weight, and loads settle, for this long between moves.
 const STEP: Nanos = Nanos::from_millis(5_000);
 /// Steps of moves after a change of membership: the design's two, and one to mend what reports show late.
 const STEPS: u32 = 3;
-/// Servers a group is dealt: the design's twelve.
+/// Servers a group is dealt: the design's twelve; and the fewest that are dealt into more than one: its eight.
 const GROUP_SIZE: usize = 12;
+const ONE_GROUP_BELOW: usize = 8;
 /// Fewest servers of a zone that stand as a group: with fewer, losing one takes half the group.
 const ZONE_LEAST: usize = 3;
-/// Fewer servers than this stay one group: the design's eight.
-const ONE_GROUP_BELOW: usize = 8;
 /// How much heavier a group out of the proxy's zone counts: a crossing costs less than a quarter more load.
 const AWAY: f64 = 1.25;
-/// A binding moves if that cuts the load it meets below this share: less would be noise.
-const MOVE_GAIN: f64 = 0.9;
+/// A binding moves if the load it meets gets smaller by this factor: less would be noise.
+const MOVE_GAIN: f64 = 1.1;
 /// Tries before a server is judged: two or three more failures than chance brings.
 const EVIDENCE: f64 = 4.0;
 /// Unanswered share that makes a server broken, and that makes it odd.
@@ -47,21 +47,32 @@
 const FLOOR: f64 = 0.7;
 /// Time between probes of a server in doubt or out, ms: a probe costs a few ms of work.
 const PROBE_EVERY: Nanos = Nanos::from_millis(700);
-/// Probes answered in a row before a server comes back, doubled at each relapse up to the second figure.
+/// Probes answered in a row before a server comes back, doubled at each relapse up to five times.
 const CLEARING: u32 = 3;
-const CLEARING_MOST: u32 = 24;
 /// A server back from health trouble comes up to its weight over this, ms: reports need a few seconds.
 const TRIAL: Nanos = Nanos::from_millis(8_000);
 /// Share of its weight with which it comes back.
 const TRIAL_SHARE: f64 = 0.3;
-/// A line is sent again when its weight moved by more than this share: less is not worth the channel.
-const LINE_CHANGE: f64 = 0.15;
-/// Weights follow measured latency at this interval, ms: reports of the last change must have come.
+/// A line or level is sent again when it moved by more than this share: less is not worth the channel.
+const CHANGE: f64 = 0.12;
+/// Weights follow measured waits at this interval, ms: reports of the last change must have come.
 const PACE_EVERY: Nanos = Nanos::from_millis(3_000);
-/// How sharply, and within what bounds of a step and in all.
+/// How sharply they do, and within what bounds in one step and in all.
 const PACE_POWER: f64 = 0.4;
 const PACE_STEP: (f64, f64) = (0.7, 1.25);
 const PACE_RANGE: (f64, f64) = (0.1, 2.5);
+/// Mean wait, in latency goals, above which a group takes in too much, and under which it can take more:
+/// waits spread, so that well before the mean reaches the goal many operations miss it.
+const WAIT_OVER: f64 = 0.6;
+const WAIT_LIGHT: f64 = 0.4;
+/// A cut takes the limit to this share of what is handled, so that queues drain; the next waits for reports.
+const CUT: f64 = 0.85;
+const CUT_EVERY: Nanos = Nanos::from_millis(2_500);
+/// Growth of the limit and its interval, ms: some seconds back to full, slower than reports come.
+const GROWTH: f64 = 1.06;
+const GROW_EVERY: Nanos = Nanos::from_millis(1_000);
+/// A limit this far above what arrives is lifted.
+const LIFT: f64 = 1.2;
 /// Share of the channel's told pace that is counted on, and of its limit that is used: it may run slower.
 const CHANNEL_SHARE: f64 = 0.5;
 const QUEUE_SHARE: f64 = 0.3;
@@ -86,9 +97,15 @@
     fn add(&mut self, now: Nanos, half: Nanos, amount: f64) {
         *self = Decay { sum: self.read(now, half) + amount, at: now };
     }
+
+    /// Per second, where the first was added at `since` or later.
+    fn rate(&self, now: Nanos, half: Nanos, since: Nanos) -> f64 {
+        let filled = 1.0 - 0.5f64.powf((now - since).secs().max(1.0) / half.secs());
+        self.read(now, half) * std::f64::consts::LN_2 / half.secs() / filled
+    }
 }
 
-/// What proxies met at a server.
+/// What proxies met at a server: tries, those without a good answer, and seconds waited.
 #[derive(Clone, Copy, Debug, Default)]
 struct Met {
     tries: Decay,
@@ -96,12 +113,11 @@
     waited: Decay,
 }
 
-/// A server's states.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
     /// Not listed ready: in no table.
     Away,
-    /// Started lately: weight grows with what it can surely do.
+    /// Started lately: its weight grows with what it can surely do.
     Cold,
     Open,
     /// Odd signs: probed, still in the tables.
@@ -111,8 +127,8 @@
     /// Back from that, at a growing share.
     Trial,
 }
+use State::{Away, Cold, Doubted, Open, Out, Trial};
 
-/// What moves a server from state to state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Sign {
     Unlisted,
@@ -124,62 +140,72 @@
     Cleared,
 }
 
-/// What a move does beside changing the server's weight.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Effect {
     Nothing,
     /// It enters its group as a new member does; bindings settle.
     Join,
-    /// It leaves its group; bindings settle.
+    /// It leaves all tables; bindings settle.
     Leave,
     /// As Leave, and its next return takes longer.
     Expel,
-    /// What was measured no longer holds.
-    Forget,
+    /// It returns, and what was measured before no longer holds; bindings settle.
+    Return,
 }
 
-/// State, sign, next state, effect. Signs are tried in this order; the first row that fits is taken.
-const SERVER_MOVES: &[(State, Sign, State, Effect)] = &[
-    (State::Cold, Sign::Unlisted, State::Away, Effect::Leave),
-    (State::Open, Sign::Unlisted, State::Away, Effect::Leave),
-    (State::Doubted, Sign::Unlisted, State::Away, Effect::Leave),
-    (State::Out, Sign::Unlisted, State::Away, Effect::Leave),
-    (State::Trial, Sign::Unlisted, State::Away, Effect::Leave),
-    (State::Away, Sign::Started, State::Cold, Effect::Join),
-    (State::Open, Sign::Started, State::Cold, Effect::Join),
-    (State::Doubted, Sign::Started, State::Cold, Effect::Join),
-    (State::Out, Sign::Started, State::Cold, Effect::Join),
-    (State::Trial, Sign::Started, State::Cold, Effect::Join),
-    (State::Away, Sign::Warm, State::Open, Effect::Join),
-    (State::Cold, Sign::Warm, State::Open, Effect::Nothing),
-    (State::Cold, Sign::Broken, State::Out, Effect::Expel),
-    (State::Open, Sign::Broken, State::Out, Effect::Expel),
-    (State::Doubted, Sign::Broken, State::Out, Effect::Expel),
-    (State::Trial, Sign::Broken, State::Out, Effect::Expel),
-    (State::Open, Sign::Odd, State::Doubted, Effect::Nothing),
-    (State::Doubted, Sign::Sound, State::Open, Effect::Nothing),
-    (State::Trial, Sign::Sound, State::Open, Effect::Nothing),
-    (State::Out, Sign::Cleared, State::Trial, Effect::Forget),
+/// A server's states, sign, next state, effect. The first sign that holds and has a row is taken.
+const SERVER_MOVES: &[(&[State], Sign, State, Effect)] = &[
+    (&[Cold, Open, Doubted, Out, Trial], Sign::Unlisted, Away, Effect::Leave),
+    (&[Away, Open, Doubted, Out, Trial, Cold], Sign::Started, Cold, Effect::Join),
+    (&[Away], Sign::Warm, Open, Effect::Join),
+    (&[Cold], Sign::Warm, Open, Effect::Nothing),
+    (&[Cold, Open, Doubted, Trial], Sign::Broken, Out, Effect::Expel),
+    (&[Open], Sign::Odd, Doubted, Effect::Nothing),
+    (&[Doubted, Trial], Sign::Sound, Open, Effect::Nothing),
+    (&[Out], Sign::Cleared, Trial, Effect::Return),
+];
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Load {
+    Calm,
+    Shedding,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Strain {
+    Over,
+    Light,
+    Idle,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Limit {
+    Cut,
+    Grow,
+    Lift,
+}
+
+/// A group's state, strain, next state, effect on the limit of what it takes in.
+const GROUP_MOVES: &[(Load, Strain, Load, Limit)] = &[
+    (Load::Calm, Strain::Over, Load::Shedding, Limit::Cut),
+    (Load::Shedding, Strain::Over, Load::Shedding, Limit::Cut),
+    (Load::Shedding, Strain::Light, Load::Shedding, Limit::Grow),
+    (Load::Shedding, Strain::Idle, Load::Calm, Limit::Lift),
 ];
 
 struct Server {
-    zone: ZoneId,
-    kind: KindId,
-    listed_weight: f64,
-    started: Option<Nanos>,
-    ready: bool,
+    listing: Listing,
     group: usize,
     state: State,
     since: Nanos,
-    /// When it last entered its group.
-    joined: Nanos,
+    /// When it last entered its group; nothing: with the first list.
+    joined: Option<Nanos>,
     /// Started anew since its state last changed.
     fresh: bool,
     /// Weight against the listed one, by what proxies met.
     pace: f64,
     near: Met,
     far: Met,
-    busy: Option<f64>,
     probed: Nanos,
     probes_good: u32,
     probes_bad: u32,
@@ -187,63 +213,56 @@
 }
 
 impl Server {
+    fn ready(&self) -> bool {
+        self.listing.readiness == Readiness::Ready
+    }
+
+    fn listed_weight(&self) -> f64 {
+        self.listing.weight.filter(|weight| *weight > 0.0 && weight.is_finite()).unwrap_or(1.0)
+    }
+
     /// Tries, unanswered share and mean wait: of proxies in its own zone if there are enough, since
     /// far ones may suffer from the path between.
     fn met(&self, now: Nanos) -> (f64, f64, f64) {
-        let read = |met: &Met| {
-            let tries = met.tries.read(now, HALF_LIFE);
-            let part = |sum: &Decay| if tries > 0.0 { sum.read(now, HALF_LIFE) / tries } else { 0.0 };
-            (tries, part(&met.unanswered), part(&met.waited))
-        };
-        let near = read(&self.near);
-        if near.0 >= EVIDENCE {
-            near
-        } else {
-            read(&self.far)
-        }
+        let near = self.near.tries.read(now, HALF_LIFE) >= EVIDENCE;
+        let met = if near { &self.near } else { &self.far };
+        let tries = met.tries.read(now, HALF_LIFE);
+        let part = |sum: &Decay| if tries > 0.0 { sum.read(now, HALF_LIFE) / tries } else { 0.0 };
+        (tries, part(&met.unanswered), part(&met.waited))
     }
 
-    /// What it can surely do now, against its listed weight.
+    /// What it can surely do now, as a share of its listed weight.
     fn share(&self, now: Nanos, settings: &Settings) -> f64 {
-        let ramp = match self.started {
-            Some(started) if now - started < settings.warm_after => {
-                let warmth = (now - started).secs() / settings.warm_after.secs();
-                settings.cold_share + (1.0 - settings.cold_share) * warmth
-            }
-            Some(_) | None => 1.0,
-        };
-        let step = if now - self.joined < STEP && self.joined > Nanos(0) { 0.5 } else { 1.0 };
+        let warmth = |started: Nanos| ((now - started).secs() / settings.warm_after.secs()).min(1.0);
+        let ramp = |warmth: f64| settings.cold_share + (1.0 - settings.cold_share) * warmth;
+        let ramp = self.listing.started.map_or(1.0, |started| ramp(warmth(started)));
+        let step = if self.joined.is_some_and(|joined| now - joined < STEP) { 0.5 } else { 1.0 };
+        let grown = TRIAL_SHARE + (1.0 - TRIAL_SHARE) * (now - self.since).secs() / TRIAL.secs();
         match self.state {
-            State::Away | State::Out => 0.0,
-            State::Cold => ramp * step,
-            State::Open | State::Doubted => step,
-            State::Trial => {
-                let grown = (now - self.since).secs() / TRIAL.secs();
-                ramp * (TRIAL_SHARE + (1.0 - TRIAL_SHARE) * grown).min(1.0)
-            }
+            Away | Out => 0.0,
+            Cold | Open | Doubted => ramp * step,
+            Trial => ramp * grown.min(1.0),
         }
     }
 }
 
-/// Where a class may run.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// Where a class may run; empty: anywhere.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct Placement {
     zones: Vec<ZoneId>,
     kinds: Vec<KindId>,
 }
 
 impl Placement {
-    fn allows(&self, zone: ZoneId, kind: KindId) -> bool {
-        (self.zones.is_empty() || self.zones.contains(&zone))
-            && (self.kinds.is_empty() || self.kinds.contains(&kind))
+    fn allows(&self, listing: &Listing) -> bool {
+        (self.zones.is_empty() || self.zones.contains(&listing.zone))
+            && (self.kinds.is_empty() || self.kinds.contains(&listing.kind))
     }
 }
 
-/// A row a class: what differs by class.
+/// What differs by class: a row a class.
 struct ClassRow {
-    latency_goal: f64,
     importance: f64,
-    repeats: Repeats,
     placement: Placement,
     home_only: bool,
 }
@@ -253,7 +272,9 @@
 struct Binding {
     group: Option<usize>,
     sent: Option<TableId>,
-    arrived: Decay,
+    /// Its traffic as it lasts, and as it is now.
+    lasting: Decay,
+    recent: Decay,
     heard: bool,
 }
 
@@ -264,11 +285,20 @@
     bindings: Vec<Binding>,
 }
 
-/// A shared table as the proxies have it.
-#[derive(Default)]
+struct Group {
+    /// The zone of its servers, where all are of one.
+    zone: Option<ZoneId>,
+    load: Load,
+    /// Operations a second it takes in at most.
+    limit: f64,
+    changed: Nanos,
+}
+
+/// A shared table as proxies have it.
+#[derive(Clone, Default)]
 struct Table {
     lines: BTreeMap<ServerId, f64>,
-    levels: Vec<Option<(f64, FurtherTries)>>,
+    levels: BTreeMap<usize, (f64, FurtherTries)>,
 }
 
 pub struct Controller {
@@ -276,17 +306,18 @@
     rng: Pcg32,
     now: Nanos,
     classes: Vec<ClassRow>,
+    /// The shortest latency goal and the longest, s.
+    goals: (f64, f64),
     servers: BTreeMap<ServerId, Server>,
     proxies: BTreeMap<ProxyId, Proxy>,
-    /// The zone of each group, where all its servers are of one.
-    groups: Vec<Option<ZoneId>>,
-    /// Distinct placements; a table is a group's servers under one of them.
+    groups: Vec<Group>,
+    /// Distinct placements, the open one first; a table is a group's servers under one of them.
     placements: Vec<Placement>,
     tables: BTreeMap<TableId, Table>,
     steps_left: u32,
     next_step: Nanos,
     next_pace: Nanos,
-    next_wake: Option<Nanos>,
+    next_wake: Nanos,
     /// When to ask for the list, if it must be asked for.
     ask_at: Option<Nanos>,
     ask_wait: Nanos,
@@ -297,27 +328,26 @@
 
 impl Controller {
     pub fn new(settings: Settings, seed: u64, now: Nanos) -> Self {
-        let any = Placement { zones: Vec::new(), kinds: Vec::new() };
         let row = |class: &ClassSettings| ClassRow {
-            latency_goal: class.latency_goal.secs(),
             importance: class.importance,
-            repeats: class.repeats,
             placement: Placement { zones: class.only_zones.clone(), kinds: class.only_kinds.clone() },
             home_only: class.home_only,
         };
+        let goals = settings.classes.iter().map(|class| class.latency_goal.secs());
         Controller {
             rng: Pcg32::seed_from_u64(seed),
             now,
             classes: settings.classes.iter().map(row).collect(),
+            goals: (goals.clone().fold(f64::INFINITY, f64::min), goals.fold(0.0, f64::max)),
             servers: BTreeMap::new(),
             proxies: BTreeMap::new(),
             groups: Vec::new(),
-            placements: vec![any],
+            placements: vec![Placement::default()],
             tables: BTreeMap::new(),
             steps_left: 0,
             next_step: now,
             next_pace: now + PACE_EVERY,
-            next_wake: None,
+            next_wake: now,
             ask_at: settings.list_on_request.then_some(now),
             ask_wait: ASK_AGAIN,
             queued: 0.0,
@@ -334,15 +364,19 @@
         for event in events {
             self.take_in(event);
         }
-        if self.next_wake.is_none_or(|at| at <= now) {
-            self.next_wake = Some(now + TURN);
+        if self.next_wake <= now {
+            self.next_wake = now + TURN;
             orders.push(Order::Wake { after: TURN });
         }
-        self.ask_for_list(&mut orders);
+        if self.ask_at.is_some_and(|at| at <= now) {
+            self.ask_at = None;
+            orders.push(Order::WatchList);
+        }
         self.move_servers();
         self.probe(&mut orders);
         if self.settings.slices == 0 {
             self.follow_pace();
+            self.move_groups();
             self.bind();
             self.publish(&mut orders);
         }
@@ -355,8 +389,8 @@
             Event::List { scope, entries } => self.take_list(*scope, entries),
             Event::ProxyJoined { proxy, zone, usual_rate } => {
                 let bindings = vec![Binding::default(); self.classes.len()];
-                let proxy_state = Proxy { zone: *zone, usual_rate: *usual_rate, joined: now, bindings };
-                self.proxies.insert(*proxy, proxy_state);
+                let joined = Proxy { zone: *zone, usual_rate: *usual_rate, joined: now, bindings };
+                self.proxies.insert(*proxy, joined);
                 self.settle();
             }
             Event::ProxyLeft { proxy } => {
@@ -364,42 +398,33 @@
                     self.settle();
                 }
             }
-            Event::Heard { server, zone, tries, unanswered, latency, report, .. } => {
-                let slow = self.classes.iter().map(|class| class.latency_goal).fold(0.0, f64::max);
+            Event::Heard { server, zone, tries, unanswered, latency, .. } => {
                 let Some(server) = self.servers.get_mut(server) else { return };
-                let good = tries.saturating_sub(*unanswered) as f64;
-                let failed = tries.min(unanswered);
-                let met = if *zone == server.zone { &mut server.near } else { &mut server.far };
-                met.tries.add(now, HALF_LIFE, *tries as f64);
-                met.unanswered.add(now, HALF_LIFE, *failed as f64);
+                let (tries, failed) = (*tries as f64, *tries.min(unanswered) as f64);
+                let met = if *zone == server.listing.zone { &mut server.near } else { &mut server.far };
+                met.tries.add(now, HALF_LIFE, tries);
+                met.unanswered.add(now, HALF_LIFE, failed);
                 // A try without an answer weighs as much as the slowest that is of use.
-                met.waited.add(now, HALF_LIFE, good * latency.secs() + *failed as f64 * slow);
-                server.busy = report.busy.or(server.busy);
+                met.waited.add(now, HALF_LIFE, (tries - failed) * latency.secs() + failed * self.goals.1);
             }
             Event::Demand { proxy, class, arrived, .. } => {
                 let Some(proxy) = self.proxies.get_mut(proxy) else { return };
                 let Some(binding) = proxy.bindings.get_mut(usize::from(class.0)) else { return };
-                binding.arrived.add(now, DEMAND_HALF_LIFE, *arrived as f64);
+                binding.lasting.add(now, DEMAND_HALF_LIFE, *arrived as f64);
+                binding.recent.add(now, HALF_LIFE, *arrived as f64);
                 // A joining is complete once the proxy's own traffic is known.
-                if !binding.heard && now - proxy.joined > HALF_LIFE {
+                if !binding.heard && now - proxy.joined > STEP {
                     binding.heard = true;
                     self.settle();
                 }
             }
-            Event::Probed { server, outcome, report, .. } => {
+            Event::Probed { server, outcome, .. } => {
                 let Some(server) = self.servers.get_mut(server) else { return };
-                server.busy = report.busy.or(server.busy);
-                match outcome {
-                    ProbeOutcome::Answered => {
-                        server.probes_good += 1;
-                        server.probes_bad = 0;
-                    }
-                    ProbeOutcome::TurnedAway => {}
-                    ProbeOutcome::Failed => {
-                        server.probes_good = 0;
-                        server.probes_bad += 1;
-                    }
-                }
+                (server.probes_good, server.probes_bad) = match outcome {
+                    ProbeOutcome::Answered => (server.probes_good + 1, 0),
+                    ProbeOutcome::TurnedAway => (server.probes_good, server.probes_bad),
+                    ProbeOutcome::Failed => (0, server.probes_bad + 1),
+                };
             }
             Event::Applied { .. } | Event::Woken | Event::PeerSaid { .. } => {}
             Event::SliceGiven { .. } | Event::SliceLine { .. } | Event::SliceDemand { .. } => {}
@@ -414,54 +439,41 @@
                 self.ask_wait = (self.ask_wait + self.ask_wait).min(ASK_AGAIN_MOST);
                 return;
             }
-            ListScope::Changes => self.ask_wait = ASK_AGAIN,
+            ListScope::Changes => {}
             ListScope::Whole | ListScope::Remembered => {
-                self.ask_wait = ASK_AGAIN;
-                for server in self.servers.values_mut() {
-                    server.ready = false;
-                }
+                self.servers.values_mut().for_each(|server| server.listing.readiness = Readiness::Removed);
             }
         }
+        self.ask_wait = ASK_AGAIN;
         if self.groups.is_empty() {
             self.deal(entries);
         }
         let first = self.servers.is_empty();
         for entry in entries {
-            let ready = entry.readiness == Readiness::Ready;
-            let known = self.servers.get(&entry.server).map(|server| (server.group, server.zone));
-            let group = match known {
-                Some((group, zone)) if zone == entry.zone => group,
-                Some(_) | None => self.group_for(entry),
-            };
+            let known = self.servers.get(&entry.server).filter(|known| known.listing.zone == entry.zone);
+            let group = known.map(|known| known.group).unwrap_or_else(|| self.group_for(entry));
             let server = self.servers.entry(entry.server.clone()).or_insert_with(|| Server {
-                zone: entry.zone,
-                kind: entry.kind,
-                listed_weight: 1.0,
-                started: entry.started,
-                ready,
+                listing: entry.clone(),
                 group,
-                state: State::Away,
+                state: Away,
                 since: Nanos(0),
-                joined: Nanos(0),
+                joined: None,
                 fresh: false,
                 pace: 1.0,
                 near: Met::default(),
                 far: Met::default(),
-                busy: None,
                 probed: Nanos(0),
                 probes_good: 0,
                 probes_bad: 0,
                 relapses: 0,
             });
-            server.fresh |= server.started != entry.started;
-            (server.zone, server.kind, server.group) = (entry.zone, entry.kind, group);
-            (server.started, server.ready) = (entry.started, ready);
-            server.listed_weight = entry.weight.filter(|w| *w > 0.0 && w.is_finite()).unwrap_or(1.0);
+            server.fresh |= server.listing.started != entry.started;
+            (server.listing, server.group) = (entry.clone(), group);
         }
         if first {
             // The fleet as first listed is no newcomer.
             self.move_servers();
-            self.servers.values_mut().for_each(|server| server.joined = Nanos(0));
+            self.servers.values_mut().for_each(|server| server.joined = None);
         }
     }
 
@@ -473,26 +485,27 @@
             *zones.entry(entry.zone).or_default() += 1;
         }
         let all: usize = zones.values().sum();
-        if all >= ONE_GROUP_BELOW && zones.values().all(|count| *count >= ZONE_LEAST) {
-            for (zone, count) in zones {
-                self.groups.extend((0..count.div_ceil(GROUP_SIZE)).map(|_| Some(zone)));
-            }
-        } else if all > 0 {
-            self.groups = vec![None; all.div_ceil(GROUP_SIZE)];
+        let zoned = all >= ONE_GROUP_BELOW && zones.values().all(|count| *count >= ZONE_LEAST);
+        let dealt: Vec<(Option<ZoneId>, usize)> = match zoned {
+            true => zones.into_iter().map(|(zone, count)| (Some(zone), count)).collect(),
+            false => vec![(None, all)],
+        };
+        for (zone, count) in dealt {
+            let group = |_| Group { zone, load: Load::Calm, limit: f64::INFINITY, changed: Nanos(0) };
+            self.groups.extend((0..count.div_ceil(GROUP_SIZE)).map(group));
         }
     }
 
     /// The smallest group that a server may join; a zone that has none gets one.
     fn group_for(&mut self, entry: &Listing) -> usize {
-        let size = |group: usize| self.servers.values().filter(|s| s.group == group && s.ready).count();
-        let open = |group: &usize| self.groups[*group].is_none_or(|zone| zone == entry.zone);
-        match (0..self.groups.len()).filter(open).min_by_key(|group| size(*group)) {
-            Some(group) => group,
-            None => {
-                self.groups.push(Some(entry.zone));
-                self.groups.len() - 1
-            }
-        }
+        let size = |group: &usize| self.servers.values().filter(|s| s.group == *group && s.ready()).count();
+        let open = |group: &usize| self.groups[*group].zone.is_none_or(|zone| zone == entry.zone);
+        let found = (0..self.groups.len()).filter(open).min_by_key(size);
+        found.unwrap_or_else(|| {
+            let zone = Some(entry.zone);
+            self.groups.push(Group { zone, load: Load::Calm, limit: f64::INFINITY, changed: Nanos(0) });
+            self.groups.len() - 1
+        })
     }
 
     /// Membership changed: bindings move now and in the next few steps.
@@ -501,107 +514,70 @@
         self.next_step = self.next_step.min(self.now);
     }
 
-    fn ask_for_list(&mut self, orders: &mut Vec<Order>) {
-        if self.ask_at.is_some_and(|at| at <= self.now) {
-            self.ask_at = None;
-            orders.push(Order::WatchList);
-        }
-    }
-
-    /// Signs of a server that hold now, in the order in which they count.
-    fn signs(&self, server: &Server, others: f64, spare: f64) -> Vec<Sign> {
+    /// The first sign of a server that holds now and has a row for its state.
+    fn sign_of(&self, server: &Server, others: f64, spare: f64) -> Option<(State, Effect)> {
         let now = self.now;
-        let mut signs = Vec::new();
-        if !server.ready {
-            return vec![Sign::Unlisted];
-        }
-        let cold = server.started.is_some_and(|started| now - started < self.settings.warm_after);
-        match (cold, server.state) {
-            (true, State::Away) => signs.push(Sign::Started),
-            (true, _) if server.fresh => signs.push(Sign::Started),
-            (false, _) => signs.push(Sign::Warm),
-            (true, _) => {}
-        }
         let (tries, share, _) = server.met(now);
+        let cold = server.listing.started.is_some_and(|at| now - at < self.settings.warm_after);
         let own = share > OWN_FAULT * others;
+        let failing = tries >= EVIDENCE && share >= BROKEN_SHARE && own;
         let silent = server.probes_bad >= 2 && (share > ODD_SHARE || tries < 1.0);
-        if (tries >= EVIDENCE && share >= BROKEN_SHARE && own || silent) && server.listed_weight <= spare {
-            signs.push(Sign::Broken);
-        }
-        if share * tries >= 2.0 && share >= ODD_SHARE && own {
-            signs.push(Sign::Odd);
-        }
-        let rested = now - server.since >= TRIAL;
-        if rested && share < ODD_SHARE || server.state == State::Doubted && server.probes_good >= CLEARING {
-            signs.push(Sign::Sound);
-        }
-        let needed = (CLEARING << server.relapses.min(5)).min(CLEARING_MOST);
+        let rested = now - server.since >= TRIAL && share < ODD_SHARE;
+        let needed = CLEARING << server.relapses.saturating_sub(1).min(3);
         let waited = now - server.since >= Nanos(PROBE_EVERY.0 * u64::from(needed));
-        if waited && (server.probes_good >= needed || !self.settings.probes) {
-            signs.push(Sign::Cleared);
-        }
-        signs
+        let holds = |sign: Sign| match sign {
+            Sign::Unlisted => !server.ready(),
+            Sign::Started => server.ready() && cold && (server.state == Away || server.fresh),
+            Sign::Warm => server.ready() && !cold,
+            Sign::Broken => (failing || silent) && server.listed_weight() <= spare,
+            Sign::Odd => share * tries >= 2.0 && share >= ODD_SHARE && own,
+            Sign::Sound => rested || server.state == Doubted && server.probes_good >= CLEARING,
+            Sign::Cleared => waited && (server.probes_good >= needed || !self.settings.probes),
+        };
+        let row = |row: &&(&[State], Sign, State, Effect)| row.0.contains(&server.state) && holds(row.1);
+        SERVER_MOVES.iter().find(row).map(|(_, _, next, effect)| (*next, *effect))
     }
 
-    /// Carries every server through `SERVER_MOVES`.
+    /// Carries every server through `SERVER_MOVES`, the worst first while there is room to shut out.
     fn move_servers(&mut self) {
         let now = self.now;
-        let ready = |s: &&Server| s.ready;
-        let listed: f64 = self.servers.values().filter(ready).map(|s| s.listed_weight).sum();
-        let out = |s: &&Server| s.ready && s.state == State::Out;
-        let lost: f64 = self.servers.values().filter(out).map(|s| s.listed_weight).sum();
-        let mut spare = listed * (1.0 - FLOOR) - lost;
-        let (mut tries, mut failed) = (0.0, 0.0);
-        for server in self.servers.values() {
-            let (some, share, _) = server.met(now);
-            tries += some;
-            failed += some * share;
-        }
-        // The worst go first, while there is room.
-        let mut order: Vec<(f64, ServerId)> =
-            self.servers.iter().map(|(id, server)| (server.met(now).1, id.clone())).collect();
-        order.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
-        for (_, id) in order {
-            let server = &self.servers[&id];
-            let (own_tries, own_share, _) = server.met(now);
-            let rest = tries - own_tries;
-            let others = if rest > 0.0 { (failed - own_tries * own_share) / rest } else { 0.0 };
-            let signs = self.signs(server, others.max(0.0), spare);
-            let state = server.state;
-            let fits = |sign: &Sign| SERVER_MOVES.iter().find(|(from, on, ..)| *from == state && on == sign);
-            let Some((_, _, next, effect)) = signs.iter().find_map(fits) else { continue };
+        let weigh = |fits: &dyn Fn(&Server) -> bool| -> f64 {
+            self.servers.values().filter(|s| s.ready() && fits(s)).map(Server::listed_weight).sum()
+        };
+        let mut spare = weigh(&|_| true) * (1.0 - FLOOR) - weigh(&|s| s.state == Out);
+        let mut order: Vec<(f64, f64, ServerId)> = Vec::new();
+        for (id, server) in &self.servers {
+            let (tries, share, _) = server.met(now);
+            order.push((share, tries, id.clone()));
+        }
+        let tries: f64 = order.iter().map(|(_, tries, _)| tries).sum();
+        let failed: f64 = order.iter().map(|(share, tries, _)| share * tries).sum();
+        order.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.2.cmp(&b.2)));
+        for (own_share, own_tries, id) in order {
+            let others = (failed - own_share * own_tries).max(0.0) / (tries - own_tries).max(1.0);
+            let Some((next, effect)) = self.sign_of(&self.servers[&id], others, spare) else { continue };
             let Some(server) = self.servers.get_mut(&id) else { continue };
-            (server.state, server.since, server.fresh) = (*next, now, false);
+            (server.state, server.since, server.fresh) = (next, now, false);
             (server.probes_good, server.probes_bad) = (0, 0);
             match effect {
-                Effect::Nothing => {}
-                Effect::Join => {
-                    server.joined = now;
-                    server.pace = 1.0;
-                    (server.near, server.far, server.relapses) = (Met::default(), Met::default(), 0);
-                    self.settle();
-                }
-                Effect::Leave => self.settle(),
+                Effect::Nothing => continue,
+                Effect::Join => (server.joined, server.relapses) = (Some(now), 0),
+                Effect::Leave | Effect::Return => {}
                 Effect::Expel => {
                     server.relapses += 1;
-                    spare -= server.listed_weight;
-                    self.settle();
-                }
-                Effect::Forget => {
-                    (server.near, server.far) = (Met::default(), Met::default());
-                    server.pace = 1.0;
-                    self.settle();
+                    spare -= server.listed_weight();
                 }
             }
+            if effect != Effect::Expel {
+                (server.near, server.far, server.pace) = (Met::default(), Met::default(), 1.0);
+            }
+            self.settle();
         }
     }
 
     fn probe(&mut self, orders: &mut Vec<Order>) {
-        if !self.settings.probes {
-            return;
-        }
-        for (id, server) in &mut self.servers {
-            let wanted = matches!(server.state, State::Doubted | State::Out);
+        for (id, server) in self.servers.iter_mut().filter(|_| self.settings.probes) {
+            let wanted = matches!(server.state, Doubted | Out);
             if wanted && self.now - server.probed >= PROBE_EVERY {
                 server.probed = self.now;
                 orders.push(Order::Probe { server: id.clone() });
@@ -609,284 +585,314 @@
         }
     }
 
-    /// Moves each server's weight towards equal waits within its group.
+    /// Tries a second, answered share and mean wait at the servers of a group that stand in no doubt.
+    fn met_by(&self, group: usize) -> (f64, f64, f64) {
+        let (mut tries, mut failed, mut waited) = (0.0, 0.0, 0.0);
+        for server in self.servers.values().filter(|s| s.group == group && matches!(s.state, Open)) {
+            for met in [&server.near, &server.far] {
+                tries += met.tries.read(self.now, HALF_LIFE);
+                failed += met.unanswered.read(self.now, HALF_LIFE);
+                waited += met.waited.read(self.now, HALF_LIFE);
+            }
+        }
+        let rate = tries * std::f64::consts::LN_2 / HALF_LIFE.secs();
+        if tries > 0.0 {
+            (rate, 1.0 - failed / tries, waited / tries)
+        } else {
+            (0.0, 1.0, 0.0)
+        }
+    }
+
+    /// Moves each server's weight towards equal waits within its group. It answers whatever makes one server
+    /// slower than its fellows: a wrong listed weight, a slow machine, failures too few to shut it out.
     fn follow_pace(&mut self) {
         if self.now < self.next_pace {
             return;
         }
         self.next_pace = self.now + PACE_EVERY;
+        let usual: Vec<f64> = (0..self.groups.len()).map(|group| self.met_by(group).2).collect();
+        for server in self.servers.values_mut() {
+            let (tries, _, wait) = server.met(self.now);
+            let step = match usual[server.group] / wait {
+                ratio if tries >= EVIDENCE && ratio.is_finite() && ratio > 0.0 => ratio.powf(PACE_POWER),
+                _ => server.pace.powf(-0.1),
+            };
+            let step = step.clamp(PACE_STEP.0, PACE_STEP.1);
+            server.pace = (server.pace * step).clamp(PACE_RANGE.0, PACE_RANGE.1);
+        }
+    }
+
+    /// Carries every group through `GROUP_MOVES`. It answers more work than a group can do, whatever the cause.
+    fn move_groups(&mut self) {
         let now = self.now;
-        for group in 0..self.groups.len() {
-            let (mut tries, mut waited) = (0.0, 0.0);
-            for server in
-                self.servers.values().filter(|s| s.group == group && s.share(now, &self.settings) > 0.0)
-            {
-                let (some, _, wait) = server.met(now);
-                tries += some;
-                waited += some * wait;
-            }
-            let usual = if tries > 0.0 { waited / tries } else { 0.0 };
-            for server in self.servers.values_mut().filter(|s| s.group == group) {
-                let (some, _, wait) = server.met(now);
-                let step = if some >= EVIDENCE && wait > 0.0 {
-                    (usual / wait).powf(PACE_POWER).clamp(PACE_STEP.0, PACE_STEP.1)
-                } else {
-                    server.pace.powf(-0.1)
-                };
-                server.pace = (server.pace * step).clamp(PACE_RANGE.0, PACE_RANGE.1);
+        for index in 0..self.groups.len() {
+            let (tries, answered, wait) = self.met_by(index);
+            let arrived: f64 = (0..self.classes.len()).flat_map(|class| self.arrivals(index, class)).sum();
+            let group = &mut self.groups[index];
+            let (wait, rested) = (wait / self.goals.0, now - group.changed);
+            let strain = if wait > WAIT_OVER && tries >= EVIDENCE {
+                Some(Strain::Over)
+            } else if wait < WAIT_LIGHT && group.limit > LIFT * arrived {
+                Some(Strain::Idle)
+            } else {
+                (wait < WAIT_LIGHT).then_some(Strain::Light)
+            };
+            let row = GROUP_MOVES.iter().find(|row| row.0 == group.load && Some(row.1) == strain);
+            let Some((_, _, next, effect)) = row else { continue };
+            match effect {
+                Limit::Cut if rested >= CUT_EVERY => group.limit = CUT * group.limit.min(tries * answered),
+                Limit::Grow if rested >= GROW_EVERY => group.limit *= GROWTH,
+                Limit::Lift if rested >= GROW_EVERY => group.limit = f64::INFINITY,
+                Limit::Cut | Limit::Grow | Limit::Lift => continue,
             }
+            (group.load, group.changed) = (*next, now);
         }
     }
 
+    /// What comes of a class to each proxy bound to a group, in operations a second.
+    fn arrivals(&self, group: usize, class: usize) -> Vec<f64> {
+        let bound = self.proxies.values().filter(|proxy| proxy.bindings[class].group == Some(group));
+        bound.map(|proxy| proxy.bindings[class].recent.rate(self.now, HALF_LIFE, proxy.joined)).collect()
+    }
+
+    /// Levels of a group's classes: the limit goes to the most important first.
+    fn wanted_levels(&self, index: usize) -> BTreeMap<usize, (f64, FurtherTries)> {
+        let group = &self.groups[index];
+        let arrivals: Vec<Vec<f64>> =
+            (0..self.classes.len()).map(|class| self.arrivals(index, class)).collect();
+        let mut levels = BTreeMap::new();
+        for (class, row) in self.classes.iter().enumerate() {
+            let sum_if = |fits: &dyn Fn(f64) -> bool| -> f64 {
+                let fitting = self.classes.iter().zip(&arrivals).filter(|(other, _)| fits(other.importance));
+                fitting.flat_map(|(_, arrivals)| arrivals).sum()
+            };
+            let left = group.limit - sum_if(&|importance| importance > row.importance);
+            let share = (left / sum_if(&|importance| importance == row.importance).max(0.1)).clamp(0.02, 1.0);
+            let shed = group.load == Load::Shedding && share < 1.0;
+            let level = match self.settings.level_unit {
+                LevelUnit::Share if shed => share,
+                LevelUnit::Share | LevelUnit::Ignored => 1.0,
+                LevelUnit::Rate if shed => even_cap(&arrivals[class], share),
+                LevelUnit::Rate => RATE_ALL,
+            };
+            // Further tries are more load; only those that surely ran nowhere are safe for every class.
+            let tries = if group.load == Load::Calm { FurtherTries::Unrun } else { FurtherTries::Never };
+            levels.insert(class, (level, tries));
+        }
+        levels
+    }
+
+    /// Where a class may run for proxies of a zone.
     fn placement_of(&self, class: usize, zone: ZoneId) -> Placement {
         let row = &self.classes[class];
-        let mut placement = row.placement.clone();
-        if row.home_only {
-            placement.zones = vec![zone];
-        }
-        placement
+        let zones = if row.home_only { vec![zone] } else { row.placement.zones.clone() };
+        Placement { zones, kinds: row.placement.kinds.clone() }
     }
 
-    /// The table of a group under a placement; a group of one zone shares one table among all that allow it.
+    /// The table of a group under a placement; a group of one zone shares one among all that allow it whole.
     fn table_of(&mut self, group: usize, placement: &Placement) -> TableId {
-        let whole = self.groups[group].is_some_and(|zone| placement.zones.contains(&zone));
+        let whole = self.groups[group].zone.is_some_and(|zone| placement.zones.contains(&zone));
         let shared = (whole || placement.zones.is_empty()) && placement.kinds.is_empty();
-        let place = if shared {
-            0
-        } else {
-            let known = self.placements.iter().position(|known| known == placement);
-            known.unwrap_or_else(|| {
-                self.placements.push(placement.clone());
-                self.placements.len() - 1
-            })
-        };
+        let known = self.placements.iter().position(|known| known == placement);
+        let place = if shared { Some(0) } else { known };
+        let place = place.unwrap_or_else(|| {
+            self.placements.push(placement.clone());
+            self.placements.len() - 1
+        });
         // Numbers stay below 65535 with up to 255 groups of 256 placements each.
         TableId((group.min(254) * 256 + place.min(255)) as u16)
     }
 
     /// Weight of the servers of a group that a placement allows.
     fn weight_of(&self, group: usize, placement: &Placement) -> f64 {
-        let fits = |s: &&Server| s.group == group && placement.allows(s.zone, s.kind);
-        let weight = |s: &Server| s.listed_weight * s.share(self.now, &self.settings);
+        let fits = |s: &&Server| s.group == group && placement.allows(&s.listing);
+        let weight = |s: &Server| s.listed_weight() * s.share(self.now, &self.settings);
         self.servers.values().filter(fits).map(weight).sum()
     }
 
-    /// A proxy's traffic of a class, in operations a second; unheard, the average of its kind.
+    /// A proxy's lasting traffic of a class, in operations a second; unheard, the average of its kind.
     fn demand(&self, proxy: &Proxy, class: usize) -> f64 {
         let binding = &proxy.bindings[class];
-        if binding.heard {
-            let seen = (self.now - proxy.joined).secs() / DEMAND_HALF_LIFE.secs();
-            let window = DEMAND_HALF_LIFE.secs() / std::f64::consts::LN_2 * (1.0 - 0.5f64.powf(seen));
-            return binding.arrived.read(self.now, DEMAND_HALF_LIFE) / window.max(1.0);
-        }
-        proxy.usual_rate.max(0.1) / self.classes.len() as f64
+        let rate = match binding.heard {
+            true => binding.lasting.rate(self.now, DEMAND_HALF_LIFE, proxy.joined),
+            false => proxy.usual_rate / self.classes.len() as f64,
+        };
+        rate.max(0.01)
     }
 
     /// Binds what is unbound to the least loaded group, and in a step moves what meets too much load.
     fn bind(&mut self) {
         let due = self.steps_left > 0 && self.now >= self.next_step;
-        let any = Placement { zones: Vec::new(), kinds: Vec::new() };
-        let weights: Vec<f64> = (0..self.groups.len()).map(|group| self.weight_of(group, &any)).collect();
-        let mut loads = vec![0.0; self.groups.len()];
-        for proxy in self.proxies.values() {
-            for (class, binding) in proxy.bindings.iter().enumerate() {
-                if let Some(group) = binding.group {
-                    loads[group] += self.demand(proxy, class);
+        if due {
+            self.steps_left -= 1;
+            self.next_step = self.now + STEP;
+        }
+        let groups = 0..self.groups.len();
+        let weights: Vec<f64> = groups.clone().map(|g| self.weight_of(g, &self.placements[0])).collect();
+        let mut loads = vec![0.0; weights.len()];
+        let mut bindings: Vec<(ProxyId, usize, f64, Vec<bool>)> = Vec::new();
+        for (id, proxy) in &self.proxies {
+            for class in 0..self.classes.len() {
+                let demand = self.demand(proxy, class);
+                let placement = self.placement_of(class, proxy.zone);
+                let open = groups.clone().map(|group| self.weight_of(group, &placement) > 0.0).collect();
+                bindings.push((*id, class, demand, open));
+                if let Some(group) = proxy.bindings[class].group {
+                    loads[group] += demand;
                 }
             }
         }
-        let ids: Vec<(ProxyId, usize)> =
-            self.proxies.keys().flat_map(|id| (0..self.classes.len()).map(|class| (*id, class))).collect();
-        let mut moves = 0;
-        loop {
-            // The binding that gains most by moving.
-            let mut best: Option<(f64, ProxyId, usize, usize)> = None;
-            for (id, class) in &ids {
+        for _ in 0..2 * bindings.len() {
+            // The binding that gains most by moving, in load met; of those that must go, the busiest.
+            let mut best: Option<(f64, &(ProxyId, usize, f64, Vec<bool>), usize)> = None;
+            for binding in &bindings {
+                let (id, class, demand, open) = binding;
                 let proxy = &self.proxies[id];
-                let placement = self.placement_of(*class, proxy.zone);
-                let demand = self.demand(proxy, *class).max(1e-6);
                 let cost = |group: usize, added: f64| {
-                    let home = self.groups[group].is_none_or(|zone| zone == proxy.zone);
-                    let open = self.weight_of(group, &placement) > 0.0;
-                    let load = if open { (loads[group] + added) / weights[group] } else { f64::INFINITY };
-                    load * if home { 1.0 } else { AWAY }
+                    let home = self.groups[group].zone.is_none_or(|zone| zone == proxy.zone);
+                    (loads[group] + added) / weights[group] * if home { 1.0 } else { AWAY }
                 };
-                let from = proxy.bindings[*class].group;
-                let old = from.map_or(f64::INFINITY, |group| cost(group, 0.0));
-                if old.is_finite() && !due {
+                let from = proxy.bindings[*class].group.filter(|group| open[*group]);
+                if from.is_some() && !due {
                     continue;
                 }
-                for group in (0..self.groups.len()).filter(|group| Some(*group) != from) {
-                    let gain = old / cost(group, demand);
-                    // The busiest go first where all must go.
-                    let gain = if gain.is_infinite() { 1e9 * demand / cost(group, demand) } else { gain };
-                    if gain * MOVE_GAIN > 1.0 && best.as_ref().is_none_or(|(most, ..)| gain > *most) {
-                        best = Some((gain, *id, *class, group));
+                for group in groups.clone().filter(|group| open[*group] && Some(*group) != from) {
+                    let old = from.map_or(1e9 * demand, |from| cost(from, 0.0));
+                    let gain = old / cost(group, *demand);
+                    if gain > best.map_or(MOVE_GAIN, |(most, ..)| most) {
+                        best = Some((gain, binding, group));
                     }
                 }
             }
-            let Some((_, id, class, group)) = best else { break };
-            let demand = self.demand(&self.proxies[&id], class).max(1e-6);
-            let Some(proxy) = self.proxies.get_mut(&id) else { break };
-            if let Some(from) = proxy.bindings[class].group.replace(group) {
+            let Some((_, (id, class, demand, _), group)) = best else { break };
+            let Some(proxy) = self.proxies.get_mut(id) else { break };
+            if let Some(from) = proxy.bindings[*class].group.replace(group) {
                 loads[from] -= demand;
             }
             loads[group] += demand;
-            moves += 1;
-            if moves > 2 * ids.len() {
-                break;
-            }
-        }
-        if due {
-            self.steps_left -= 1;
-            self.next_step = self.now + STEP;
         }
     }
 
-    /// The lines a table should have: weights of open servers, or, if there are none, of any listed ready.
+    /// The lines a table should have: open servers by weight, or, if there are none, any listed ready.
     fn wanted_lines(&self, group: usize, placement: &Placement) -> BTreeMap<ServerId, f64> {
-        let fits = |s: &Server| s.group == group && s.ready && placement.allows(s.zone, s.kind);
-        let lines = |weigh: &dyn Fn(&Server) -> f64| -> BTreeMap<ServerId, f64> {
-            let members = self.servers.iter().filter(|(_, s)| fits(s));
-            members.map(|(id, s)| (id.clone(), weigh(s))).filter(|(_, weight)| *weight > 0.0).collect()
-        };
-        let open = lines(&|s| s.listed_weight * s.pace * s.share(self.now, &self.settings));
-        if open.is_empty() {
-            lines(&|s| s.listed_weight)
-        } else {
-            open
-        }
-    }
-
-    fn wanted_level(&self, class: usize) -> (f64, FurtherTries) {
-        let level = match self.settings.level_unit {
-            LevelUnit::Share | LevelUnit::Ignored => 1.0,
-            LevelUnit::Rate => RATE_ALL,
-        };
-        let tries = match self.classes[class].repeats {
-            Repeats::Safe | Repeats::Guarded | Repeats::Never => FurtherTries::Unrun,
+        let answered = self.met_by(group).1;
+        let weigh = |server: &Server| {
+            // Where many tries fail, more are made; a cold server must not get its part of those.
+            let guard = if server.state == Cold { answered } else { 1.0 };
+            server.listed_weight() * server.pace * server.share(self.now, &self.settings) * guard
         };
-        (level, tries)
+        let fits = |s: &&Server| s.group == group && s.ready() && placement.allows(&s.listing);
+        let any = self.servers.values().filter(fits).any(|server| weigh(server) > 0.0);
+        let weigh = |server: &Server| if any { weigh(server) } else { server.listed_weight() };
+        let members = self.servers.values().filter(fits).map(|s| (s.listing.server.clone(), weigh(s)));
+        members.filter(|(_, weight)| *weight > 0.0).map(|(id, w)| (id, (w * 1e4).round() / 1e4)).collect()
     }
 
     /// Sends what changed, as far as the channel can drain it; moves off lost servers go first.
     fn publish(&mut self, orders: &mut Vec<Order>) {
-        let drained =
-            (self.now - self.queued_at).secs() * self.settings.channel_lines_per_second * CHANNEL_SHARE;
-        self.queued = (self.queued - drained).max(0.0);
+        let pace = self.settings.channel_lines_per_second * CHANNEL_SHARE;
+        self.queued = (self.queued - (self.now - self.queued_at).secs() * pace).max(0.0);
         self.queued_at = self.now;
-        let gap = match self.settings.message_limit {
-            0 => Nanos(0),
-            limit => Nanos(self.settings.message_span.0 / u64::from(limit)),
-        };
-        if self.now - self.sent_at < gap {
+        let gap = self.settings.message_span.0.checked_div(u64::from(self.settings.message_limit));
+        if self.now - self.sent_at < Nanos(gap.unwrap_or(0)) {
             return;
         }
-        let room = self.settings.channel_lines_limit * QUEUE_SHARE;
-        let mut touched: BTreeSet<ProxyId> = BTreeSet::new();
-        let mut cost = 0.0;
-        let ids: Vec<ProxyId> = self.proxies.keys().copied().collect();
-        let mut binds: Vec<(ProxyId, usize, TableId)> = Vec::new();
         let mut used: BTreeMap<TableId, (usize, Placement)> = BTreeMap::new();
-        for id in &ids {
-            for class in 0..self.classes.len() {
-                let Some(group) = self.proxies[id].bindings[class].group else { continue };
-                let placement = self.placement_of(class, self.proxies[id].zone);
-                let table = self.table_of(group, &placement);
-                let shared =
-                    if usize::from(table.0) % 256 == 0 { self.placements[0].clone() } else { placement };
-                used.insert(table, (group, shared));
-                if self.proxies[id].bindings[class].sent != Some(table) {
-                    binds.push((*id, class, table));
-                }
+        let mut users: BTreeMap<TableId, BTreeSet<ProxyId>> = BTreeMap::new();
+        let mut binds: BTreeMap<(ProxyId, TableId), ClassSet> = BTreeMap::new();
+        let bound: Vec<(ProxyId, usize, ZoneId, Binding)> = self
+            .proxies
+            .iter()
+            .flat_map(|(id, proxy)| {
+                proxy.bindings.iter().enumerate().map(|(class, b)| (*id, class, proxy.zone, b.clone()))
+            })
+            .collect();
+        for (id, class, zone, binding) in bound {
+            if let Some(sent) = binding.sent {
+                users.entry(sent).or_default().insert(id);
+            }
+            let Some(group) = binding.group else { continue };
+            let table = self.table_of(group, &self.placement_of(class, zone));
+            let placement = self.placements[usize::from(table.0) % 256].clone();
+            used.insert(table, (group, placement));
+            if binding.sent != Some(table) {
+                let set = binds.entry((id, table)).or_insert(ClassSet(0));
+                *set = set.with(ClassId(class as u8));
             }
         }
-        let users = |table: TableId, proxies: &BTreeMap<ProxyId, Proxy>| -> Vec<ProxyId> {
-            let uses = |proxy: &Proxy| proxy.bindings.iter().any(|binding| binding.sent == Some(table));
-            proxies.iter().filter(|(_, proxy)| uses(proxy)).map(|(id, _)| *id).collect()
-        };
-        // Lines: those that go first, then the rest, of tables in use or about to be.
-        let mut lines: Vec<(bool, TableId, ServerId, f64)> = Vec::new();
-        let mut all: BTreeSet<TableId> = self.tables.keys().copied().collect();
-        all.extend(used.keys().copied());
-        for table in all {
-            let sent = &self.tables.entry(table).or_default().lines;
-            let held = sent.clone();
-            let wanted = match used.get(&table) {
-                Some((group, placement)) => self.wanted_lines(*group, placement),
-                None => held
-                    .iter()
-                    .filter(|(id, _)| self.servers[*id].ready)
-                    .map(|(k, v)| (k.clone(), *v))
-                    .collect(),
+        // Orders by rank: servers lost, new tables, bindings, weights, levels.
+        let mut ranked: Vec<(u8, Order)> = Vec::new();
+        let tables: BTreeSet<TableId> = self.tables.keys().chain(used.keys()).copied().collect();
+        for table in tables {
+            let held = self.tables.entry(table).or_default().clone();
+            let lost = |id: &ServerId| !self.servers[id].ready();
+            let (wanted, levels) = match used.get(&table) {
+                Some((group, placement)) => {
+                    (self.wanted_lines(*group, placement), self.wanted_levels(*group))
+                }
+                None => {
+                    let kept = held.lines.iter().filter(|(id, _)| !lost(id));
+                    (kept.map(|(id, weight)| (id.clone(), *weight)).collect(), BTreeMap::new())
+                }
             };
-            for (id, weight) in &wanted {
-                let old = held.get(id).copied().unwrap_or(0.0);
-                if (weight - old).abs() > LINE_CHANGE * old {
-                    lines.push((old > 0.0, table, id.clone(), *weight));
+            let rank = |late: u8| if users.contains_key(&table) { late } else { 1 };
+            for (server, weight) in &wanted {
+                let old = held.lines.get(server).copied().unwrap_or(0.0);
+                if (weight - old).abs() > CHANGE * old {
+                    let server = server.clone();
+                    ranked.push((rank(3), Order::Line { table, server, weight: *weight }));
                 }
             }
-            for id in held.keys().filter(|id| !wanted.contains_key(*id)) {
-                lines.push((self.servers[id].ready, table, id.clone(), 0.0));
+            for server in held.lines.keys().filter(|id| !wanted.contains_key(*id)) {
+                let rank = if lost(server) { 0 } else { rank(3) };
+                ranked.push((rank, Order::Line { table, server: server.clone(), weight: 0.0 }));
             }
-        }
-        lines.sort_by_key(|(late, ..)| *late);
-        let calm = self.now - self.sent_at >= TURN + TURN;
-        for (late, table, server, weight) in lines {
-            let users = users(table, &self.proxies);
-            if late && !users.is_empty() && (!calm || self.queued + cost > room) {
-                continue;
-            }
-            cost += users.len() as f64;
-            touched.extend(users);
-            let weight = (weight * 1e4).round() / 1e4;
-            let sent = &mut self.tables.entry(table).or_default().lines;
-            if weight > 0.0 {
-                sent.insert(server.clone(), weight)
-            } else {
-                sent.remove(&server)
-            };
-            orders.push(Order::Line { table, server, weight });
-        }
-        // Levels of the tables in use, a line each.
-        for table in used.keys() {
-            for class in 0..self.classes.len() {
-                let wanted = self.wanted_level(class);
-                let users = users(*table, &self.proxies);
-                if !users.is_empty() && self.queued + cost > room {
-                    continue;
-                }
-                let entry = self.tables.entry(*table).or_default();
-                entry.levels.resize(self.classes.len(), None);
-                if entry.levels[class] != Some(wanted) {
-                    entry.levels[class] = Some(wanted);
-                    cost += users.len() as f64;
-                    touched.extend(users);
+            for (class, (level, tries)) in levels {
+                let old = held.levels.get(&class).copied();
+                if old.is_none_or(|(old, way)| way != tries || (level - old).abs() > CHANGE * old) {
                     let classes = ClassSet::of(ClassId(class as u8));
-                    orders.push(Order::Level { table: *table, classes, level: wanted.0, tries: wanted.1 });
+                    ranked.push((rank(4), Order::Level { table, classes, level, tries }));
                 }
             }
         }
-        // Bindings: a proxy's classes that go to one table go in one order.
-        let mut grouped: BTreeMap<(ProxyId, TableId), Vec<usize>> = BTreeMap::new();
-        for (id, class, table) in binds {
-            grouped.entry((id, table)).or_default().push(class);
-        }
-        for ((proxy, table), classes) in grouped {
-            if self.queued + cost > room {
+        ranked.extend(
+            binds.into_iter().map(|((proxy, table), classes)| (2, Order::Bind { proxy, classes, table })),
+        );
+        ranked.sort_by_key(|(rank, _)| *rank);
+        let rested = self.now - self.sent_at >= TURN + TURN;
+        let room = self.settings.channel_lines_limit * QUEUE_SHARE - self.queued;
+        let (mut cost, mut touched) = (0.0, BTreeSet::new());
+        for (rank, order) in ranked {
+            let spent = cost + touched.len() as f64 * self.settings.lines_per_message;
+            if rank >= 2 && spent > room || rank >= 3 && !rested {
                 break;
             }
-            let (lines, levels) = (self.tables[&table].lines.len(), self.tables[&table].levels.len());
-            cost += 1.0 + (lines + levels) as f64;
-            touched.insert(proxy);
-            let mut set = ClassSet(0);
-            for class in classes {
-                set = set.with(ClassId(class as u8));
-                if let Some(proxy) = self.proxies.get_mut(&proxy) {
-                    proxy.bindings[class].sent = Some(table);
+            match &order {
+                Order::Line { table, server, weight } => {
+                    let lines = &mut self.tables.entry(*table).or_default().lines;
+                    lines.insert(server.clone(), *weight);
+                    lines.retain(|_, weight| *weight > 0.0);
+                    cost += users.get(table).map_or(0, BTreeSet::len) as f64;
+                    touched.extend(users.get(table).into_iter().flatten().copied());
+                }
+                Order::Level { table, classes, level, tries } => {
+                    let class = classes.0.trailing_zeros() as usize;
+                    self.tables.entry(*table).or_default().levels.insert(class, (*level, *tries));
+                    cost += users.get(table).map_or(0, BTreeSet::len) as f64;
+                    touched.extend(users.get(table).into_iter().flatten().copied());
                 }
+                Order::Bind { proxy, classes, table } => {
+                    let sent = &self.tables[table];
+                    cost += (1 + sent.lines.len() + sent.levels.len()) as f64;
+                    touched.insert(*proxy);
+                    let bindings =
+                        self.proxies.get_mut(proxy).into_iter().flat_map(|proxy| &mut proxy.bindings);
+                    let bound = bindings.enumerate().filter(|(class, _)| classes.0 >> class & 1 == 1);
+                    bound.for_each(|(_, binding)| binding.sent = Some(*table));
+                }
+                _ => {}
             }
-            orders.push(Order::Bind { proxy, classes: set, table });
+            orders.push(order);
         }
         if !touched.is_empty() {
             self.queued += cost + touched.len() as f64 * self.settings.lines_per_message;
@@ -894,3 +900,19 @@
         }
     }
 }
+
+/// The rate at each proxy that lets in a share of all that arrives: the busiest give first.
+fn even_cap(arrivals: &[f64], share: f64) -> f64 {
+    let target = share * arrivals.iter().sum::<f64>();
+    let (mut low, mut high) = (0.0, arrivals.iter().copied().fold(0.1, f64::max));
+    for _ in 0..30 {
+        let middle = (low + high) / 2.0;
+        let taken: f64 = arrivals.iter().map(|rate| rate.min(middle)).sum();
+        if taken < target {
+            low = middle
+        } else {
+            high = middle
+        }
+    }
+    high
+}
