--- a/crates/craneknot-wirehost/src/wire.rs
+++ b/crates/craneknot-wirehost/src/wire.rs
@@ -354,6 +354,7 @@
     Ok(Settings {
         classes,
         controllers: number("balancers")? as u32,
+        proxies: number("extra.data-plane-size")? as u32,
         list_on_request: match text("registry-mode")? {
             "pushed" => false,
             "on_request" => true,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -127,6 +127,8 @@
     pub classes: Vec<ClassSettings>,
     /// How many controllers there are.
     pub controllers: u32,
+    /// How many proxies there are, of all controllers.
+    pub proxies: u32,
     /// The list comes only when asked for.
     pub list_on_request: bool,
     /// Without a standing request, how long until the controller is held to know the list.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,3 +4,4 @@
 
 pub mod interface;
 pub mod policy;
+mod state;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -16,142 +16,47 @@
 use rand_pcg::Pcg32;
 
 use crate::interface::*;
-
-/// The controller looks round this often unasked, ms: well under the reports' period, and cheap.
-const TURN: Nanos = Nanos::from_millis(250);
-/// Half of what proxies met is forgotten after this, ms: a few report periods, so that noise evens out.
-const HALF_LIFE: Nanos = Nanos::from_millis(2_000);
-/// Half of a proxy's traffic, as bindings see it, ms: bindings last, so they go by what lasts.
-const DEMAND_HALF_LIFE: Nanos = Nanos::from_millis(8_000);
-/// The design's step, ms: a new server has half its weight, and loads settle, for this long between moves.
-const STEP: Nanos = Nanos::from_millis(5_000);
-/// Steps of moves after a change of membership: the design's two, and one to mend what reports show late.
-const STEPS: u32 = 3;
-/// Servers a group is dealt: the design's twelve; and the fewest that are dealt into more than one: its eight.
-const GROUP_SIZE: usize = 12;
-const ONE_GROUP_BELOW: usize = 8;
-/// Fewest servers of a zone that stand as a group: with fewer, losing one takes half the group.
-const ZONE_LEAST: usize = 3;
-/// How much heavier a group out of the proxy's zone counts: a crossing costs less than a quarter more load.
-const AWAY: f64 = 1.25;
-/// A binding moves if the load it meets gets smaller by this factor: less would be noise.
-const MOVE_GAIN: f64 = 1.1;
-/// Tries before a server is judged: two or three more failures than chance brings.
-const EVIDENCE: f64 = 4.0;
-/// Unanswered share that makes a server broken, and that makes it odd.
-const BROKEN_SHARE: f64 = 0.35;
-const ODD_SHARE: f64 = 0.15;
-/// A share this many times that of the other servers is the server's own doing, not the load's.
-const OWN_FAULT: f64 = 2.5;
-/// Part of the listed weight that must stay when servers are shut out: the rest must carry their load.
-const FLOOR: f64 = 0.7;
-/// Time between probes of a server in doubt or out, ms: a probe costs a few ms of work.
-const PROBE_EVERY: Nanos = Nanos::from_millis(700);
-/// Probes answered in a row before a server comes back, doubled at each relapse up to five times.
-const CLEARING: u32 = 3;
-/// A server back from health trouble comes up to its weight over this, ms: reports need a few seconds.
-const TRIAL: Nanos = Nanos::from_millis(8_000);
-/// Share of its weight with which it comes back.
-const TRIAL_SHARE: f64 = 0.3;
-/// A line or level is sent again when it moved by more than this share: less is not worth the channel.
-const CHANGE: f64 = 0.12;
-/// Weights follow measured waits at this interval, ms: reports of the last change must have come.
-const PACE_EVERY: Nanos = Nanos::from_millis(3_000);
-/// How sharply they do, and within what bounds in one step and in all.
-const PACE_POWER: f64 = 0.4;
-const PACE_STEP: (f64, f64) = (0.7, 1.25);
-const PACE_RANGE: (f64, f64) = (0.1, 2.5);
-/// Mean wait, in latency goals, above which a group takes in too much, and under which it can take more:
-/// waits spread, so that well before the mean reaches the goal many operations miss it.
-const WAIT_OVER: f64 = 0.6;
-const WAIT_LIGHT: f64 = 0.4;
-/// A cut takes the limit to this share of what is handled, so that queues drain; the next waits for reports.
-const CUT: f64 = 0.85;
-const CUT_EVERY: Nanos = Nanos::from_millis(2_500);
-/// Growth of the limit and its interval, ms: some seconds back to full, slower than reports come.
-const GROWTH: f64 = 1.06;
-const GROW_EVERY: Nanos = Nanos::from_millis(1_000);
-/// A limit this far above what arrives is lifted.
-const LIFT: f64 = 1.2;
-/// Share of the channel's told pace that is counted on, and of its limit that is used: it may run slower.
-const CHANNEL_SHARE: f64 = 0.5;
-const QUEUE_SHARE: f64 = 0.3;
-/// First wait before the list is asked for again, and the longest, ms: it is one service for all.
-const ASK_AGAIN: Nanos = Nanos::from_millis(500);
-const ASK_AGAIN_MOST: Nanos = Nanos::from_millis(4_000);
-/// A level that lets all in, as a rate: more than any proxy carries.
-const RATE_ALL: f64 = 1e6;
-
-/// A sum that halves with every half-life; brought up to date when read.
-#[derive(Clone, Copy, Debug, Default)]
-struct Decay {
-    sum: f64,
-    at: Nanos,
-}
-
-impl Decay {
-    fn read(&self, now: Nanos, half: Nanos) -> f64 {
-        self.sum * 0.5f64.powf((now - self.at).secs() / half.secs())
-    }
-
-    fn add(&mut self, now: Nanos, half: Nanos, amount: f64) {
-        *self = Decay { sum: self.read(now, half) + amount, at: now };
-    }
-
-    /// Per second, where the first was added at `since` or later.
-    fn rate(&self, now: Nanos, half: Nanos, since: Nanos) -> f64 {
-        let filled = 1.0 - 0.5f64.powf((now - since).secs().max(1.0) / half.secs());
-        self.read(now, half) * std::f64::consts::LN_2 / half.secs() / filled
-    }
-}
-
-/// What proxies met at a server: tries, those without a good answer, and seconds waited.
-#[derive(Clone, Copy, Debug, Default)]
-struct Met {
-    tries: Decay,
-    unanswered: Decay,
-    waited: Decay,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum State {
-    /// Not listed ready: in no table.
-    Away,
-    /// Started lately: its weight grows with what it can surely do.
-    Cold,
-    Open,
-    /// Odd signs: probed, still in the tables.
-    Doubted,
-    /// Shut out for its health, and probed.
-    Out,
-    /// Back from that, at a growing share.
-    Trial,
-}
-use State::{Away, Cold, Doubted, Open, Out, Trial};
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Sign {
-    Unlisted,
-    Started,
-    Warm,
-    Broken,
-    Odd,
-    Sound,
-    Cleared,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Effect {
-    Nothing,
-    /// It enters its group as a new member does; bindings settle.
-    Join,
-    /// It leaves all tables; bindings settle.
-    Leave,
-    /// As Leave, and its next return takes longer.
-    Expel,
-    /// It returns, and what was measured before no longer holds; bindings settle.
-    Return,
-}
+use crate::state::State::{Away, Cold, Doubted, Open, Out, Trial};
+use crate::state::*;
+
+const TURN: Nanos = Nanos::from_millis(250); // ms; it looks round unasked: well under a report's delay, and cheap
+const HALF_LIFE: Nanos = Nanos::from_millis(2_000); // ms; what proxies met: a few reports, so that noise evens out
+const LASTING: Nanos = Nanos::from_millis(8_000); // ms; half-life of traffic as bindings see it: they last too
+const STEP: Nanos = Nanos::from_millis(5_000); // ms; the design's step: half weight, and time between moves
+const STEPS: u32 = 3; // steps of moves after a change: the design's two, and one to mend what reports show late
+const GROUP_SIZE: usize = 12; // servers; the design's
+const ONE_GROUP_BELOW: usize = 8; // servers; the design's
+const ZONE_LEAST: usize = 3; // servers of a zone that stand as a group: with fewer, losing one halves it
+const AWAY: f64 = 1.25; // load factor of a group in another zone: crossing costs less than a quarter more load
+const MOVE_GAIN: f64 = 1.1; // factor by which a move must lessen the load met: less would be noise
+const EVIDENCE: f64 = 4.0; // tries before a server is judged: two or three more failures than chance brings
+const BROKEN_SHARE: f64 = 0.35; // unanswered share: clients' further tries no longer make up for it
+const ODD_SHARE: f64 = 0.15; // unanswered share: well above chance
+const OWN_FAULT: f64 = 2.5; // factor over the other servers' share: the server's own doing, not the load's
+const FLOOR: f64 = 0.7; // part of the listed weight never shut out: it must carry the load of all
+const PROBE_EVERY: Nanos = Nanos::from_millis(700); // ms; a probe costs a few ms of work
+const CLEARING: u32 = 3; // probes answered before a return, doubled at each relapse up to four times
+const TRIAL: Nanos = Nanos::from_millis(8_000); // ms; a return takes this long: reports need a few seconds
+const TRIAL_SHARE: f64 = 0.3; // share of its weight with which a server returns: enough to be judged by
+const CHANGE: f64 = 0.12; // share by which a line or level must move to be sent: less is not worth the channel
+const PACE_EVERY: Nanos = Nanos::from_millis(3_000); // ms; reports of the last change must have come
+const PACE_POWER: f64 = 0.4; // weight against wait: a late answer must not swing
+const PACE_STEP: (f64, f64) = (0.7, 1.25); // bounds of one step: a wrong reading is mended in the next
+const PACE_RANGE: (f64, f64) = (0.1, 2.5); // bounds in all: ten times slower is as good as shut out
+const WAIT_OVER: f64 = 0.9; // mean wait, in latency goals: waits spread, so well before 1 many miss the goal
+const WAIT_LIGHT: f64 = 0.6; // mean wait under which a group can take more
+const BUSY_OVER: f64 = 0.85; // reported busy share, where there is one, under which long waits are no overload
+const BUSY_LIGHT: f64 = 0.8; // reported busy share under which a group can take more
+const CUT: f64 = 0.85; // a cut's share of what is handled: queues must drain
+const CUT_EVERY: Nanos = Nanos::from_millis(2_500); // ms; reports of the last cut must have come
+const GROWTH: f64 = 1.06; // growth of a limit in a step
+const GROW_EVERY: Nanos = Nanos::from_millis(1_000); // ms; full again in some seconds, slower than reports
+const LIFT: f64 = 1.2; // a limit this far above what arrives is lifted
+const CHANNEL_SHARE: f64 = 0.5; // share of the channel's told pace counted on: it may run slower
+const QUEUE_SHARE: f64 = 0.3; // share of the channel's limit used: half the claim, and room for what is urgent
+const ASK_AGAIN: Nanos = Nanos::from_millis(500); // ms; first wait before the list is asked for again
+const ASK_AGAIN_MOST: Nanos = Nanos::from_millis(4_000); // ms; the longest: it is one service for all
+const RATE_ALL: f64 = 1e6; // operations a second; more than any proxy carries: a level that lets all in
 
 /// A server's states, sign, next state, effect. The first sign that holds and has a row is taken.
 const SERVER_MOVES: &[(&[State], Sign, State, Effect)] = &[
@@ -165,26 +70,6 @@
     (&[Out], Sign::Cleared, Trial, Effect::Return),
 ];
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Load {
-    Calm,
-    Shedding,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Strain {
-    Over,
-    Light,
-    Idle,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Limit {
-    Cut,
-    Grow,
-    Lift,
-}
-
 /// A group's state, strain, next state, effect on the limit of what it takes in.
 const GROUP_MOVES: &[(Load, Strain, Load, Limit)] = &[
     (Load::Calm, Strain::Over, Load::Shedding, Limit::Cut),
@@ -193,30 +78,7 @@
     (Load::Shedding, Strain::Idle, Load::Calm, Limit::Lift),
 ];
 
-struct Server {
-    listing: Listing,
-    group: usize,
-    state: State,
-    since: Nanos,
-    /// When it last entered its group; nothing: with the first list.
-    joined: Option<Nanos>,
-    /// Started anew since its state last changed.
-    fresh: bool,
-    /// Weight against the listed one, by what proxies met.
-    pace: f64,
-    near: Met,
-    far: Met,
-    probed: Nanos,
-    probes_good: u32,
-    probes_bad: u32,
-    relapses: u32,
-}
-
 impl Server {
-    fn ready(&self) -> bool {
-        self.listing.readiness == Readiness::Ready
-    }
-
     fn listed_weight(&self) -> f64 {
         self.listing.weight.filter(|weight| *weight > 0.0 && weight.is_finite()).unwrap_or(1.0)
     }
@@ -246,61 +108,6 @@
     }
 }
 
-/// Where a class may run; empty: anywhere.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-struct Placement {
-    zones: Vec<ZoneId>,
-    kinds: Vec<KindId>,
-}
-
-impl Placement {
-    fn allows(&self, listing: &Listing) -> bool {
-        (self.zones.is_empty() || self.zones.contains(&listing.zone))
-            && (self.kinds.is_empty() || self.kinds.contains(&listing.kind))
-    }
-}
-
-/// What differs by class: a row a class.
-struct ClassRow {
-    importance: f64,
-    placement: Placement,
-    home_only: bool,
-}
-
-/// One proxy's binding for one class.
-#[derive(Clone, Debug, Default)]
-struct Binding {
-    group: Option<usize>,
-    sent: Option<TableId>,
-    /// Its traffic as it lasts, and as it is now.
-    lasting: Decay,
-    recent: Decay,
-    heard: bool,
-}
-
-struct Proxy {
-    zone: ZoneId,
-    usual_rate: f64,
-    joined: Nanos,
-    bindings: Vec<Binding>,
-}
-
-struct Group {
-    /// The zone of its servers, where all are of one.
-    zone: Option<ZoneId>,
-    load: Load,
-    /// Operations a second it takes in at most.
-    limit: f64,
-    changed: Nanos,
-}
-
-/// A shared table as proxies have it.
-#[derive(Clone, Default)]
-struct Table {
-    lines: BTreeMap<ServerId, f64>,
-    levels: BTreeMap<usize, (f64, FurtherTries)>,
-}
-
 pub struct Controller {
     settings: Settings,
     rng: Pcg32,
@@ -398,8 +205,9 @@
                     self.settle();
                 }
             }
-            Event::Heard { server, zone, tries, unanswered, latency, .. } => {
+            Event::Heard { server, zone, tries, unanswered, latency, report, .. } => {
                 let Some(server) = self.servers.get_mut(server) else { return };
+                server.busy.hear(now, HALF_LIFE, report.busy);
                 let (tries, failed) = (*tries as f64, *tries.min(unanswered) as f64);
                 let met = if *zone == server.listing.zone { &mut server.near } else { &mut server.far };
                 met.tries.add(now, HALF_LIFE, tries);
@@ -410,7 +218,7 @@
             Event::Demand { proxy, class, arrived, .. } => {
                 let Some(proxy) = self.proxies.get_mut(proxy) else { return };
                 let Some(binding) = proxy.bindings.get_mut(usize::from(class.0)) else { return };
-                binding.lasting.add(now, DEMAND_HALF_LIFE, *arrived as f64);
+                binding.lasting.add(now, LASTING, *arrived as f64);
                 binding.recent.add(now, HALF_LIFE, *arrived as f64);
                 // A joining is complete once the proxy's own traffic is known.
                 if !binding.heard && now - proxy.joined > STEP {
@@ -418,8 +226,9 @@
                     self.settle();
                 }
             }
-            Event::Probed { server, outcome, .. } => {
+            Event::Probed { server, outcome, report, .. } => {
                 let Some(server) = self.servers.get_mut(server) else { return };
+                server.busy.hear(now, HALF_LIFE, report.busy);
                 (server.probes_good, server.probes_bad) = match outcome {
                     ProbeOutcome::Answered => (server.probes_good + 1, 0),
                     ProbeOutcome::TurnedAway => (server.probes_good, server.probes_bad),
@@ -452,21 +261,8 @@
         for entry in entries {
             let known = self.servers.get(&entry.server).filter(|known| known.listing.zone == entry.zone);
             let group = known.map(|known| known.group).unwrap_or_else(|| self.group_for(entry));
-            let server = self.servers.entry(entry.server.clone()).or_insert_with(|| Server {
-                listing: entry.clone(),
-                group,
-                state: Away,
-                since: Nanos(0),
-                joined: None,
-                fresh: false,
-                pace: 1.0,
-                near: Met::default(),
-                far: Met::default(),
-                probed: Nanos(0),
-                probes_good: 0,
-                probes_bad: 0,
-                relapses: 0,
-            });
+            let server =
+                self.servers.entry(entry.server.clone()).or_insert_with(|| Server::new(entry.clone(), group));
             server.fresh |= server.listing.started != entry.started;
             (server.listing, server.group) = (entry.clone(), group);
         }
@@ -491,7 +287,7 @@
             false => vec![(None, all)],
         };
         for (zone, count) in dealt {
-            let group = |_| Group { zone, load: Load::Calm, limit: f64::INFINITY, changed: Nanos(0) };
+            let group = |_| Group::new(zone);
             self.groups.extend((0..count.div_ceil(GROUP_SIZE)).map(group));
         }
     }
@@ -503,7 +299,7 @@
         let found = (0..self.groups.len()).filter(open).min_by_key(size);
         found.unwrap_or_else(|| {
             let zone = Some(entry.zone);
-            self.groups.push(Group { zone, load: Load::Calm, limit: f64::INFINITY, changed: Nanos(0) });
+            self.groups.push(Group::new(zone));
             self.groups.len() - 1
         })
     }
@@ -511,7 +307,6 @@
     /// Membership changed: bindings move now and in the next few steps.
     fn settle(&mut self) {
         self.steps_left = STEPS;
-        self.next_step = self.next_step.min(self.now);
     }
 
     /// The first sign of a server that holds now and has a row for its state.
@@ -603,6 +398,16 @@
         }
     }
 
+    /// Mean busy share of a group's servers, where they report it.
+    fn busy_of(&self, group: usize) -> Option<f64> {
+        let (mut weight, mut busy) = (0.0, 0.0);
+        for server in self.servers.values().filter(|s| s.group == group && s.state == Open) {
+            weight += server.listed_weight();
+            busy += server.listed_weight() * server.busy.mean(self.now, HALF_LIFE)?;
+        }
+        (weight > 0.0).then(|| busy / weight)
+    }
+
     /// Moves each server's weight towards equal waits within its group. It answers whatever makes one server
     /// slower than its fellows: a wrong listed weight, a slow machine, failures too few to shut it out.
     fn follow_pace(&mut self) {
@@ -628,20 +433,24 @@
         for index in 0..self.groups.len() {
             let (tries, answered, wait) = self.met_by(index);
             let arrived: f64 = (0..self.classes.len()).flat_map(|class| self.arrivals(index, class)).sum();
+            let busy = self.busy_of(index).map_or(1.0, |busy| busy.clamp(0.3, 1.0));
             let group = &mut self.groups[index];
             let (wait, rested) = (wait / self.goals.0, now - group.changed);
-            let strain = if wait > WAIT_OVER && tries >= EVIDENCE {
+            let full = tries * answered / busy;
+            let strain = if wait > WAIT_OVER && tries >= EVIDENCE && busy >= BUSY_OVER {
                 Some(Strain::Over)
             } else if wait < WAIT_LIGHT && group.limit > LIFT * arrived {
                 Some(Strain::Idle)
             } else {
-                (wait < WAIT_LIGHT).then_some(Strain::Light)
+                (wait < WAIT_LIGHT || busy < BUSY_LIGHT).then_some(Strain::Light)
             };
             let row = GROUP_MOVES.iter().find(|row| row.0 == group.load && Some(row.1) == strain);
             let Some((_, _, next, effect)) = row else { continue };
             match effect {
-                Limit::Cut if rested >= CUT_EVERY => group.limit = CUT * group.limit.min(tries * answered),
-                Limit::Grow if rested >= GROW_EVERY => group.limit *= GROWTH,
+                Limit::Cut if rested >= CUT_EVERY => group.limit = group.limit.min(CUT * full),
+                Limit::Grow if rested >= GROW_EVERY => {
+                    group.limit = (group.limit * GROWTH).max(if busy < BUSY_LIGHT { CUT * full } else { 0.0 })
+                }
                 Limit::Lift if rested >= GROW_EVERY => group.limit = f64::INFINITY,
                 Limit::Cut | Limit::Grow | Limit::Lift => continue,
             }
@@ -714,7 +523,7 @@
     fn demand(&self, proxy: &Proxy, class: usize) -> f64 {
         let binding = &proxy.bindings[class];
         let rate = match binding.heard {
-            true => binding.lasting.rate(self.now, DEMAND_HALF_LIFE, proxy.joined),
+            true => binding.lasting.rate(self.now, LASTING, proxy.joined),
             false => proxy.usual_rate / self.classes.len() as f64,
         };
         rate.max(0.01)
@@ -742,6 +551,14 @@
                 }
             }
         }
+        // Others' proxies load the groups too: where servers report, go by that; else they count as even.
+        let (own, count) = (loads.iter().sum::<f64>(), self.proxies.len().max(1) as f64);
+        let all = own * (f64::from(self.settings.proxies) / count).max(1.0);
+        let busy: Option<Vec<f64>> = groups.clone().map(|g| Some(self.busy_of(g)? * weights[g])).collect();
+        if let Some(busy) = busy.filter(|busy| due && busy.iter().sum::<f64>() > 0.0) {
+            let sum: f64 = busy.iter().sum();
+            loads = busy.iter().map(|busy| all * busy / sum).collect();
+        }
         for _ in 0..2 * bindings.len() {
             // The binding that gains most by moving, in load met; of those that must go, the busiest.
             let mut best: Option<(f64, &(ProxyId, usize, f64, Vec<bool>), usize)> = None;
