--- a/src/policy.rs
+++ b/src/policy.rs
@@ -48,6 +48,7 @@
 const BUSY_OVER: f64 = 0.85; // reported busy share, where there is one, under which long waits are no overload
 const BUSY_LIGHT: f64 = 0.8; // reported busy share under which a group can take more
 const CUT: f64 = 0.85; // a cut's share of what is handled: queues must drain
+const CUT_MOST: f64 = 0.6; // a cut leaves at least this share of what was let in: reports lag behind it
 const CUT_EVERY: Nanos = Nanos::from_millis(2_500); // ms; reports of the last cut must have come
 const GROWTH: f64 = 1.06; // growth of a limit in a step
 const GROW_EVERY: Nanos = Nanos::from_millis(1_000); // ms; full again in some seconds, slower than reports
@@ -434,12 +435,14 @@
             let (tries, answered, wait) = self.met_by(index);
             let arrived: f64 = (0..self.classes.len()).flat_map(|class| self.arrivals(index, class)).sum();
             let busy = self.busy_of(index).map_or(1.0, |busy| busy.clamp(0.3, 1.0));
+            let cold = self.servers.values().any(|s| s.group == index && s.state == Cold);
             let group = &mut self.groups[index];
+            let most = group.limit.min(arrived);
             let (wait, rested) = (wait / self.goals.0, now - group.changed);
             let full = tries * answered / busy;
             let strain = if wait > WAIT_OVER && tries >= EVIDENCE && busy >= BUSY_OVER {
                 Some(Strain::Over)
-            } else if wait < WAIT_LIGHT && group.limit > LIFT * arrived {
+            } else if wait < WAIT_LIGHT && group.limit > LIFT * arrived && !cold {
                 Some(Strain::Idle)
             } else {
                 (wait < WAIT_LIGHT || busy < BUSY_LIGHT).then_some(Strain::Light)
@@ -447,7 +450,9 @@
             let row = GROUP_MOVES.iter().find(|row| row.0 == group.load && Some(row.1) == strain);
             let Some((_, _, next, effect)) = row else { continue };
             match effect {
-                Limit::Cut if rested >= CUT_EVERY => group.limit = group.limit.min(CUT * full),
+                Limit::Cut if rested >= CUT_EVERY => {
+                    group.limit = (CUT * full).clamp(CUT_MOST * most, CUT * most)
+                }
                 Limit::Grow if rested >= GROW_EVERY => {
                     group.limit = (group.limit * GROWTH).max(if busy < BUSY_LIGHT { CUT * full } else { 0.0 })
                 }
@@ -595,7 +600,7 @@
         let answered = self.met_by(group).1;
         let weigh = |server: &Server| {
             // Where many tries fail, more are made; a cold server must not get its part of those.
-            let guard = if server.state == Cold { answered } else { 1.0 };
+            let guard = if server.state == Cold { answered * answered } else { 1.0 };
             server.listed_weight() * server.pace * server.share(self.now, &self.settings) * guard
         };
         let fits = |s: &&Server| s.group == group && s.ready() && placement.allows(&s.listing);
