Leaves move bindings at once; unseen proxies' load is added to own; crowded cold lines shrink

Cause: bindings waited up to five seconds after a leave, and busy reports alone hid the load of servers gone.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -358,7 +358,8 @@
             match effect {
                 Effect::Nothing => continue,
                 Effect::Join => (server.joined, server.relapses) = (Some(now), 0),
-                Effect::Leave | Effect::Return => {}
+                Effect::Leave => self.next_step = now,
+                Effect::Return => {}
                 Effect::Expel => {
                     server.relapses += 1;
                     spare -= server.listed_weight();
@@ -556,13 +557,18 @@
                 }
             }
         }
-        // Others' proxies load the groups too: where servers report, go by that; else they count as even.
-        let (own, count) = (loads.iter().sum::<f64>(), self.proxies.len().max(1) as f64);
-        let all = own * (f64::from(self.settings.proxies) / count).max(1.0);
-        let busy: Option<Vec<f64>> = groups.clone().map(|g| Some(self.busy_of(g)? * weights[g])).collect();
-        if let Some(busy) = busy.filter(|busy| due && busy.iter().sum::<f64>() > 0.0) {
-            let sum: f64 = busy.iter().sum();
-            loads = busy.iter().map(|busy| all * busy / sum).collect();
+        // Proxies of other controllers load the groups too: as servers report it, else evenly.
+        let own: f64 = loads.iter().sum();
+        let unseen = f64::from(self.settings.proxies) / self.proxies.len().max(1) as f64 - 1.0;
+        if unseen > 0.0 && own > 0.0 {
+            let busy: Option<Vec<f64>> =
+                groups.clone().map(|g| Some(self.busy_of(g)? * weights[g])).collect();
+            let parts = busy.unwrap_or_else(|| weights.clone());
+            let sum: f64 = parts.iter().sum();
+            let all = |part: f64| own * (1.0 + unseen) * part / sum.max(1e-9);
+            let others: Vec<f64> =
+                parts.iter().zip(&loads).map(|(part, own)| (all(*part) - own).max(0.0)).collect();
+            loads.iter_mut().zip(others).for_each(|(load, other)| *load += other);
         }
         for _ in 0..2 * bindings.len() {
             // The binding that gains most by moving, in load met; of those that must go, the busiest.
@@ -593,6 +599,10 @@
             }
             loads[group] += demand;
         }
+        let mean = loads.iter().sum::<f64>() / weights.iter().sum::<f64>();
+        for (group, (load, weight)) in self.groups.iter_mut().zip(loads.iter().zip(&weights)) {
+            group.crowding = (load / weight / mean).max(1.0);
+        }
     }
 
     /// The lines a table should have: open servers by weight, or, if there are none, any listed ready.
@@ -600,7 +610,8 @@
         let answered = self.met_by(group).1;
         let weigh = |server: &Server| {
             // Where many tries fail, more are made; a cold server must not get its part of those.
-            let guard = if server.state == Cold { answered * answered } else { 1.0 };
+            let guard =
+                if server.state == Cold { (answered / self.groups[group].crowding).powi(2) } else { 1.0 };
             server.listed_weight() * server.pace * server.share(self.now, &self.settings) * guard
         };
         let fits = |s: &&Server| s.group == group && s.ready() && placement.allows(&s.listing);
--- a/src/state.rs
+++ b/src/state.rs
@@ -182,6 +182,8 @@
     /// Operations a second it takes in at most.
     pub limit: f64,
     pub changed: Nanos,
+    /// Its load against the mean of all groups, 1 at least.
+    pub crowding: f64,
 }
 
 /// A shared table as proxies have it.
@@ -218,6 +220,6 @@
 
 impl Group {
     pub fn new(zone: Option<ZoneId>) -> Self {
-        Group { zone, load: Load::Calm, limit: f64::INFINITY, changed: Nanos(0) }
+        Group { zone, load: Load::Calm, limit: f64::INFINITY, changed: Nanos(0), crowding: 1.0 }
     }
 }
