--- a/src/policy.rs
+++ b/src/policy.rs
@@ -23,6 +23,7 @@
 const HALF_LIFE: Nanos = Nanos::from_millis(2_000); // ms; what proxies met: a few reports, so that noise evens out
 const LASTING: Nanos = Nanos::from_millis(8_000); // ms; half-life of traffic as bindings see it: they last too
 const STEP: Nanos = Nanos::from_millis(5_000); // ms; the design's step: half weight, and time between moves
+const HELD_BACK: f64 = 0.4; // share of its capacity under which a new server waits: one burst would end it
 const STEPS: u32 = 3; // steps of moves after a change: the design's two, and one to mend what reports show late
 const GROUP_SIZE: usize = 12; // servers; the design's
 const ONE_GROUP_BELOW: usize = 8; // servers; the design's
@@ -47,6 +48,8 @@
 const WAIT_LIGHT: f64 = 0.6; // mean wait under which a group can take more
 const BUSY_OVER: f64 = 0.85; // reported busy share, where there is one, under which long waits are no overload
 const BUSY_LIGHT: f64 = 0.8; // reported busy share under which a group can take more
+const BUSY_UNTOLD: f64 = 0.6; // taken for the busy share where servers report none: a usual one
+const YIELD_HALF_LIFE: Nanos = Nanos::from_millis(30_000); // ms; what servers can do changes slowly
 const CUT: f64 = 0.85; // a cut's share of what is handled: queues must drain
 const CUT_MOST: f64 = 0.6; // a cut leaves at least this share of what was let in: reports lag behind it
 const CUT_EVERY: Nanos = Nanos::from_millis(2_500); // ms; reports of the last cut must have come
@@ -103,6 +106,7 @@
         let grown = TRIAL_SHARE + (1.0 - TRIAL_SHARE) * (now - self.since).secs() / TRIAL.secs();
         match self.state {
             Away | Out => 0.0,
+            Cold if ramp < HELD_BACK => 0.0,
             Cold | Open | Doubted => ramp * step,
             Trial => ramp * grown.min(1.0),
         }
@@ -129,6 +133,8 @@
     /// When to ask for the list, if it must be asked for.
     ask_at: Option<Nanos>,
     ask_wait: Nanos,
+    /// Operations a second that a unit of listed weight could do for one proxy, at its best lately.
+    best_yield: Decay,
     queued: f64,
     queued_at: Nanos,
     sent_at: Nanos,
@@ -158,6 +164,7 @@
             next_wake: now,
             ask_at: settings.list_on_request.then_some(now),
             ask_wait: ASK_AGAIN,
+            best_yield: Decay::default(),
             queued: 0.0,
             queued_at: now,
             sent_at: Nanos(0),
@@ -432,6 +439,19 @@
     /// Carries every group through `GROUP_MOVES`. It answers more work than a group can do, whatever the cause.
     fn move_groups(&mut self) {
         let now = self.now;
+        let mut yields = (0.0, 0.0);
+        for index in 0..self.groups.len() {
+            let (tries, answered, _) = self.met_by(index);
+            let weight =
+                |s: &Server| if s.group == index && s.state == Open { s.listed_weight() } else { 0.0 };
+            yields.0 +=
+                tries * answered / self.busy_of(index).map_or(BUSY_UNTOLD, |busy| busy.clamp(0.3, 1.0));
+            yields.1 += self.servers.values().map(weight).sum::<f64>();
+        }
+        let count = self.proxies.len().max(1) as f64;
+        let yields = if yields.1 > 0.0 { yields.0 / yields.1 / count } else { 0.0 };
+        let faded = self.best_yield.read(now, YIELD_HALF_LIFE);
+        self.best_yield = Decay { sum: yields.max(faded), at: now };
         for index in 0..self.groups.len() {
             let (tries, answered, wait) = self.met_by(index);
             let arrived: f64 = (0..self.classes.len()).flat_map(|class| self.arrivals(index, class)).sum();
@@ -473,6 +493,12 @@
     /// Levels of a group's classes: the limit goes to the most important first.
     fn wanted_levels(&self, index: usize) -> BTreeMap<usize, (f64, FurtherTries)> {
         let group = &self.groups[index];
+        // A group with cold members takes in no more than its members of now can do, as far as that is known.
+        let cold = self.servers.values().any(|s| s.group == index && s.state == Cold);
+        let able = self.best_yield.read(self.now, YIELD_HALF_LIFE)
+            * self.proxies.len() as f64
+            * self.weight_of(index, &self.placements[0]);
+        let limit = if cold && able > 0.0 { group.limit.min(able) } else { group.limit };
         let arrivals: Vec<Vec<f64>> =
             (0..self.classes.len()).map(|class| self.arrivals(index, class)).collect();
         let mut levels = BTreeMap::new();
@@ -481,9 +507,9 @@
                 let fitting = self.classes.iter().zip(&arrivals).filter(|(other, _)| fits(other.importance));
                 fitting.flat_map(|(_, arrivals)| arrivals).sum()
             };
-            let left = group.limit - sum_if(&|importance| importance > row.importance);
+            let left = limit - sum_if(&|importance| importance > row.importance);
             let share = (left / sum_if(&|importance| importance == row.importance).max(0.1)).clamp(0.02, 1.0);
-            let shed = group.load == Load::Shedding && share < 1.0;
+            let shed = share < 1.0;
             let level = match self.settings.level_unit {
                 LevelUnit::Share if shed => share,
                 LevelUnit::Share | LevelUnit::Ignored => 1.0,
@@ -491,7 +517,8 @@
                 LevelUnit::Rate => RATE_ALL,
             };
             // Further tries are more load; only those that surely ran nowhere are safe for every class.
-            let tries = if group.load == Load::Calm { FurtherTries::Unrun } else { FurtherTries::Never };
+            let tries =
+                if group.load == Load::Calm && !cold { FurtherTries::Unrun } else { FurtherTries::Never };
             levels.insert(class, (level, tries));
         }
         levels
