Nothing but warm servers stands in where a group has none; unbound proxies get an empty table

Drain broke where a proxy with no server to go to kept a standing table that named a lost one; failback where a table with only cold members fell back to full weights.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -34,6 +34,7 @@
 const BROKEN_SHARE: f64 = 0.35; // unanswered share: clients' further tries no longer make up for it
 const ODD_SHARE: f64 = 0.15; // unanswered share: well above chance
 const OWN_FAULT: f64 = 2.5; // factor over the other servers' share: the server's own doing, not the load's
+const LAST_RESORT: f64 = 0.01; // share of its weight of a server shut out that nothing can stand in for
 const FLOOR: f64 = 0.7; // part of the listed weight never shut out: it must carry the load of all
 const PROBE_EVERY: Nanos = Nanos::from_millis(700); // ms; a probe costs a few ms of work
 const CLEARING: u32 = 3; // probes answered before a return, doubled at each relapse up to four times
@@ -97,6 +98,10 @@
         (tries, part(&met.unanswered), part(&met.waited))
     }
 
+    fn warm(&self, now: Nanos, settings: &Settings) -> bool {
+        self.listing.started.is_none_or(|started| now - started >= settings.warm_after)
+    }
+
     /// What it can surely do now, as a share of its listed weight.
     fn share(&self, now: Nanos, settings: &Settings) -> f64 {
         let warmth = |started: Nanos| ((now - started).secs() / settings.warm_after.secs()).min(1.0);
@@ -321,7 +326,7 @@
     fn sign_of(&self, server: &Server, others: f64, spare: f64) -> Option<(State, Effect)> {
         let now = self.now;
         let (tries, share, _) = server.met(now);
-        let cold = server.listing.started.is_some_and(|at| now - at < self.settings.warm_after);
+        let cold = !server.warm(now, &self.settings);
         let own = share > OWN_FAULT * others;
         let failing = tries >= EVIDENCE && share >= BROKEN_SHARE && own;
         let silent = server.probes_bad >= 2 && (share > ODD_SHARE || tries < 1.0);
@@ -545,11 +550,24 @@
         TableId((group.min(254) * 256 + place.min(255)) as u16)
     }
 
-    /// Weight of the servers of a group that a placement allows.
+    /// Weight of each server of a group that a placement allows; if none may be used, of any that is warm and
+    /// listed ready, however it seems: a proxy must have a line while there is one.
+    fn weights_of(&self, group: usize, placement: &Placement) -> Vec<(&Server, f64)> {
+        let fits = |s: &&Server| s.group == group && s.ready() && placement.allows(&s.listing);
+        let members = || self.servers.values().filter(fits);
+        let weigh = |s: &Server| s.listed_weight() * s.share(self.now, &self.settings);
+        let open: Vec<_> = members().map(|s| (s, weigh(s))).filter(|(_, weight)| *weight > 0.0).collect();
+        if !open.is_empty() {
+            return open;
+        }
+        members()
+            .filter(|s| s.warm(self.now, &self.settings))
+            .map(|s| (s, LAST_RESORT * s.listed_weight()))
+            .collect()
+    }
+
     fn weight_of(&self, group: usize, placement: &Placement) -> f64 {
-        let fits = |s: &&Server| s.group == group && placement.allows(&s.listing);
-        let weight = |s: &Server| s.listed_weight() * s.share(self.now, &self.settings);
-        self.servers.values().filter(fits).map(weight).sum()
+        self.weights_of(group, placement).iter().map(|(_, weight)| weight).sum()
     }
 
     /// A proxy's lasting traffic of a class, in operations a second; unheard, the average of its kind.
@@ -577,7 +595,12 @@
             for class in 0..self.classes.len() {
                 let demand = self.demand(proxy, class);
                 let placement = self.placement_of(class, proxy.zone);
-                let open = groups.clone().map(|group| self.weight_of(group, &placement) > 0.0).collect();
+                let mut open: Vec<bool> =
+                    groups.clone().map(|g| self.weight_of(g, &placement) > 0.0).collect();
+                if !open.contains(&true) {
+                    // With no server to go to, an empty table still rids it of a standing one that names lost servers.
+                    open.fill(true);
+                }
                 bindings.push((*id, class, demand, open));
                 if let Some(group) = proxy.bindings[class].group {
                     loads[group] += demand;
@@ -605,14 +628,14 @@
                 let proxy = &self.proxies[id];
                 let cost = |group: usize, added: f64| {
                     let home = self.groups[group].zone.is_none_or(|zone| zone == proxy.zone);
-                    (loads[group] + added) / weights[group] * if home { 1.0 } else { AWAY }
+                    (loads[group] + added) / weights[group].max(1e-6) * if home { 1.0 } else { AWAY }
                 };
                 let from = proxy.bindings[*class].group.filter(|group| open[*group]);
                 if from.is_some() && !due {
                     continue;
                 }
                 for group in groups.clone().filter(|group| open[*group] && Some(*group) != from) {
-                    let old = from.map_or(1e9 * demand, |from| cost(from, 0.0));
+                    let old = from.map_or(1e15 * demand, |from| cost(from, 0.0));
                     let gain = old / cost(group, *demand);
                     if gain > best.map_or(MOVE_GAIN, |(most, ..)| most) {
                         best = Some((gain, binding, group));
@@ -628,24 +651,19 @@
         }
         let mean = loads.iter().sum::<f64>() / weights.iter().sum::<f64>();
         for (group, (load, weight)) in self.groups.iter_mut().zip(loads.iter().zip(&weights)) {
-            group.crowding = (load / weight / mean).max(1.0);
+            group.crowding = (load / weight.max(1e-6) / mean).max(1.0);
         }
     }
 
-    /// The lines a table should have: open servers by weight, or, if there are none, any listed ready.
+    /// The lines a table should have.
     fn wanted_lines(&self, group: usize, placement: &Placement) -> BTreeMap<ServerId, f64> {
-        let answered = self.met_by(group).1;
-        let weigh = |server: &Server| {
-            // Where many tries fail, more are made; a cold server must not get its part of those.
-            let guard =
-                if server.state == Cold { (answered / self.groups[group].crowding).powi(2) } else { 1.0 };
-            server.listed_weight() * server.pace * server.share(self.now, &self.settings) * guard
+        // Where tries fail, more are made, and a crowded group has more; a cold server must not get its part.
+        let guard = (self.met_by(group).1 / self.groups[group].crowding).powi(2);
+        let line = |(server, weight): (&Server, f64)| {
+            let weight = weight * server.pace * if server.state == Cold { guard } else { 1.0 };
+            (server.listing.server.clone(), (weight * 1e4).round() / 1e4)
         };
-        let fits = |s: &&Server| s.group == group && s.ready() && placement.allows(&s.listing);
-        let any = self.servers.values().filter(fits).any(|server| weigh(server) > 0.0);
-        let weigh = |server: &Server| if any { weigh(server) } else { server.listed_weight() };
-        let members = self.servers.values().filter(fits).map(|s| (s.listing.server.clone(), weigh(s)));
-        members.filter(|(_, weight)| *weight > 0.0).map(|(id, w)| (id, (w * 1e4).round() / 1e4)).collect()
+        self.weights_of(group, placement).into_iter().map(line).filter(|(_, weight)| *weight > 0.0).collect()
     }
 
     /// Sends what changed, as far as the channel can drain it; moves off lost servers go first.
