--- a/crates/craneknot-wirehost/src/main.rs
+++ b/crates/craneknot-wirehost/src/main.rs
@@ -8,7 +8,7 @@
 use std::process::ExitCode;
 
 use craneknot::interface::Nanos;
-use craneknot::policy::Controller;
+use craneknot::Controller;
 use serde_json::{json, Value};
 
 use wire::{Fault, Fields, Names, Sheets};
--- a/crates/craneknot-wirehost/src/wire.rs
+++ b/crates/craneknot-wirehost/src/wire.rs
@@ -391,7 +391,6 @@
         Order::Bind { proxy, classes, table } => {
             json!(["HAND_TABLE", instance, classes.0, proxy.0, table.0])
         }
-        Order::Withdraw { server, out } => json!(["TAKE_OUT", instance, &*server.0, out]),
         Order::Level { table, classes, level, tries } => {
             let how = match tries {
                 FurtherTries::Never => 0,
@@ -403,8 +402,6 @@
         }
         Order::Probe { server } => json!(["INSPECT", instance, &*server.0]),
         Order::WatchList => json!(["SUBSCRIBE", instance, true]),
-        Order::FetchList => json!(["QUERY_ALL", instance]),
         Order::Wake { after } => json!(["SLEEP", instance, after.secs(), "turn"]),
-        Order::Log { text } => json!(["SAY_LOG", instance, text]),
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -84,6 +84,10 @@
     pub fn with(self, class: ClassId) -> Self {
         ClassSet(self.0 | 1 << class.0)
     }
+
+    pub fn has(self, class: ClassId) -> bool {
+        self.0 >> class.0 & 1 == 1
+    }
 }
 
 /// What happens when an operation runs twice.
@@ -301,11 +305,6 @@
         classes: ClassSet,
         table: TableId,
     },
-    /// Joined proxies stop sending to a server whatever their tables say, or may send again.
-    Withdraw {
-        server: ServerId,
-        out: bool,
-    },
     Level {
         table: TableId,
         classes: ClassSet,
@@ -317,11 +316,7 @@
     },
     /// A standing request for changes to the list.
     WatchList,
-    FetchList,
     Wake {
         after: Nanos,
     },
-    Log {
-        text: String,
-    },
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,3 +5,5 @@
 pub mod interface;
 pub mod policy;
 mod state;
+
+pub use state::Controller;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,8 +1,8 @@
 //! Every decision of a controller.
 //!
 //! A host makes one [`Controller`] for each instance, with the settings and the seed that instance is given,
-//! and calls [`Controller::step`] with the clock and what has come in; what comes back is to be carried out at
-//! that moment, in order. Nothing else goes in or out: no clock, no file, nothing shared between instances.
+//! and calls [`Controller::step`] with the clock and what has come in; what comes back is to be carried out
+//! then, in order. Nothing else goes in or out: no clock, no file, nothing shared between instances.
 //! The types stand in `interface.rs`.
 //!
 //! The ordinary path: the listed servers are dealt into groups, a table each; a proxy is bound, per class, to
@@ -19,16 +19,16 @@
 use crate::state::State::{Away, Cold, Doubted, Open, Out, Trial};
 use crate::state::*;
 
-const TURN: Nanos = Nanos::from_millis(250); // ms; it looks round unasked: well under a report's delay, and cheap
-const HALF_LIFE: Nanos = Nanos::from_millis(2_000); // ms; what proxies met: a few reports, so that noise evens out
-const LASTING: Nanos = Nanos::from_millis(8_000); // ms; half-life of traffic as bindings see it: they last too
+const TURN: Nanos = Nanos::from_millis(250); // ms; looks round unasked: well under a report's delay
+const HALF_LIFE: Nanos = Nanos::from_millis(2_000); // ms; of what proxies met: a few reports, against noise
+const LASTING: Nanos = Nanos::from_millis(8_000); // ms; half-life of traffic as bindings see it
 const STEP: Nanos = Nanos::from_millis(5_000); // ms; the design's step: half weight, and time between moves
 const HELD_BACK: f64 = 0.4; // share of its capacity under which a new server waits: one burst would end it
-const STEPS: u32 = 3; // steps of moves after a change: the design's two, and one to mend what reports show late
+const STEPS: u32 = 3; // steps of moves after a change: the design's two, and one for late reports
 const GROUP_SIZE: usize = 12; // servers; the design's
 const ONE_GROUP_BELOW: usize = 8; // servers; the design's
 const ZONE_LEAST: usize = 3; // servers of a zone that stand as a group: with fewer, losing one halves it
-const AWAY: f64 = 1.25; // load factor of a group in another zone: crossing costs less than a quarter more load
+const AWAY: f64 = 1.25; // load factor of a group in another zone: a crossing costs as much as some load
 const MOVE_GAIN: f64 = 1.1; // factor by which a move must lessen the load met: less would be noise
 const EVIDENCE: f64 = 4.0; // tries before a server is judged: two or three more failures than chance brings
 const BROKEN_SHARE: f64 = 0.35; // unanswered share: clients' further tries no longer make up for it
@@ -40,14 +40,14 @@
 const CLEARING: u32 = 3; // probes answered before a return, doubled at each relapse up to four times
 const TRIAL: Nanos = Nanos::from_millis(8_000); // ms; a return takes this long: reports need a few seconds
 const TRIAL_SHARE: f64 = 0.3; // share of its weight with which a server returns: enough to be judged by
-const CHANGE: f64 = 0.12; // share by which a line or level must move to be sent: less is not worth the channel
+const CHANGE: f64 = 0.12; // share by which a line or level must move: less is not worth the channel
 const PACE_EVERY: Nanos = Nanos::from_millis(3_000); // ms; reports of the last change must have come
 const PACE_POWER: f64 = 0.4; // weight against wait: a late answer must not swing
 const PACE_STEP: (f64, f64) = (0.7, 1.25); // bounds of one step: a wrong reading is mended in the next
 const PACE_RANGE: (f64, f64) = (0.1, 2.5); // bounds in all: ten times slower is as good as shut out
 const WAIT_OVER: f64 = 0.9; // mean wait, in latency goals: waits spread, so well before 1 many miss the goal
 const WAIT_LIGHT: f64 = 0.6; // mean wait under which a group can take more
-const BUSY_OVER: f64 = 0.85; // reported busy share, where there is one, under which long waits are no overload
+const BUSY_OVER: f64 = 0.85; // reported busy share under which long waits are no overload
 const BUSY_LIGHT: f64 = 0.8; // reported busy share under which a group can take more
 const BUSY_UNTOLD: f64 = 0.6; // taken for the busy share where servers report none: a usual one
 const YIELD_HALF_LIFE: Nanos = Nanos::from_millis(30_000); // ms; what servers can do changes slowly
@@ -58,9 +58,10 @@
 const GROW_EVERY: Nanos = Nanos::from_millis(1_000); // ms; full again in some seconds, slower than reports
 const LIFT: f64 = 1.2; // a limit this far above what arrives is lifted
 const CHANNEL_SHARE: f64 = 0.5; // share of the channel's told pace counted on: it may run slower
-const QUEUE_SHARE: f64 = 0.3; // share of the channel's limit used: half the claim, and room for what is urgent
+const QUEUE_SHARE: f64 = 0.3; // share of the channel's limit used: there is room for what is urgent
 const ASK_AGAIN: Nanos = Nanos::from_millis(500); // ms; first wait before the list is asked for again
 const ASK_AGAIN_MOST: Nanos = Nanos::from_millis(4_000); // ms; the longest: it is one service for all
+const PLACES: usize = 256; // placements a group can have tables for: table numbers end at 65535
 const RATE_ALL: f64 = 1e6; // operations a second; more than any proxy carries: a level that lets all in
 
 /// A server's states, sign, next state, effect. The first sign that holds and has a row is taken.
@@ -88,14 +89,14 @@
         self.listing.weight.filter(|weight| *weight > 0.0 && weight.is_finite()).unwrap_or(1.0)
     }
 
-    /// Tries, unanswered share and mean wait: of proxies in its own zone if there are enough, since
-    /// far ones may suffer from the path between.
-    fn met(&self, now: Nanos) -> (f64, f64, f64) {
-        let near = self.near.tries.read(now, HALF_LIFE) >= EVIDENCE;
-        let met = if near { &self.near } else { &self.far };
-        let tries = met.tries.read(now, HALF_LIFE);
-        let part = |sum: &Decay| if tries > 0.0 { sum.read(now, HALF_LIFE) / tries } else { 0.0 };
-        (tries, part(&met.unanswered), part(&met.waited))
+    /// What proxies met: those in its own zone if they are enough, since far ones may suffer from the path.
+    fn seen(&self, now: Nanos) -> Seen {
+        let near = self.near.read(now, HALF_LIFE);
+        if near.tries >= EVIDENCE {
+            near
+        } else {
+            self.far.read(now, HALF_LIFE)
+        }
     }
 
     fn warm(&self, now: Nanos, settings: &Settings) -> bool {
@@ -118,33 +119,6 @@
     }
 }
 
-pub struct Controller {
-    settings: Settings,
-    rng: Pcg32,
-    now: Nanos,
-    classes: Vec<ClassRow>,
-    /// The shortest latency goal and the longest, s.
-    goals: (f64, f64),
-    servers: BTreeMap<ServerId, Server>,
-    proxies: BTreeMap<ProxyId, Proxy>,
-    groups: Vec<Group>,
-    /// Distinct placements, the open one first; a table is a group's servers under one of them.
-    placements: Vec<Placement>,
-    tables: BTreeMap<TableId, Table>,
-    steps_left: u32,
-    next_step: Nanos,
-    next_pace: Nanos,
-    next_wake: Nanos,
-    /// When to ask for the list, if it must be asked for.
-    ask_at: Option<Nanos>,
-    ask_wait: Nanos,
-    /// Operations a second that a unit of listed weight could do for one proxy, at its best lately.
-    best_yield: Decay,
-    queued: f64,
-    queued_at: Nanos,
-    sent_at: Nanos,
-}
-
 impl Controller {
     pub fn new(settings: Settings, seed: u64, now: Nanos) -> Self {
         let row = |class: &ClassSettings| ClassRow {
@@ -170,9 +144,7 @@
             ask_at: settings.list_on_request.then_some(now),
             ask_wait: ASK_AGAIN,
             best_yield: Decay::default(),
-            queued: 0.0,
-            queued_at: now,
-            sent_at: Nanos(0),
+            channel: Channel::new(now),
             settings,
         }
     }
@@ -195,6 +167,7 @@
         self.move_servers();
         self.probe(&mut orders);
         if self.settings.slices == 0 {
+            self.look_over();
             self.follow_pace();
             self.move_groups();
             self.bind();
@@ -208,7 +181,8 @@
         match event {
             Event::List { scope, entries } => self.take_list(*scope, entries),
             Event::ProxyJoined { proxy, zone, usual_rate } => {
-                let bindings = vec![Binding::default(); self.classes.len()];
+                let places = (0..self.classes.len()).map(|class| self.place_of(class, *zone));
+                let bindings = places.map(|place| Binding { place, ..Binding::default() }).collect();
                 let joined = Proxy { zone: *zone, usual_rate: *usual_rate, joined: now, bindings };
                 self.proxies.insert(*proxy, joined);
                 self.settle();
@@ -221,12 +195,11 @@
             Event::Heard { server, zone, tries, unanswered, latency, report, .. } => {
                 let Some(server) = self.servers.get_mut(server) else { return };
                 server.busy.hear(now, HALF_LIFE, report.busy);
+                // A try without an answer weighs as much as the slowest that is of use.
                 let (tries, failed) = (*tries as f64, *tries.min(unanswered) as f64);
+                let waited = (tries - failed) * latency.secs() + failed * self.goals.1;
                 let met = if *zone == server.listing.zone { &mut server.near } else { &mut server.far };
-                met.tries.add(now, HALF_LIFE, tries);
-                met.unanswered.add(now, HALF_LIFE, failed);
-                // A try without an answer weighs as much as the slowest that is of use.
-                met.waited.add(now, HALF_LIFE, (tries - failed) * latency.secs() + failed * self.goals.1);
+                met.add(now, HALF_LIFE, Seen { tries, failed, waited });
             }
             Event::Demand { proxy, class, arrived, .. } => {
                 let Some(proxy) = self.proxies.get_mut(proxy) else { return };
@@ -271,6 +244,8 @@
             self.deal(entries);
         }
         let first = self.servers.is_empty();
+        let mut entries: Vec<&Listing> = entries.iter().collect();
+        entries.sort_by(|a, b| a.server.cmp(&b.server));
         for entry in entries {
             let known = self.servers.get(&entry.server).filter(|known| known.listing.zone == entry.zone);
             let group = known.map(|known| known.group).unwrap_or_else(|| self.group_for(entry));
@@ -295,13 +270,10 @@
         }
         let all: usize = zones.values().sum();
         let zoned = all >= ONE_GROUP_BELOW && zones.values().all(|count| *count >= ZONE_LEAST);
-        let dealt: Vec<(Option<ZoneId>, usize)> = match zoned {
-            true => zones.into_iter().map(|(zone, count)| (Some(zone), count)).collect(),
-            false => vec![(None, all)],
-        };
+        let dealt =
+            if zoned { zones.into_iter().map(|(z, n)| (Some(z), n)).collect() } else { vec![(None, all)] };
         for (zone, count) in dealt {
-            let group = |_| Group::new(zone);
-            self.groups.extend((0..count.div_ceil(GROUP_SIZE)).map(group));
+            self.groups.extend((0..count.div_ceil(GROUP_SIZE)).map(|_| Group::new(zone)));
         }
     }
 
@@ -309,10 +281,8 @@
     fn group_for(&mut self, entry: &Listing) -> usize {
         let size = |group: &usize| self.servers.values().filter(|s| s.group == *group && s.ready()).count();
         let open = |group: &usize| self.groups[*group].zone.is_none_or(|zone| zone == entry.zone);
-        let found = (0..self.groups.len()).filter(open).min_by_key(size);
-        found.unwrap_or_else(|| {
-            let zone = Some(entry.zone);
-            self.groups.push(Group::new(zone));
+        (0..self.groups.len()).filter(open).min_by_key(size).unwrap_or_else(|| {
+            self.groups.push(Group::new(Some(entry.zone)));
             self.groups.len() - 1
         })
     }
@@ -325,7 +295,7 @@
     /// The first sign of a server that holds now and has a row for its state.
     fn sign_of(&self, server: &Server, others: f64, spare: f64) -> Option<(State, Effect)> {
         let now = self.now;
-        let (tries, share, _) = server.met(now);
+        let (tries, share) = (server.seen(now).tries, server.seen(now).share());
         let cold = !server.warm(now, &self.settings);
         let own = share > OWN_FAULT * others;
         let failing = tries >= EVIDENCE && share >= BROKEN_SHARE && own;
@@ -353,16 +323,12 @@
             self.servers.values().filter(|s| s.ready() && fits(s)).map(Server::listed_weight).sum()
         };
         let mut spare = weigh(&|_| true) * (1.0 - FLOOR) - weigh(&|s| s.state == Out);
-        let mut order: Vec<(f64, f64, ServerId)> = Vec::new();
-        for (id, server) in &self.servers {
-            let (tries, share, _) = server.met(now);
-            order.push((share, tries, id.clone()));
-        }
-        let tries: f64 = order.iter().map(|(_, tries, _)| tries).sum();
-        let failed: f64 = order.iter().map(|(share, tries, _)| share * tries).sum();
-        order.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.2.cmp(&b.2)));
-        for (own_share, own_tries, id) in order {
-            let others = (failed - own_share * own_tries).max(0.0) / (tries - own_tries).max(1.0);
+        let mut order: Vec<(ServerId, Seen)> =
+            self.servers.iter().map(|(id, server)| (id.clone(), server.seen(now))).collect();
+        let all = order.iter().fold(Seen::default(), |all, (_, seen)| all.plus(*seen));
+        order.sort_by(|(_, a), (_, b)| b.share().total_cmp(&a.share()));
+        for (id, seen) in order {
+            let others = (all.failed - seen.failed).max(0.0) / (all.tries - seen.tries).max(1.0);
             let Some((next, effect)) = self.sign_of(&self.servers[&id], others, spare) else { continue };
             let Some(server) = self.servers.get_mut(&id) else { continue };
             (server.state, server.since, server.fresh) = (next, now, false);
@@ -394,32 +360,26 @@
         }
     }
 
-    /// Tries a second, answered share and mean wait at the servers of a group that stand in no doubt.
-    fn met_by(&self, group: usize) -> (f64, f64, f64) {
-        let (mut tries, mut failed, mut waited) = (0.0, 0.0, 0.0);
-        for server in self.servers.values().filter(|s| s.group == group && matches!(s.state, Open)) {
-            for met in [&server.near, &server.far] {
-                tries += met.tries.read(self.now, HALF_LIFE);
-                failed += met.unanswered.read(self.now, HALF_LIFE);
-                waited += met.waited.read(self.now, HALF_LIFE);
-            }
-        }
-        let rate = tries * std::f64::consts::LN_2 / HALF_LIFE.secs();
-        if tries > 0.0 {
-            (rate, 1.0 - failed / tries, waited / tries)
-        } else {
-            (0.0, 1.0, 0.0)
-        }
-    }
-
-    /// Mean busy share of a group's servers, where they report it.
-    fn busy_of(&self, group: usize) -> Option<f64> {
-        let (mut weight, mut busy) = (0.0, 0.0);
-        for server in self.servers.values().filter(|s| s.group == group && s.state == Open) {
-            weight += server.listed_weight();
-            busy += server.listed_weight() * server.busy.mean(self.now, HALF_LIFE)?;
-        }
-        (weight > 0.0).then(|| busy / weight)
+    /// Looks over the groups, and at what a unit of listed weight could do for one proxy at its best lately.
+    fn look_over(&mut self) {
+        let now = self.now;
+        let (mut handled, mut weight) = (0.0, 0.0);
+        for (index, group) in self.groups.iter_mut().enumerate() {
+            let members = || self.servers.values().filter(|s| s.group == index);
+            let open = || members().filter(|s| s.state == Open);
+            let seen = |s: &Server| s.near.read(now, HALF_LIFE).plus(s.far.read(now, HALF_LIFE));
+            group.seen = open().map(seen).fold(Seen::default(), Seen::plus);
+            group.weight = open().map(Server::listed_weight).sum();
+            group.cold = members().any(|s| s.state == Cold);
+            let busy = |s: &Server| Some(s.listed_weight() * s.busy.mean(now, HALF_LIFE)?);
+            group.busy = open().map(busy).sum::<Option<f64>>().filter(|_| group.weight > 0.0);
+            group.busy = group.busy.map(|busy| (busy / group.weight).clamp(0.3, 1.0));
+            handled += group.handled(HALF_LIFE) / group.busy.unwrap_or(BUSY_UNTOLD);
+            weight += group.weight;
+        }
+        let best = self.best_yield.read(now, YIELD_HALF_LIFE);
+        let each = handled / weight / self.proxies.len() as f64;
+        self.best_yield = Decay { sum: if each.is_finite() { each.max(best) } else { best }, at: now };
     }
 
     /// Moves each server's weight towards equal waits within its group. It answers whatever makes one server
@@ -429,11 +389,10 @@
             return;
         }
         self.next_pace = self.now + PACE_EVERY;
-        let usual: Vec<f64> = (0..self.groups.len()).map(|group| self.met_by(group).2).collect();
         for server in self.servers.values_mut() {
-            let (tries, _, wait) = server.met(self.now);
-            let step = match usual[server.group] / wait {
-                ratio if tries >= EVIDENCE && ratio.is_finite() && ratio > 0.0 => ratio.powf(PACE_POWER),
+            let seen = server.seen(self.now);
+            let step = match self.groups[server.group].seen.wait() / seen.wait() {
+                ratio if seen.tries >= EVIDENCE && ratio.is_finite() && ratio > 0.0 => ratio.powf(PACE_POWER),
                 _ => server.pace.powf(-0.1),
             };
             let step = step.clamp(PACE_STEP.0, PACE_STEP.1);
@@ -441,51 +400,31 @@
         }
     }
 
-    /// Carries every group through `GROUP_MOVES`. It answers more work than a group can do, whatever the cause.
+    /// Carries every group through `GROUP_MOVES`: more work than a group can do, whatever the cause.
     fn move_groups(&mut self) {
-        let now = self.now;
-        let mut yields = (0.0, 0.0);
         for index in 0..self.groups.len() {
-            let (tries, answered, _) = self.met_by(index);
-            let weight =
-                |s: &Server| if s.group == index && s.state == Open { s.listed_weight() } else { 0.0 };
-            yields.0 +=
-                tries * answered / self.busy_of(index).map_or(BUSY_UNTOLD, |busy| busy.clamp(0.3, 1.0));
-            yields.1 += self.servers.values().map(weight).sum::<f64>();
-        }
-        let count = self.proxies.len().max(1) as f64;
-        let yields = if yields.1 > 0.0 { yields.0 / yields.1 / count } else { 0.0 };
-        let faded = self.best_yield.read(now, YIELD_HALF_LIFE);
-        self.best_yield = Decay { sum: yields.max(faded), at: now };
-        for index in 0..self.groups.len() {
-            let (tries, answered, wait) = self.met_by(index);
             let arrived: f64 = (0..self.classes.len()).flat_map(|class| self.arrivals(index, class)).sum();
-            let busy = self.busy_of(index).map_or(1.0, |busy| busy.clamp(0.3, 1.0));
-            let cold = self.servers.values().any(|s| s.group == index && s.state == Cold);
             let group = &mut self.groups[index];
-            let most = group.limit.min(arrived);
-            let (wait, rested) = (wait / self.goals.0, now - group.changed);
-            let full = tries * answered / busy;
-            let strain = if wait > WAIT_OVER && tries >= EVIDENCE && busy >= BUSY_OVER {
+            let (wait, rested) = (group.seen.wait() / self.goals.0, self.now - group.changed);
+            let busy = group.busy.unwrap_or(1.0);
+            let (full, most) = (CUT * group.handled(HALF_LIFE) / busy, group.limit.min(arrived));
+            let strain = if wait > WAIT_OVER && group.seen.tries >= EVIDENCE && busy >= BUSY_OVER {
                 Some(Strain::Over)
-            } else if wait < WAIT_LIGHT && group.limit > LIFT * arrived && !cold {
+            } else if wait < WAIT_LIGHT && group.limit > LIFT * arrived && !group.cold {
                 Some(Strain::Idle)
             } else {
                 (wait < WAIT_LIGHT || busy < BUSY_LIGHT).then_some(Strain::Light)
             };
             let row = GROUP_MOVES.iter().find(|row| row.0 == group.load && Some(row.1) == strain);
             let Some((_, _, next, effect)) = row else { continue };
+            let least = if busy < BUSY_LIGHT { full } else { 0.0 };
             match effect {
-                Limit::Cut if rested >= CUT_EVERY => {
-                    group.limit = (CUT * full).clamp(CUT_MOST * most, CUT * most)
-                }
-                Limit::Grow if rested >= GROW_EVERY => {
-                    group.limit = (group.limit * GROWTH).max(if busy < BUSY_LIGHT { CUT * full } else { 0.0 })
-                }
+                Limit::Cut if rested >= CUT_EVERY => group.limit = full.clamp(CUT_MOST * most, CUT * most),
+                Limit::Grow if rested >= GROW_EVERY => group.limit = (group.limit * GROWTH).max(least),
                 Limit::Lift if rested >= GROW_EVERY => group.limit = f64::INFINITY,
                 Limit::Cut | Limit::Grow | Limit::Lift => continue,
             }
-            (group.load, group.changed) = (*next, now);
+            (group.load, group.changed) = (*next, self.now);
         }
     }
 
@@ -499,11 +438,14 @@
     fn wanted_levels(&self, index: usize) -> BTreeMap<usize, (f64, FurtherTries)> {
         let group = &self.groups[index];
         // A group with cold members takes in no more than its members of now can do, as far as that is known.
-        let cold = self.servers.values().any(|s| s.group == index && s.state == Cold);
-        let able = self.best_yield.read(self.now, YIELD_HALF_LIFE)
-            * self.proxies.len() as f64
-            * self.weight_of(index, &self.placements[0]);
-        let limit = if cold && able > 0.0 { group.limit.min(able) } else { group.limit };
+        let each = self.best_yield.read(self.now, YIELD_HALF_LIFE) * self.proxies.len() as f64;
+        let able = if group.cold && each > 0.0 {
+            each * self.weight_of(index, &self.placements[0])
+        } else {
+            f64::INFINITY
+        };
+        let limit = group.limit.min(able);
+        let calm = group.load == Load::Calm && !group.cold;
         let arrivals: Vec<Vec<f64>> =
             (0..self.classes.len()).map(|class| self.arrivals(index, class)).collect();
         let mut levels = BTreeMap::new();
@@ -514,40 +456,37 @@
             };
             let left = limit - sum_if(&|importance| importance > row.importance);
             let share = (left / sum_if(&|importance| importance == row.importance).max(0.1)).clamp(0.02, 1.0);
-            let shed = share < 1.0;
             let level = match self.settings.level_unit {
-                LevelUnit::Share if shed => share,
-                LevelUnit::Share | LevelUnit::Ignored => 1.0,
-                LevelUnit::Rate if shed => even_cap(&arrivals[class], share),
+                LevelUnit::Share => share,
+                LevelUnit::Rate if share < 1.0 => even_cap(&arrivals[class], share),
                 LevelUnit::Rate => RATE_ALL,
+                LevelUnit::Ignored => 1.0,
             };
             // Further tries are more load; only those that surely ran nowhere are safe for every class.
-            let tries =
-                if group.load == Load::Calm && !cold { FurtherTries::Unrun } else { FurtherTries::Never };
+            let tries = if calm { FurtherTries::Unrun } else { FurtherTries::Never };
             levels.insert(class, (level, tries));
         }
         levels
     }
 
-    /// Where a class may run for proxies of a zone.
-    fn placement_of(&self, class: usize, zone: ZoneId) -> Placement {
+    /// Where a class may run for proxies of a zone, by its place among the placements met so far.
+    fn place_of(&mut self, class: usize, zone: ZoneId) -> usize {
         let row = &self.classes[class];
         let zones = if row.home_only { vec![zone] } else { row.placement.zones.clone() };
-        Placement { zones, kinds: row.placement.kinds.clone() }
+        let placement = Placement { zones, kinds: row.placement.kinds.clone() };
+        self.placements.iter().position(|known| *known == placement).unwrap_or_else(|| {
+            self.placements.push(placement);
+            self.placements.len() - 1
+        })
     }
 
     /// The table of a group under a placement; a group of one zone shares one among all that allow it whole.
-    fn table_of(&mut self, group: usize, placement: &Placement) -> TableId {
+    fn table_of(&self, group: usize, place: usize) -> TableId {
+        let placement = &self.placements[place];
         let whole = self.groups[group].zone.is_some_and(|zone| placement.zones.contains(&zone));
         let shared = (whole || placement.zones.is_empty()) && placement.kinds.is_empty();
-        let known = self.placements.iter().position(|known| known == placement);
-        let place = if shared { Some(0) } else { known };
-        let place = place.unwrap_or_else(|| {
-            self.placements.push(placement.clone());
-            self.placements.len() - 1
-        });
-        // Numbers stay below 65535 with up to 255 groups of 256 placements each.
-        TableId((group.min(254) * 256 + place.min(255)) as u16)
+        let place = if shared { 0 } else { place.min(PLACES - 1) };
+        TableId((group.min(254) * PLACES + place) as u16)
     }
 
     /// Weight of each server of a group that a placement allows; if none may be used, of any that is warm and
@@ -590,64 +529,62 @@
         let groups = 0..self.groups.len();
         let weights: Vec<f64> = groups.clone().map(|g| self.weight_of(g, &self.placements[0])).collect();
         let mut loads = vec![0.0; weights.len()];
-        let mut bindings: Vec<(ProxyId, usize, f64, Vec<bool>)> = Vec::new();
+        let mut wishes: Vec<Wish> = Vec::new();
         for (id, proxy) in &self.proxies {
-            for class in 0..self.classes.len() {
+            for (class, binding) in proxy.bindings.iter().enumerate() {
                 let demand = self.demand(proxy, class);
-                let placement = self.placement_of(class, proxy.zone);
+                let placement = &self.placements[binding.place];
                 let mut open: Vec<bool> =
-                    groups.clone().map(|g| self.weight_of(g, &placement) > 0.0).collect();
+                    groups.clone().map(|g| self.weight_of(g, placement) > 0.0).collect();
                 if !open.contains(&true) {
-                    // With no server to go to, an empty table still rids it of a standing one that names lost servers.
+                    // Nowhere to go: an empty table still rids it of a standing one that names lost servers.
                     open.fill(true);
                 }
-                bindings.push((*id, class, demand, open));
-                if let Some(group) = proxy.bindings[class].group {
+                if let Some(group) = binding.group {
                     loads[group] += demand;
                 }
+                wishes.push(Wish { proxy: *id, class, demand, open });
             }
         }
         // Proxies of other controllers load the groups too: as servers report it, else evenly.
         let own: f64 = loads.iter().sum();
         let unseen = f64::from(self.settings.proxies) / self.proxies.len().max(1) as f64 - 1.0;
         if unseen > 0.0 && own > 0.0 {
-            let busy: Option<Vec<f64>> =
-                groups.clone().map(|g| Some(self.busy_of(g)? * weights[g])).collect();
-            let parts = busy.unwrap_or_else(|| weights.clone());
+            let told = self.groups.iter().all(|group| group.busy.is_some());
+            let part = |g: usize| weights[g] * self.groups[g].busy.filter(|_| told).unwrap_or(1.0);
+            let parts: Vec<f64> = groups.clone().map(part).collect();
             let sum: f64 = parts.iter().sum();
-            let all = |part: f64| own * (1.0 + unseen) * part / sum.max(1e-9);
-            let others: Vec<f64> =
-                parts.iter().zip(&loads).map(|(part, own)| (all(*part) - own).max(0.0)).collect();
-            loads.iter_mut().zip(others).for_each(|(load, other)| *load += other);
+            for (load, part) in loads.iter_mut().zip(parts) {
+                *load = load.max(own * (1.0 + unseen) * part / sum.max(1e-9));
+            }
         }
-        for _ in 0..2 * bindings.len() {
+        for _ in 0..2 * wishes.len() {
             // The binding that gains most by moving, in load met; of those that must go, the busiest.
-            let mut best: Option<(f64, &(ProxyId, usize, f64, Vec<bool>), usize)> = None;
-            for binding in &bindings {
-                let (id, class, demand, open) = binding;
-                let proxy = &self.proxies[id];
+            let mut best: Option<(f64, &Wish, usize)> = None;
+            for wish in &wishes {
+                let proxy = &self.proxies[&wish.proxy];
                 let cost = |group: usize, added: f64| {
                     let home = self.groups[group].zone.is_none_or(|zone| zone == proxy.zone);
                     (loads[group] + added) / weights[group].max(1e-6) * if home { 1.0 } else { AWAY }
                 };
-                let from = proxy.bindings[*class].group.filter(|group| open[*group]);
+                let from = proxy.bindings[wish.class].group.filter(|group| wish.open[*group]);
                 if from.is_some() && !due {
                     continue;
                 }
-                for group in groups.clone().filter(|group| open[*group] && Some(*group) != from) {
-                    let old = from.map_or(1e15 * demand, |from| cost(from, 0.0));
-                    let gain = old / cost(group, *demand);
+                let old = from.map_or(1e15 * wish.demand, |from| cost(from, 0.0));
+                for group in groups.clone().filter(|group| wish.open[*group] && Some(*group) != from) {
+                    let gain = old / cost(group, wish.demand);
                     if gain > best.map_or(MOVE_GAIN, |(most, ..)| most) {
-                        best = Some((gain, binding, group));
+                        best = Some((gain, wish, group));
                     }
                 }
             }
-            let Some((_, (id, class, demand, _), group)) = best else { break };
-            let Some(proxy) = self.proxies.get_mut(id) else { break };
-            if let Some(from) = proxy.bindings[*class].group.replace(group) {
-                loads[from] -= demand;
+            let Some((_, wish, group)) = best else { break };
+            let Some(proxy) = self.proxies.get_mut(&wish.proxy) else { break };
+            if let Some(from) = proxy.bindings[wish.class].group.replace(group) {
+                loads[from] -= wish.demand;
             }
-            loads[group] += demand;
+            loads[group] += wish.demand;
         }
         let mean = loads.iter().sum::<f64>() / weights.iter().sum::<f64>();
         for (group, (load, weight)) in self.groups.iter_mut().zip(loads.iter().zip(&weights)) {
@@ -658,7 +595,7 @@
     /// The lines a table should have.
     fn wanted_lines(&self, group: usize, placement: &Placement) -> BTreeMap<ServerId, f64> {
         // Where tries fail, more are made, and a crowded group has more; a cold server must not get its part.
-        let guard = (self.met_by(group).1 / self.groups[group].crowding).powi(2);
+        let guard = ((1.0 - self.groups[group].seen.share()) / self.groups[group].crowding).powi(2);
         let line = |(server, weight): (&Server, f64)| {
             let weight = weight * server.pace * if server.state == Cold { guard } else { 1.0 };
             (server.listing.server.clone(), (weight * 1e4).round() / 1e4)
@@ -668,62 +605,45 @@
 
     /// Sends what changed, as far as the channel can drain it; moves off lost servers go first.
     fn publish(&mut self, orders: &mut Vec<Order>) {
-        let pace = self.settings.channel_lines_per_second * CHANNEL_SHARE;
-        self.queued = (self.queued - (self.now - self.queued_at).secs() * pace).max(0.0);
-        self.queued_at = self.now;
+        self.channel.drain(self.now, self.settings.channel_lines_per_second * CHANNEL_SHARE);
         let gap = self.settings.message_span.0.checked_div(u64::from(self.settings.message_limit));
-        if self.now - self.sent_at < Nanos(gap.unwrap_or(0)) {
+        let rested = self.now - self.channel.sent_at;
+        if rested < Nanos(gap.unwrap_or(0)) {
             return;
         }
-        let mut used: BTreeMap<TableId, (usize, Placement)> = BTreeMap::new();
         let mut users: BTreeMap<TableId, BTreeSet<ProxyId>> = BTreeMap::new();
         let mut binds: BTreeMap<(ProxyId, TableId), ClassSet> = BTreeMap::new();
-        let bound: Vec<(ProxyId, usize, ZoneId, Binding)> = self
-            .proxies
-            .iter()
-            .flat_map(|(id, proxy)| {
-                proxy.bindings.iter().enumerate().map(|(class, b)| (*id, class, proxy.zone, b.clone()))
-            })
-            .collect();
-        for (id, class, zone, binding) in bound {
-            if let Some(sent) = binding.sent {
-                users.entry(sent).or_default().insert(id);
-            }
-            let Some(group) = binding.group else { continue };
-            let table = self.table_of(group, &self.placement_of(class, zone));
-            let placement = self.placements[usize::from(table.0) % 256].clone();
-            used.insert(table, (group, placement));
-            if binding.sent != Some(table) {
-                let set = binds.entry((id, table)).or_insert(ClassSet(0));
-                *set = set.with(ClassId(class as u8));
+        let mut used: BTreeSet<TableId> = BTreeSet::new();
+        for (id, proxy) in &self.proxies {
+            for (class, binding) in proxy.bindings.iter().enumerate() {
+                if let Some(sent) = binding.sent {
+                    users.entry(sent).or_default().insert(*id);
+                }
+                let Some(group) = binding.group else { continue };
+                let table = self.table_of(group, binding.place);
+                used.insert(table);
+                if binding.sent != Some(table) {
+                    let set = binds.entry((*id, table)).or_insert(ClassSet(0));
+                    *set = set.with(ClassId(class as u8));
+                }
             }
         }
-        // Orders by rank: servers lost, new tables, bindings, weights, levels.
+        // Orders by rank: servers lost, tables not in use yet, bindings, weights, levels.
         let mut ranked: Vec<(u8, Order)> = Vec::new();
-        let tables: BTreeSet<TableId> = self.tables.keys().chain(used.keys()).copied().collect();
-        for table in tables {
-            let held = self.tables.entry(table).or_default().clone();
-            let lost = |id: &ServerId| !self.servers[id].ready();
-            let (wanted, levels) = match used.get(&table) {
-                Some((group, placement)) => {
-                    (self.wanted_lines(*group, placement), self.wanted_levels(*group))
-                }
-                None => {
-                    let kept = held.lines.iter().filter(|(id, _)| !lost(id));
-                    (kept.map(|(id, weight)| (id.clone(), *weight)).collect(), BTreeMap::new())
+        let lost = |id: &ServerId| !self.servers[id].ready();
+        for table in self.tables.keys().chain(&used).copied().collect::<BTreeSet<TableId>>() {
+            let held = self.tables.get(&table).cloned().unwrap_or_default();
+            let (group, place) = (usize::from(table.0) / PLACES, usize::from(table.0) % PLACES);
+            let (wanted, levels) = match used.contains(&table) {
+                true => (self.wanted_lines(group, &self.placements[place]), self.wanted_levels(group)),
+                false => {
+                    (held.lines.clone().into_iter().filter(|(id, _)| !lost(id)).collect(), BTreeMap::new())
                 }
             };
             let rank = |late: u8| if users.contains_key(&table) { late } else { 1 };
-            for (server, weight) in &wanted {
-                let old = held.lines.get(server).copied().unwrap_or(0.0);
-                if (weight - old).abs() > CHANGE * old {
-                    let server = server.clone();
-                    ranked.push((rank(3), Order::Line { table, server, weight: *weight }));
-                }
-            }
-            for server in held.lines.keys().filter(|id| !wanted.contains_key(*id)) {
-                let rank = if lost(server) { 0 } else { rank(3) };
-                ranked.push((rank, Order::Line { table, server: server.clone(), weight: 0.0 }));
+            for (server, weight) in held.changes(&wanted, CHANGE) {
+                let rank = if lost(&server) { 0 } else { rank(3) };
+                ranked.push((rank, Order::Line { table, server, weight }));
             }
             for (class, (level, tries)) in levels {
                 let old = held.levels.get(&class).copied();
@@ -733,48 +653,51 @@
                 }
             }
         }
-        ranked.extend(
-            binds.into_iter().map(|((proxy, table), classes)| (2, Order::Bind { proxy, classes, table })),
-        );
+        let bind = |((proxy, table), classes)| (2, Order::Bind { proxy, classes, table });
+        ranked.extend(binds.into_iter().map(bind));
         ranked.sort_by_key(|(rank, _)| *rank);
-        let rested = self.now - self.sent_at >= TURN + TURN;
-        let room = self.settings.channel_lines_limit * QUEUE_SHARE - self.queued;
+        let room = self.settings.channel_lines_limit * QUEUE_SHARE - self.channel.queued;
         let (mut cost, mut touched) = (0.0, BTreeSet::new());
         for (rank, order) in ranked {
             let spent = cost + touched.len() as f64 * self.settings.lines_per_message;
-            if rank >= 2 && spent > room || rank >= 3 && !rested {
+            if rank >= 2 && spent > room || rank >= 3 && rested < TURN + TURN {
                 break;
             }
-            match &order {
-                Order::Line { table, server, weight } => {
-                    let lines = &mut self.tables.entry(*table).or_default().lines;
-                    lines.insert(server.clone(), *weight);
-                    lines.retain(|_, weight| *weight > 0.0);
-                    cost += users.get(table).map_or(0, BTreeSet::len) as f64;
-                    touched.extend(users.get(table).into_iter().flatten().copied());
-                }
-                Order::Level { table, classes, level, tries } => {
-                    let class = classes.0.trailing_zeros() as usize;
-                    self.tables.entry(*table).or_default().levels.insert(class, (*level, *tries));
-                    cost += users.get(table).map_or(0, BTreeSet::len) as f64;
-                    touched.extend(users.get(table).into_iter().flatten().copied());
-                }
-                Order::Bind { proxy, classes, table } => {
-                    let sent = &self.tables[table];
-                    cost += (1 + sent.lines.len() + sent.levels.len()) as f64;
-                    touched.insert(*proxy);
-                    let bindings =
-                        self.proxies.get_mut(proxy).into_iter().flat_map(|proxy| &mut proxy.bindings);
-                    let bound = bindings.enumerate().filter(|(class, _)| classes.0 >> class & 1 == 1);
-                    bound.for_each(|(_, binding)| binding.sent = Some(*table));
-                }
-                _ => {}
-            }
+            let (lines, reached) = self.note_sent(&order, &users);
+            cost += (lines * reached.len()) as f64;
+            touched.extend(reached);
             orders.push(order);
         }
         if !touched.is_empty() {
-            self.queued += cost + touched.len() as f64 * self.settings.lines_per_message;
-            self.sent_at = self.now;
+            self.channel.queued += cost + touched.len() as f64 * self.settings.lines_per_message;
+            self.channel.sent_at = self.now;
+        }
+    }
+
+    /// Keeps what an order leaves at the proxies, and tells its lines and the proxies it reaches.
+    fn note_sent(
+        &mut self,
+        order: &Order,
+        users: &BTreeMap<TableId, BTreeSet<ProxyId>>,
+    ) -> (usize, BTreeSet<ProxyId>) {
+        match order {
+            Order::Line { table, server, weight } => {
+                self.tables.entry(*table).or_default().set_line(server, *weight);
+                (1, users.get(table).cloned().unwrap_or_default())
+            }
+            Order::Level { table, classes, level, tries } => {
+                let class = classes.0.trailing_zeros() as usize;
+                self.tables.entry(*table).or_default().levels.insert(class, (*level, *tries));
+                (1, users.get(table).cloned().unwrap_or_default())
+            }
+            Order::Bind { proxy, classes, table } => {
+                let bindings = self.proxies.get_mut(proxy).into_iter().flat_map(|proxy| &mut proxy.bindings);
+                let bound = bindings.enumerate().filter(|(class, _)| classes.has(ClassId(*class as u8)));
+                bound.for_each(|(_, binding)| binding.sent = Some(*table));
+                let sent = self.tables.entry(*table).or_default();
+                (1 + sent.lines.len() + sent.levels.len(), BTreeSet::from([*proxy]))
+            }
+            Order::Probe { .. } | Order::WatchList | Order::Wake { .. } => (0, BTreeSet::new()),
         }
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use rand_pcg::Pcg32;
+
 use crate::interface::*;
 
 /// A sum that halves with every half-life; brought up to date when read.
@@ -48,12 +50,58 @@
     }
 }
 
-/// What proxies met at a server: tries, those without a good answer, and seconds waited.
+/// What proxies met: tries, those without a good answer, and seconds waited.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Seen {
+    pub tries: f64,
+    pub failed: f64,
+    pub waited: f64,
+}
+
+impl Seen {
+    pub fn plus(self, other: Seen) -> Seen {
+        let (tries, failed) = (self.tries + other.tries, self.failed + other.failed);
+        Seen { tries, failed, waited: self.waited + other.waited }
+    }
+
+    /// Unanswered share; nothing where nothing was tried.
+    pub fn share(&self) -> f64 {
+        if self.tries > 0.0 {
+            (self.failed / self.tries).min(1.0)
+        } else {
+            0.0
+        }
+    }
+
+    /// Mean wait, s.
+    pub fn wait(&self) -> f64 {
+        if self.tries > 0.0 {
+            self.waited / self.tries
+        } else {
+            0.0
+        }
+    }
+}
+
+/// Sums of what proxies met.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Met {
-    pub tries: Decay,
-    pub unanswered: Decay,
-    pub waited: Decay,
+    tries: Decay,
+    failed: Decay,
+    waited: Decay,
+}
+
+impl Met {
+    pub fn add(&mut self, now: Nanos, half: Nanos, seen: Seen) {
+        self.tries.add(now, half, seen.tries);
+        self.failed.add(now, half, seen.failed);
+        self.waited.add(now, half, seen.waited);
+    }
+
+    pub fn read(&self, now: Nanos, half: Nanos) -> Seen {
+        let (tries, failed) = (self.tries.read(now, half), self.failed.read(now, half));
+        Seen { tries, failed, waited: self.waited.read(now, half) }
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -160,6 +208,8 @@
 /// One proxy's binding for one class.
 #[derive(Clone, Debug, Default)]
 pub struct Binding {
+    /// Where the class may run for this proxy: a place in the list of placements.
+    pub place: usize,
     pub group: Option<usize>,
     pub sent: Option<TableId>,
     /// Its traffic as it lasts, and as it is now.
@@ -168,6 +218,14 @@
     pub heard: bool,
 }
 
+/// A binding looked at for a move: its traffic, and the groups that can take it.
+pub struct Wish {
+    pub proxy: ProxyId,
+    pub class: usize,
+    pub demand: f64,
+    pub open: Vec<bool>,
+}
+
 pub struct Proxy {
     pub zone: ZoneId,
     pub usual_rate: f64,
@@ -184,6 +242,12 @@
     pub changed: Nanos,
     /// Its load against the mean of all groups, 1 at least.
     pub crowding: f64,
+    /// What proxies met of late at its members in no doubt, their mean busy share, and their listed weight.
+    pub seen: Seen,
+    pub busy: Option<f64>,
+    pub weight: f64,
+    /// Some member is cold.
+    pub cold: bool,
 }
 
 /// A shared table as proxies have it.
@@ -193,6 +257,40 @@
     pub levels: BTreeMap<usize, (f64, FurtherTries)>,
 }
 
+impl Table {
+    /// The lines that differ from the wanted ones by more than a share of what stands; weight 0: to be removed.
+    pub fn changes(&self, wanted: &BTreeMap<ServerId, f64>, share: f64) -> Vec<(ServerId, f64)> {
+        let old = |id: &ServerId| self.lines.get(id).copied().unwrap_or(0.0);
+        let moved = wanted.iter().filter(|(id, weight)| (**weight - old(id)).abs() > share * old(id));
+        let gone = self.lines.keys().filter(|id| !wanted.contains_key(*id));
+        moved.map(|(id, weight)| (id.clone(), *weight)).chain(gone.map(|id| (id.clone(), 0.0))).collect()
+    }
+
+    pub fn set_line(&mut self, server: &ServerId, weight: f64) {
+        self.lines.insert(server.clone(), weight);
+        self.lines.retain(|_, weight| *weight > 0.0);
+    }
+}
+
+/// What waits in the channel, as far as can be told.
+#[derive(Clone, Copy, Debug)]
+pub struct Channel {
+    pub queued: f64,
+    pub sent_at: Nanos,
+    at: Nanos,
+}
+
+impl Channel {
+    pub fn new(now: Nanos) -> Self {
+        Channel { queued: 0.0, sent_at: Nanos(0), at: now }
+    }
+
+    pub fn drain(&mut self, now: Nanos, lines_per_second: f64) {
+        self.queued = (self.queued - (now - self.at).secs() * lines_per_second).max(0.0);
+        self.at = now;
+    }
+}
+
 impl Server {
     pub fn new(listing: Listing, group: usize) -> Self {
         Server {
@@ -220,6 +318,47 @@
 
 impl Group {
     pub fn new(zone: Option<ZoneId>) -> Self {
-        Group { zone, load: Load::Calm, limit: f64::INFINITY, changed: Nanos(0), crowding: 1.0 }
+        Group {
+            zone,
+            load: Load::Calm,
+            limit: f64::INFINITY,
+            changed: Nanos(0),
+            crowding: 1.0,
+            seen: Seen::default(),
+            busy: None,
+            weight: 0.0,
+            cold: false,
+        }
     }
+
+    /// Operations a second that its members answered well.
+    pub fn handled(&self, half: Nanos) -> f64 {
+        (self.seen.tries - self.seen.failed).max(0.0) * std::f64::consts::LN_2 / half.secs()
+    }
+}
+
+/// One instance of the decisions in `policy.rs`, and all it knows.
+pub struct Controller {
+    pub(crate) settings: Settings,
+    pub(crate) rng: Pcg32,
+    pub(crate) now: Nanos,
+    pub(crate) classes: Vec<ClassRow>,
+    /// The shortest latency goal and the longest, s.
+    pub(crate) goals: (f64, f64),
+    pub(crate) servers: BTreeMap<ServerId, Server>,
+    pub(crate) proxies: BTreeMap<ProxyId, Proxy>,
+    pub(crate) groups: Vec<Group>,
+    /// Distinct placements, the open one first; a table is a group's servers under one of them.
+    pub(crate) placements: Vec<Placement>,
+    pub(crate) tables: BTreeMap<TableId, Table>,
+    pub(crate) steps_left: u32,
+    pub(crate) next_step: Nanos,
+    pub(crate) next_pace: Nanos,
+    pub(crate) next_wake: Nanos,
+    /// When to ask for the list, if it must be asked for.
+    pub(crate) ask_at: Option<Nanos>,
+    pub(crate) ask_wait: Nanos,
+    /// Operations a second that a unit of listed weight could do for one proxy, at its best lately.
+    pub(crate) best_yield: Decay,
+    pub(crate) channel: Channel,
 }
