Health judged against the server's own group, with a floor a group

Cause: a group crowded by returning servers failed as one; its two warm servers were shut out against the fleet's mean and the cold ones got all.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -36,6 +36,7 @@
 const OWN_FAULT: f64 = 2.5; // factor over the other servers' share: the server's own doing, not the load's
 const LAST_RESORT: f64 = 0.01; // share of its weight of a server shut out that nothing can stand in for
 const FLOOR: f64 = 0.7; // part of the listed weight never shut out: it must carry the load of all
+const GROUP_FLOOR: f64 = 0.4; // the same within a group, whose bindings can move if need be
 const PROBE_EVERY: Nanos = Nanos::from_millis(700); // ms; a probe costs a few ms of work
 const CLEARING: u32 = 3; // probes answered before a return, doubled at each relapse up to four times
 const TRIAL: Nanos = Nanos::from_millis(8_000); // ms; a return takes this long: reports need a few seconds
@@ -325,11 +326,26 @@
         let mut spare = weigh(&|_| true) * (1.0 - FLOOR) - weigh(&|s| s.state == Out);
         let mut order: Vec<(ServerId, Seen)> =
             self.servers.iter().map(|(id, server)| (id.clone(), server.seen(now))).collect();
-        let all = order.iter().fold(Seen::default(), |all, (_, seen)| all.plus(*seen));
         order.sort_by(|(_, a), (_, b)| b.share().total_cmp(&a.share()));
-        for (id, seen) in order {
-            let others = (all.failed - seen.failed).max(0.0) / (all.tries - seen.tries).max(1.0);
-            let Some((next, effect)) = self.sign_of(&self.servers[&id], others, spare) else { continue };
+        for (id, seen) in order.clone() {
+            // Against the others of its group, or, where they met little, of all: a crowded group fails as one.
+            let group = self.servers[&id].group;
+            let rest = |fits: &dyn Fn(&Server) -> bool| {
+                let others = order.iter().filter(|(other, _)| *other != id && fits(&self.servers[other]));
+                others.fold(Seen::default(), |sum, (_, seen)| sum.plus(*seen))
+            };
+            let near = rest(&|s| s.group == group);
+            let others = if near.tries >= EVIDENCE { near } else { rest(&|_| true) }.share();
+            let group_weight = |state: Option<State>| -> f64 {
+                let member =
+                    |s: &&Server| s.ready() && s.group == group && state.is_none_or(|state| s.state == state);
+                self.servers.values().filter(member).map(Server::listed_weight).sum()
+            };
+            let room =
+                group_weight(Some(Open)) + group_weight(Some(Doubted)) - GROUP_FLOOR * group_weight(None);
+            let Some((next, effect)) = self.sign_of(&self.servers[&id], others, spare.min(room)) else {
+                continue;
+            };
             let Some(server) = self.servers.get_mut(&id) else { continue };
             (server.state, server.since, server.fresh) = (next, now, false);
             (server.probes_good, server.probes_bad) = (0, 0);
@@ -370,7 +386,8 @@
             let seen = |s: &Server| s.near.read(now, HALF_LIFE).plus(s.far.read(now, HALF_LIFE));
             group.seen = open().map(seen).fold(Seen::default(), Seen::plus);
             group.weight = open().map(Server::listed_weight).sum();
-            group.cold = members().any(|s| s.state == Cold);
+            let cold = || members().filter(|s| s.state == Cold);
+            group.cold = cold().map(seen).reduce(Seen::plus);
             let busy = |s: &Server| Some(s.listed_weight() * s.busy.mean(now, HALF_LIFE)?);
             group.busy = open().map(busy).sum::<Option<f64>>().filter(|_| group.weight > 0.0);
             group.busy = group.busy.map(|busy| (busy / group.weight).clamp(0.3, 1.0));
@@ -410,7 +427,7 @@
             let (full, most) = (CUT * group.handled(HALF_LIFE) / busy, group.limit.min(arrived));
             let strain = if wait > WAIT_OVER && group.seen.tries >= EVIDENCE && busy >= BUSY_OVER {
                 Some(Strain::Over)
-            } else if wait < WAIT_LIGHT && group.limit > LIFT * arrived && !group.cold {
+            } else if wait < WAIT_LIGHT && group.limit > LIFT * arrived && group.cold.is_none() {
                 Some(Strain::Idle)
             } else {
                 (wait < WAIT_LIGHT || busy < BUSY_LIGHT).then_some(Strain::Light)
@@ -439,13 +456,13 @@
         let group = &self.groups[index];
         // A group with cold members takes in no more than its members of now can do, as far as that is known.
         let each = self.best_yield.read(self.now, YIELD_HALF_LIFE) * self.proxies.len() as f64;
-        let able = if group.cold && each > 0.0 {
+        let able = if group.cold.is_some() && each > 0.0 {
             each * self.weight_of(index, &self.placements[0])
         } else {
             f64::INFINITY
         };
         let limit = group.limit.min(able);
-        let calm = group.load == Load::Calm && !group.cold;
+        let calm = group.load == Load::Calm && group.cold.is_none();
         let arrivals: Vec<Vec<f64>> =
             (0..self.classes.len()).map(|class| self.arrivals(index, class)).collect();
         let mut levels = BTreeMap::new();
@@ -595,7 +612,9 @@
     /// The lines a table should have.
     fn wanted_lines(&self, group: usize, placement: &Placement) -> BTreeMap<ServerId, f64> {
         // Where tries fail, more are made, and a crowded group has more; a cold server must not get its part.
-        let guard = ((1.0 - self.groups[group].seen.share()) / self.groups[group].crowding).powi(2);
+        let (open, cold) =
+            (self.groups[group].seen.share(), self.groups[group].cold.unwrap_or_default().share());
+        let guard = ((1.0 - open.max(cold)) / self.groups[group].crowding).powi(2);
         let line = |(server, weight): (&Server, f64)| {
             let weight = weight * server.pace * if server.state == Cold { guard } else { 1.0 };
             (server.listing.server.clone(), (weight * 1e4).round() / 1e4)
--- a/src/state.rs
+++ b/src/state.rs
@@ -246,8 +246,8 @@
     pub seen: Seen,
     pub busy: Option<f64>,
     pub weight: f64,
-    /// Some member is cold.
-    pub cold: bool,
+    /// What proxies met at its cold members, if there are any.
+    pub cold: Option<Seen>,
 }
 
 /// A shared table as proxies have it.
@@ -327,7 +327,7 @@
             seen: Seen::default(),
             busy: None,
             weight: 0.0,
-            cold: false,
+            cold: None,
         }
     }
 
