--- a/src/policy.rs
+++ b/src/policy.rs
@@ -35,8 +35,7 @@
 const ODD_SHARE: f64 = 0.15; // unanswered share: well above chance
 const OWN_FAULT: f64 = 2.5; // factor over the other servers' share: the server's own doing, not the load's
 const LAST_RESORT: f64 = 0.01; // share of its weight of a server shut out that nothing can stand in for
-const FLOOR: f64 = 0.7; // part of the listed weight never shut out: it must carry the load of all
-const GROUP_FLOOR: f64 = 0.4; // the same within a group, whose bindings can move if need be
+const FLOOR: f64 = 0.4; // part of a group's listed weight that stays in use; bindings can leave it
 const PROBE_EVERY: Nanos = Nanos::from_millis(700); // ms; a probe costs a few ms of work
 const CLEARING: u32 = 3; // probes answered before a return, doubled at each relapse up to four times
 const TRIAL: Nanos = Nanos::from_millis(8_000); // ms; a return takes this long: reports need a few seconds
@@ -100,6 +99,11 @@
         }
     }
 
+    /// What all proxies met.
+    fn met(&self, now: Nanos) -> Seen {
+        self.near.read(now, HALF_LIFE).plus(self.far.read(now, HALF_LIFE))
+    }
+
     fn warm(&self, now: Nanos, settings: &Settings) -> bool {
         self.listing.started.is_none_or(|started| now - started >= settings.warm_after)
     }
@@ -165,10 +169,10 @@
             self.ask_at = None;
             orders.push(Order::WatchList);
         }
+        self.look_over();
         self.move_servers();
         self.probe(&mut orders);
         if self.settings.slices == 0 {
-            self.look_over();
             self.follow_pace();
             self.move_groups();
             self.bind();
@@ -294,11 +298,15 @@
     }
 
     /// The first sign of a server that holds now and has a row for its state.
-    fn sign_of(&self, server: &Server, others: f64, spare: f64) -> Option<(State, Effect)> {
+    fn sign_of(&self, server: &Server) -> Option<(State, Effect)> {
         let now = self.now;
         let (tries, share) = (server.seen(now).tries, server.seen(now).share());
         let cold = !server.warm(now, &self.settings);
-        let own = share > OWN_FAULT * others;
+        // Against the others of its group: a crowded group fails as one.
+        let group = &self.groups[server.group];
+        let of_group = if server.state == Open { server.met(now) } else { Seen::default() };
+        let own = share > OWN_FAULT * group.seen.minus(of_group).share();
+        let room = group.weight - FLOOR * group.listed;
         let failing = tries >= EVIDENCE && share >= BROKEN_SHARE && own;
         let silent = server.probes_bad >= 2 && (share > ODD_SHARE || tries < 1.0);
         let rested = now - server.since >= TRIAL && share < ODD_SHARE;
@@ -308,7 +316,7 @@
             Sign::Unlisted => !server.ready(),
             Sign::Started => server.ready() && cold && (server.state == Away || server.fresh),
             Sign::Warm => server.ready() && !cold,
-            Sign::Broken => (failing || silent) && server.listed_weight() <= spare,
+            Sign::Broken => (failing || silent) && server.listed_weight() <= room,
             Sign::Odd => share * tries >= 2.0 && share >= ODD_SHARE && own,
             Sign::Sound => rested || server.state == Doubted && server.probes_good >= CLEARING,
             Sign::Cleared => waited && (server.probes_good >= needed || !self.settings.probes),
@@ -317,35 +325,14 @@
         SERVER_MOVES.iter().find(row).map(|(_, _, next, effect)| (*next, *effect))
     }
 
-    /// Carries every server through `SERVER_MOVES`, the worst first while there is room to shut out.
+    /// Carries every server through `SERVER_MOVES`, the worst first while its group has room to shut out.
     fn move_servers(&mut self) {
         let now = self.now;
-        let weigh = |fits: &dyn Fn(&Server) -> bool| -> f64 {
-            self.servers.values().filter(|s| s.ready() && fits(s)).map(Server::listed_weight).sum()
-        };
-        let mut spare = weigh(&|_| true) * (1.0 - FLOOR) - weigh(&|s| s.state == Out);
-        let mut order: Vec<(ServerId, Seen)> =
-            self.servers.iter().map(|(id, server)| (id.clone(), server.seen(now))).collect();
-        order.sort_by(|(_, a), (_, b)| b.share().total_cmp(&a.share()));
-        for (id, seen) in order.clone() {
-            // Against the others of its group, or, where they met little, of all: a crowded group fails as one.
-            let group = self.servers[&id].group;
-            let rest = |fits: &dyn Fn(&Server) -> bool| {
-                let others = order.iter().filter(|(other, _)| *other != id && fits(&self.servers[other]));
-                others.fold(Seen::default(), |sum, (_, seen)| sum.plus(*seen))
-            };
-            let near = rest(&|s| s.group == group);
-            let others = if near.tries >= EVIDENCE { near } else { rest(&|_| true) }.share();
-            let group_weight = |state: Option<State>| -> f64 {
-                let member =
-                    |s: &&Server| s.ready() && s.group == group && state.is_none_or(|state| s.state == state);
-                self.servers.values().filter(member).map(Server::listed_weight).sum()
-            };
-            let room =
-                group_weight(Some(Open)) + group_weight(Some(Doubted)) - GROUP_FLOOR * group_weight(None);
-            let Some((next, effect)) = self.sign_of(&self.servers[&id], others, spare.min(room)) else {
-                continue;
-            };
+        let mut order: Vec<(ServerId, f64)> =
+            self.servers.iter().map(|(id, server)| (id.clone(), server.seen(now).share())).collect();
+        order.sort_by(|(_, a), (_, b)| b.total_cmp(a));
+        for (id, _) in order {
+            let Some((next, effect)) = self.sign_of(&self.servers[&id]) else { continue };
             let Some(server) = self.servers.get_mut(&id) else { continue };
             (server.state, server.since, server.fresh) = (next, now, false);
             (server.probes_good, server.probes_bad) = (0, 0);
@@ -356,7 +343,7 @@
                 Effect::Return => {}
                 Effect::Expel => {
                     server.relapses += 1;
-                    spare -= server.listed_weight();
+                    self.groups[server.group].weight -= server.listed_weight();
                 }
             }
             if effect != Effect::Expel {
@@ -383,11 +370,11 @@
         for (index, group) in self.groups.iter_mut().enumerate() {
             let members = || self.servers.values().filter(|s| s.group == index);
             let open = || members().filter(|s| s.state == Open);
-            let seen = |s: &Server| s.near.read(now, HALF_LIFE).plus(s.far.read(now, HALF_LIFE));
-            group.seen = open().map(seen).fold(Seen::default(), Seen::plus);
+            group.seen = open().map(|s| s.met(now)).fold(Seen::default(), Seen::plus);
             group.weight = open().map(Server::listed_weight).sum();
+            group.listed = members().filter(|s| s.ready()).map(Server::listed_weight).sum();
             let cold = || members().filter(|s| s.state == Cold);
-            group.cold = cold().map(seen).reduce(Seen::plus);
+            group.cold = cold().map(|s| s.met(now)).reduce(Seen::plus);
             let busy = |s: &Server| Some(s.listed_weight() * s.busy.mean(now, HALF_LIFE)?);
             group.busy = open().map(busy).sum::<Option<f64>>().filter(|_| group.weight > 0.0);
             group.busy = group.busy.map(|busy| (busy / group.weight).clamp(0.3, 1.0));
--- a/src/state.rs
+++ b/src/state.rs
@@ -64,6 +64,11 @@
         Seen { tries, failed, waited: self.waited + other.waited }
     }
 
+    pub fn minus(self, other: Seen) -> Seen {
+        let (tries, failed) = ((self.tries - other.tries).max(0.0), (self.failed - other.failed).max(0.0));
+        Seen { tries, failed, waited: (self.waited - other.waited).max(0.0) }
+    }
+
     /// Unanswered share; nothing where nothing was tried.
     pub fn share(&self) -> f64 {
         if self.tries > 0.0 {
@@ -246,6 +251,8 @@
     pub seen: Seen,
     pub busy: Option<f64>,
     pub weight: f64,
+    /// Listed weight of all members listed ready.
+    pub listed: f64,
     /// What proxies met at its cold members, if there are any.
     pub cold: Option<Seen>,
 }
@@ -327,6 +334,7 @@
             seen: Seen::default(),
             busy: None,
             weight: 0.0,
+            listed: 0.0,
             cold: None,
         }
     }
