--- a/src/policy.rs
+++ b/src/policy.rs
@@ -307,7 +307,10 @@
         let of_group = if server.state == Open { server.met(now) } else { Seen::default() };
         let own = share > OWN_FAULT * group.seen.minus(of_group).share();
         let room = group.weight - FLOOR * group.listed;
-        let failing = tries >= EVIDENCE && share >= BROKEN_SHARE && own;
+        let failing = tries >= EVIDENCE
+            && share >= BROKEN_SHARE
+            && own
+            && (group.load == Load::Calm || server.probes_bad > 0);
         let silent = server.probes_bad >= 2 && (share > ODD_SHARE || tries < 1.0);
         let rested = now - server.since >= TRIAL && share < ODD_SHARE;
         let needed = CLEARING << server.relapses.saturating_sub(1).min(3);
