--- a/src/policy.rs
+++ b/src/policy.rs
@@ -46,6 +46,7 @@
 const PACE_STEP: (f64, f64) = (0.7, 1.25); // bounds of one step: a wrong reading is mended in the next
 const PACE_RANGE: (f64, f64) = (0.1, 2.5); // bounds in all: ten times slower is as good as shut out
 const WAIT_OVER: f64 = 0.9; // mean wait, in latency goals: waits spread, so well before 1 many miss the goal
+const WAIT_ALONE: f64 = 0.67; // factor on both where no busy share is told: waits must speak earlier
 const WAIT_LIGHT: f64 = 0.6; // mean wait under which a group can take more
 const BUSY_OVER: f64 = 0.85; // reported busy share under which long waits are no overload
 const BUSY_LIGHT: f64 = 0.8; // reported busy share under which a group can take more
@@ -412,7 +413,8 @@
         for index in 0..self.groups.len() {
             let arrived: f64 = (0..self.classes.len()).flat_map(|class| self.arrivals(index, class)).sum();
             let group = &mut self.groups[index];
-            let (wait, rested) = (group.seen.wait() / self.goals.0, self.now - group.changed);
+            let alone = if group.busy.is_none() { WAIT_ALONE } else { 1.0 };
+            let (wait, rested) = (group.seen.wait() / self.goals.0 / alone, self.now - group.changed);
             let busy = group.busy.unwrap_or(1.0);
             let (full, most) = (CUT * group.handled(HALF_LIFE) / busy, group.limit.min(arrived));
             let strain = if wait > WAIT_OVER && group.seen.tries >= EVIDENCE && busy >= BUSY_OVER {
