--- a/src/policy.rs
+++ b/src/policy.rs
@@ -50,6 +50,7 @@
 const WAIT_LIGHT: f64 = 0.6; // mean wait under which a group can take more
 const BUSY_OVER: f64 = 0.85; // reported busy share under which long waits are no overload
 const BUSY_LIGHT: f64 = 0.8; // reported busy share under which a group can take more
+const BUSY_GOAL: f64 = 1.0; // busy share to which a group may be filled
 const BUSY_UNTOLD: f64 = 0.6; // taken for the busy share where servers report none: a usual one
 const YIELD_HALF_LIFE: Nanos = Nanos::from_millis(30_000); // ms; what servers can do changes slowly
 const CUT: f64 = 0.85; // a cut's share of what is handled: queues must drain
@@ -367,10 +368,10 @@
         }
     }
 
-    /// Looks over the groups, and at what a unit of listed weight could do for one proxy at its best lately.
+    /// Looks over the groups, and at what a unit of listed weight could do at its best lately.
     fn look_over(&mut self) {
         let now = self.now;
-        let (mut handled, mut weight) = (0.0, 0.0);
+        let (mut handled, mut busy_weight) = (0.0, 0.0);
         for (index, group) in self.groups.iter_mut().enumerate() {
             let members = || self.servers.values().filter(|s| s.group == index);
             let open = || members().filter(|s| s.state == Open);
@@ -382,11 +383,11 @@
             let busy = |s: &Server| Some(s.listed_weight() * s.busy.mean(now, HALF_LIFE)?);
             group.busy = open().map(busy).sum::<Option<f64>>().filter(|_| group.weight > 0.0);
             group.busy = group.busy.map(|busy| (busy / group.weight).clamp(0.3, 1.0));
-            handled += group.handled(HALF_LIFE) / group.busy.unwrap_or(BUSY_UNTOLD);
-            weight += group.weight;
+            handled += group.handled(HALF_LIFE);
+            busy_weight += group.weight * group.busy.unwrap_or(BUSY_UNTOLD);
         }
         let best = self.best_yield.read(now, YIELD_HALF_LIFE);
-        let each = handled / weight / self.proxies.len() as f64;
+        let each = handled / busy_weight / self.own_part();
         self.best_yield = Decay { sum: if each.is_finite() { each.max(best) } else { best }, at: now };
     }
 
@@ -437,6 +438,11 @@
         }
     }
 
+    /// The part of all proxies that is this controller's own.
+    fn own_part(&self) -> f64 {
+        (self.proxies.len().max(1) as f64 / f64::from(self.settings.proxies.max(1))).min(1.0)
+    }
+
     /// What comes of a class to each proxy bound to a group, in operations a second.
     fn arrivals(&self, group: usize, class: usize) -> Vec<f64> {
         let bound = self.proxies.values().filter(|proxy| proxy.bindings[class].group == Some(group));
@@ -446,12 +452,15 @@
     /// Levels of a group's classes: the limit goes to the most important first.
     fn wanted_levels(&self, index: usize) -> BTreeMap<usize, (f64, FurtherTries)> {
         let group = &self.groups[index];
-        // A group with cold members takes in no more than its members of now can do, as far as that is known.
-        let each = self.best_yield.read(self.now, YIELD_HALF_LIFE) * self.proxies.len() as f64;
-        let able = if group.cold.is_some() && each > 0.0 {
-            each * self.weight_of(index, &self.placements[0])
-        } else {
-            f64::INFINITY
+        // What its members of now can do beside what other controllers send, as far as that is known: a standing
+        // ceiling where busy shares are told, else only while some member is cold.
+        let each = self.best_yield.read(self.now, YIELD_HALF_LIFE) * self.own_part();
+        let fresh = (self.weight_of(index, &self.placements[0]) - group.weight).max(0.0);
+        let able = match group.busy {
+            _ if each <= 0.0 => f64::INFINITY,
+            Some(busy) => group.handled(HALF_LIFE) + each * ((BUSY_GOAL - busy) * group.weight + fresh),
+            None if group.cold.is_some() => each * (group.weight + fresh),
+            None => f64::INFINITY,
         };
         let limit = group.limit.min(able);
         let calm = group.load == Load::Calm && group.cold.is_none();
@@ -464,10 +473,11 @@
                 fitting.flat_map(|(_, arrivals)| arrivals).sum()
             };
             let left = limit - sum_if(&|importance| importance > row.importance);
-            let share = (left / sum_if(&|importance| importance == row.importance).max(0.1)).clamp(0.02, 1.0);
+            let share = (left / sum_if(&|importance| importance == row.importance).max(0.1)).max(0.02);
             let level = match self.settings.level_unit {
-                LevelUnit::Share => share,
+                LevelUnit::Share => share.min(1.0),
                 LevelUnit::Rate if share < 1.0 => even_cap(&arrivals[class], share),
+                LevelUnit::Rate if share < 3.0 => share * arrivals[class].iter().copied().fold(0.1, f64::max),
                 LevelUnit::Rate => RATE_ALL,
                 LevelUnit::Ignored => 1.0,
             };
@@ -557,14 +567,13 @@
         }
         // Proxies of other controllers load the groups too: as servers report it, else evenly.
         let own: f64 = loads.iter().sum();
-        let unseen = f64::from(self.settings.proxies) / self.proxies.len().max(1) as f64 - 1.0;
-        if unseen > 0.0 && own > 0.0 {
+        if self.own_part() < 1.0 && own > 0.0 {
             let told = self.groups.iter().all(|group| group.busy.is_some());
             let part = |g: usize| weights[g] * self.groups[g].busy.filter(|_| told).unwrap_or(1.0);
             let parts: Vec<f64> = groups.clone().map(part).collect();
             let sum: f64 = parts.iter().sum();
             for (load, part) in loads.iter_mut().zip(parts) {
-                *load = load.max(own * (1.0 + unseen) * part / sum.max(1e-9));
+                *load = load.max(own / self.own_part() * part / sum.max(1e-9));
             }
         }
         for _ in 0..2 * wishes.len() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -366,7 +366,7 @@
     /// When to ask for the list, if it must be asked for.
     pub(crate) ask_at: Option<Nanos>,
     pub(crate) ask_wait: Nanos,
-    /// Operations a second that a unit of listed weight could do for one proxy, at its best lately.
+    /// Operations a second that a unit of listed weight could do, at its best lately.
     pub(crate) best_yield: Decay,
     pub(crate) channel: Channel,
 }
