--- a/src/policy.rs
+++ b/src/policy.rs
@@ -50,7 +50,7 @@
 const WAIT_LIGHT: f64 = 0.6; // mean wait under which a group can take more
 const BUSY_OVER: f64 = 0.85; // reported busy share under which long waits are no overload
 const BUSY_LIGHT: f64 = 0.8; // reported busy share under which a group can take more
-const BUSY_GOAL: f64 = 1.0; // busy share to which a group may be filled
+const BUSY_GOAL: f64 = 0.95; // busy share to which a group may be filled
 const BUSY_UNTOLD: f64 = 0.6; // taken for the busy share where servers report none: a usual one
 const YIELD_HALF_LIFE: Nanos = Nanos::from_millis(30_000); // ms; what servers can do changes slowly
 const CUT: f64 = 0.85; // a cut's share of what is handled: queues must drain
@@ -59,6 +59,7 @@
 const GROWTH: f64 = 1.06; // growth of a limit in a step
 const GROW_EVERY: Nanos = Nanos::from_millis(1_000); // ms; full again in some seconds, slower than reports
 const LIFT: f64 = 1.2; // a limit this far above what arrives is lifted
+const LEAST: f64 = 0.02; // least share of a weight or a level: something must be met to be judged by
 const CHANNEL_SHARE: f64 = 0.5; // share of the channel's told pace counted on: it may run slower
 const QUEUE_SHARE: f64 = 0.3; // share of the channel's limit used: there is room for what is urgent
 const ASK_AGAIN: Nanos = Nanos::from_millis(500); // ms; first wait before the list is asked for again
@@ -473,7 +474,7 @@
                 fitting.flat_map(|(_, arrivals)| arrivals).sum()
             };
             let left = limit - sum_if(&|importance| importance > row.importance);
-            let share = (left / sum_if(&|importance| importance == row.importance).max(0.1)).max(0.02);
+            let share = (left / sum_if(&|importance| importance == row.importance).max(0.1)).max(LEAST);
             let level = match self.settings.level_unit {
                 LevelUnit::Share => share.min(1.0),
                 LevelUnit::Rate if share < 1.0 => even_cap(&arrivals[class], share),
@@ -615,9 +616,10 @@
         // Where tries fail, more are made, and a crowded group has more; a cold server must not get its part.
         let (open, cold) =
             (self.groups[group].seen.share(), self.groups[group].cold.unwrap_or_default().share());
-        let guard = ((1.0 - open.max(cold)) / self.groups[group].crowding).powi(2);
+        let guard = ((1.0 - open.max(cold)) / self.groups[group].crowding).powi(2).max(LEAST);
         let line = |(server, weight): (&Server, f64)| {
-            let weight = weight * server.pace * if server.state == Cold { guard } else { 1.0 };
+            let weight =
+                weight * if server.state == Cold { server.pace.min(1.0) * guard } else { server.pace };
             (server.listing.server.clone(), (weight * 1e4).round() / 1e4)
         };
         self.weights_of(group, placement).into_iter().map(line).filter(|(_, weight)| *weight > 0.0).collect()
@@ -660,9 +662,13 @@
                     (held.lines.clone().into_iter().filter(|(id, _)| !lost(id)).collect(), BTreeMap::new())
                 }
             };
-            let rank = |late: u8| if users.contains_key(&table) { late } else { 1 };
+            let bare = !held.lines.keys().any(|id| wanted.contains_key(id));
+            let rank = |late: u8| if bare || !users.contains_key(&table) { 1 } else { late };
             for (server, weight) in held.changes(&wanted, CHANGE) {
-                let rank = if lost(&server) { 0 } else { rank(3) };
+                // So must a server that restarted in its place.
+                let cold = self.servers[&server].state == Cold;
+                let sinks = cold && held.lines.get(&server).is_some_and(|old| weight < *old);
+                let rank = if lost(&server) || sinks { 0 } else { rank(3) };
                 ranked.push((rank, Order::Line { table, server, weight }));
             }
             for (class, (level, tries)) in levels {
--- /dev/null
+++ b/tests/helpers/mod.rs
@@ -0,0 +1,238 @@
+//! A small model of what proxies hold, which checks the rules against a controller's orders after every step.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use craneknot::interface::*;
+use craneknot::Controller;
+
+pub fn server(number: usize) -> ServerId {
+    ServerId(Arc::from(format!("server-{number:02}").as_str()))
+}
+
+pub fn secs(secs: f64) -> Nanos {
+    Nanos::from_secs(secs)
+}
+
+/// A listing: zones alternate, machines weigh 1 to 3.
+pub fn listing(number: usize, started: Option<Nanos>, readiness: Readiness) -> Listing {
+    Listing {
+        server: server(number),
+        zone: ZoneId((number % 2) as u16),
+        kind: KindId((number % 3) as u16),
+        cell: CellId((number % 4) as i64),
+        weight: Some(1.0 + (number % 3) as f64),
+        started,
+        readiness,
+    }
+}
+
+pub fn class(repeats: Repeats, importance: f64, only_zones: &[u16]) -> ClassSettings {
+    ClassSettings {
+        latency_goal: secs(1.0),
+        hard_stop: secs(3.0),
+        importance,
+        repeats,
+        only_zones: only_zones.iter().map(|zone| ZoneId(*zone)).collect(),
+        only_kinds: Vec::new(),
+        home_only: false,
+    }
+}
+
+pub fn settings(level_unit: LevelUnit) -> Settings {
+    Settings {
+        classes: vec![
+            class(Repeats::Safe, 1.0, &[]),
+            class(Repeats::Guarded, 1.0, &[]),
+            class(Repeats::Never, 3.0, &[0]),
+        ],
+        controllers: 1,
+        proxies: 6,
+        list_on_request: true,
+        ask_within: secs(10.0),
+        drain_grace: secs(2.0),
+        cold_share: 0.2,
+        warm_after: secs(16.0),
+        fall_multiple: 3.0,
+        fall_window: secs(3.0),
+        bare_limit: secs(2.0),
+        level_unit,
+        channel_lines_per_second: 3_000.0,
+        channel_lines_limit: 4_000.0,
+        lines_per_message: 5.0,
+        message_limit: 0,
+        message_span: secs(10.0),
+        report_period: secs(1.0),
+        probes: true,
+        slices: 0,
+    }
+}
+
+/// A controller, and the list, tables, bindings and queue as the outside has them.
+pub struct World {
+    pub settings: Settings,
+    pub controller: Controller,
+    twin: Controller,
+    pub now: Nanos,
+    pub list: BTreeMap<ServerId, Listing>,
+    pub joined: BTreeMap<ProxyId, ZoneId>,
+    pub tables: BTreeMap<TableId, BTreeMap<ServerId, f64>>,
+    pub levels: BTreeMap<(TableId, usize), (f64, FurtherTries)>,
+    pub bound: BTreeMap<(ProxyId, usize), TableId>,
+    pub orders: Vec<Order>,
+    queued: f64,
+}
+
+impl World {
+    pub fn new(settings: Settings, seed: u64, servers: usize) -> Self {
+        let now = secs(1_000.0);
+        let mut world = World {
+            controller: Controller::new(settings.clone(), seed, now),
+            twin: Controller::new(settings.clone(), seed, now),
+            settings,
+            now,
+            list: BTreeMap::new(),
+            joined: BTreeMap::new(),
+            tables: BTreeMap::new(),
+            levels: BTreeMap::new(),
+            bound: BTreeMap::new(),
+            orders: Vec::new(),
+            queued: 0.0,
+        };
+        let entries = (0..servers).map(|number| listing(number, None, Readiness::Ready)).collect();
+        world.step(0.0, &[Event::List { scope: ListScope::Remembered, entries }]);
+        world
+    }
+
+    pub fn join(proxy: u16) -> Event {
+        Event::ProxyJoined { proxy: ProxyId(proxy), zone: ZoneId(proxy % 2), usual_rate: 9.0 }
+    }
+
+    pub fn change(number: usize, started: Option<Nanos>, readiness: Readiness) -> Event {
+        let entries = Arc::from([listing(number, started, readiness)]);
+        Event::List { scope: ListScope::Changes, entries }
+    }
+
+    pub fn heard(number: usize, tries: u64, unanswered: u64, latency: f64, busy: Option<f64>) -> Event {
+        let report = LoadReport { busy, ..LoadReport::default() };
+        let zone = ZoneId((number % 2) as u16);
+        let (server, span, latency) = (server(number), secs(1.0), secs(latency));
+        Event::Heard { server, zone, tries, unanswered, span, latency, report }
+    }
+
+    /// The lines a proxy picks from for a class.
+    pub fn lines(&self, proxy: u16, class: usize) -> BTreeMap<ServerId, f64> {
+        let table = self.bound.get(&(ProxyId(proxy), class));
+        table.and_then(|table| self.tables.get(table)).cloned().unwrap_or_default()
+    }
+
+    /// Lets time pass, tells the controller, carries its orders out and checks the rules.
+    pub fn step(&mut self, after: f64, events: &[Event]) {
+        self.now = self.now + secs(after);
+        self.queued = (self.queued - after * self.settings.channel_lines_per_second).max(0.0);
+        for event in events {
+            match event {
+                Event::List { scope, entries } => {
+                    if matches!(scope, ListScope::Whole | ListScope::Remembered) {
+                        self.list.values_mut().for_each(|entry| entry.readiness = Readiness::Removed);
+                    }
+                    for entry in entries.iter() {
+                        self.list.insert(entry.server.clone(), entry.clone());
+                    }
+                }
+                Event::ProxyJoined { proxy, zone, .. } => {
+                    self.joined.insert(*proxy, *zone);
+                    self.bound.retain(|(id, _), _| id != proxy);
+                }
+                Event::ProxyLeft { proxy } => {
+                    self.joined.remove(proxy);
+                    self.bound.retain(|(id, _), _| id != proxy);
+                }
+                _ => {}
+            }
+        }
+        self.orders = self.controller.step(self.now, events);
+        assert_eq!(self.orders, self.twin.step(self.now, events), "the same events, other orders");
+        self.carry_out();
+        self.check();
+    }
+
+    fn carry_out(&mut self) {
+        let mut touched: BTreeSet<ProxyId> = BTreeSet::new();
+        for order in self.orders.clone() {
+            let users = |table: &TableId| -> BTreeSet<ProxyId> {
+                self.bound.iter().filter(|(_, bound)| *bound == table).map(|((proxy, _), _)| *proxy).collect()
+            };
+            let reached = match &order {
+                Order::Line { table, server, weight } => {
+                    assert!(self.list.contains_key(server), "a server in no list");
+                    assert!(*weight >= 0.0 && weight.is_finite(), "a weight of {weight}");
+                    let reached = users(table);
+                    let lines = self.tables.entry(*table).or_default();
+                    lines.insert(server.clone(), *weight);
+                    lines.retain(|_, weight| *weight > 0.0);
+                    reached
+                }
+                Order::Level { table, classes, level, tries } => {
+                    assert!(*level >= 0.0 && level.is_finite(), "a level of {level}");
+                    for class in (0..self.settings.classes.len()).filter(|k| classes.has(ClassId(*k as u8))) {
+                        self.levels.insert((*table, class), (*level, *tries));
+                    }
+                    users(table)
+                }
+                Order::Bind { proxy, classes, table } => {
+                    assert!(self.joined.contains_key(proxy), "a proxy that is not joined");
+                    for class in (0..self.settings.classes.len()).filter(|k| classes.has(ClassId(*k as u8))) {
+                        self.bound.insert((*proxy, class), *table);
+                    }
+                    self.queued += self.tables.get(table).map_or(0, BTreeMap::len) as f64;
+                    BTreeSet::from([*proxy])
+                }
+                Order::Probe { server } => {
+                    assert!(self.list.contains_key(server), "a probe of a server in no list");
+                    BTreeSet::new()
+                }
+                Order::WatchList | Order::Wake { .. } => BTreeSet::new(),
+            };
+            self.queued += reached.len() as f64;
+            touched.extend(reached);
+        }
+        self.queued += touched.len() as f64 * self.settings.lines_per_message;
+    }
+
+    fn check(&self) {
+        assert!(self.queued <= self.settings.channel_lines_limit, "rule 5: {} lines wait", self.queued);
+        for (proxy, class) in self
+            .joined
+            .keys()
+            .flat_map(|proxy| (0..self.settings.classes.len()).map(move |class| (*proxy, class)))
+        {
+            let row = &self.settings.classes[class];
+            let allowed = |entry: &Listing| row.only_zones.is_empty() || row.only_zones.contains(&entry.zone);
+            let warm = |entry: &Listing| {
+                entry.started.is_none_or(|started| self.now - started >= self.settings.warm_after)
+            };
+            let ready = |entry: &Listing| entry.readiness == Readiness::Ready;
+            let table = self.bound.get(&(proxy, class));
+            let table = table.unwrap_or_else(|| panic!("rule 3: {proxy:?} keeps its standing table"));
+            let lines = self.lines(proxy.0, class);
+            let due = self.list.values().any(|entry| ready(entry) && warm(entry) && allowed(entry));
+            assert!(!due || !lines.is_empty(), "rule 1: {proxy:?} has no line for class {class}");
+            for (server, weight) in &lines {
+                let entry = &self.list[server];
+                assert!(ready(entry), "rule 3: {server:?} is not ready, yet in a table of {proxy:?}");
+                assert!(allowed(entry), "rule 6: {server:?} is closed to class {class}");
+                if let Some(started) = entry.started.filter(|_| !warm(entry)) {
+                    let warmth = (self.now - started).secs() / self.settings.warm_after.secs();
+                    let able = self.settings.cold_share + (1.0 - self.settings.cold_share) * warmth;
+                    // Lines are let stand while they are off by little.
+                    let most = able * entry.weight.unwrap_or(1.0) * 1.15;
+                    assert!(*weight <= most, "rule 4: {server:?} can do {most} and has {weight}");
+                }
+            }
+            let tries = self.levels.get(&(*table, class)).map_or(FurtherTries::Never, |(_, tries)| *tries);
+            let twice = matches!(tries, FurtherTries::Once | FurtherTries::Twice);
+            assert!(row.repeats == Repeats::Safe || !twice, "rule 2: class {class} may run twice");
+        }
+    }
+}
