--- a/src/policy.rs
+++ b/src/policy.rs
@@ -12,8 +12,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use rand::{Rng, SeedableRng};
-use rand_pcg::Pcg32;
+use rand::Rng;
 
 use crate::interface::*;
 use crate::state::State::{Away, Cold, Doubted, Open, Out, Trial};
@@ -45,11 +44,8 @@
 const PACE_POWER: f64 = 0.4; // weight against wait: a late answer must not swing
 const PACE_STEP: (f64, f64) = (0.7, 1.25); // bounds of one step: a wrong reading is mended in the next
 const PACE_RANGE: (f64, f64) = (0.1, 2.5); // bounds in all: ten times slower is as good as shut out
-const WAIT_OVER: f64 = 0.9; // mean wait, in latency goals: waits spread, so well before 1 many miss the goal
-const WAIT_ALONE: f64 = 0.67; // factor on both where no busy share is told: waits must speak earlier
-const WAIT_LIGHT: f64 = 0.6; // mean wait under which a group can take more
-const BUSY_OVER: f64 = 0.85; // reported busy share under which long waits are no overload
-const BUSY_LIGHT: f64 = 0.8; // reported busy share under which a group can take more
+const WAIT_OVER: f64 = 0.6; // mean wait, in latency goals: waits spread, so well before 1 many miss the goal
+const WAIT_LIGHT: f64 = 0.4; // mean wait under which a group can take more
 const BUSY_GOAL: f64 = 0.95; // busy share to which a group may be filled
 const BUSY_UNTOLD: f64 = 0.6; // taken for the busy share where servers report none: a usual one
 const YIELD_HALF_LIFE: Nanos = Nanos::from_millis(30_000); // ms; what servers can do changes slowly
@@ -128,35 +124,6 @@
 }
 
 impl Controller {
-    pub fn new(settings: Settings, seed: u64, now: Nanos) -> Self {
-        let row = |class: &ClassSettings| ClassRow {
-            importance: class.importance,
-            placement: Placement { zones: class.only_zones.clone(), kinds: class.only_kinds.clone() },
-            home_only: class.home_only,
-        };
-        let goals = settings.classes.iter().map(|class| class.latency_goal.secs());
-        Controller {
-            rng: Pcg32::seed_from_u64(seed),
-            now,
-            classes: settings.classes.iter().map(row).collect(),
-            goals: (goals.clone().fold(f64::INFINITY, f64::min), goals.fold(0.0, f64::max)),
-            servers: BTreeMap::new(),
-            proxies: BTreeMap::new(),
-            groups: Vec::new(),
-            placements: vec![Placement::default()],
-            tables: BTreeMap::new(),
-            steps_left: 0,
-            next_step: now,
-            next_pace: now + PACE_EVERY,
-            next_wake: now,
-            ask_at: settings.list_on_request.then_some(now),
-            ask_wait: ASK_AGAIN,
-            best_yield: Decay::default(),
-            channel: Channel::new(now),
-            settings,
-        }
-    }
-
     /// Takes in what has come and gives the orders of this moment.
     pub fn step(&mut self, now: Nanos, events: &[Event]) -> Vec<Order> {
         self.now = now;
@@ -193,12 +160,11 @@
                 let bindings = places.map(|place| Binding { place, ..Binding::default() }).collect();
                 let joined = Proxy { zone: *zone, usual_rate: *usual_rate, joined: now, bindings };
                 self.proxies.insert(*proxy, joined);
-                self.settle();
+                self.steps_left = STEPS;
             }
             Event::ProxyLeft { proxy } => {
-                if self.proxies.remove(proxy).is_some() {
-                    self.settle();
-                }
+                self.proxies.remove(proxy);
+                self.steps_left = STEPS;
             }
             Event::Heard { server, zone, tries, unanswered, latency, report, .. } => {
                 let Some(server) = self.servers.get_mut(server) else { return };
@@ -217,7 +183,7 @@
                 // A joining is complete once the proxy's own traffic is known.
                 if !binding.heard && now - proxy.joined > STEP {
                     binding.heard = true;
-                    self.settle();
+                    self.steps_left = STEPS;
                 }
             }
             Event::Probed { server, outcome, report, .. } => {
@@ -238,8 +204,8 @@
         match scope {
             ListScope::Failed => {
                 let jitter = 1.0 + self.rng.random::<f64>();
+                self.ask_wait = (self.ask_wait + self.ask_wait).clamp(ASK_AGAIN, ASK_AGAIN_MOST);
                 self.ask_at = Some(self.now + Nanos::from_secs(self.ask_wait.secs() * jitter));
-                self.ask_wait = (self.ask_wait + self.ask_wait).min(ASK_AGAIN_MOST);
                 return;
             }
             ListScope::Changes => {}
@@ -247,7 +213,7 @@
                 self.servers.values_mut().for_each(|server| server.listing.readiness = Readiness::Removed);
             }
         }
-        self.ask_wait = ASK_AGAIN;
+        self.ask_wait = Nanos(0);
         if self.groups.is_empty() {
             self.deal(entries);
         }
@@ -295,25 +261,18 @@
         })
     }
 
-    /// Membership changed: bindings move now and in the next few steps.
-    fn settle(&mut self) {
-        self.steps_left = STEPS;
-    }
-
     /// The first sign of a server that holds now and has a row for its state.
     fn sign_of(&self, server: &Server) -> Option<(State, Effect)> {
-        let now = self.now;
-        let (tries, share) = (server.seen(now).tries, server.seen(now).share());
+        let (now, seen) = (self.now, server.seen(self.now));
+        let (tries, share) = (seen.tries, seen.share());
         let cold = !server.warm(now, &self.settings);
         // Against the others of its group: a crowded group fails as one.
         let group = &self.groups[server.group];
         let of_group = if server.state == Open { server.met(now) } else { Seen::default() };
         let own = share > OWN_FAULT * group.seen.minus(of_group).share();
         let room = group.weight - FLOOR * group.listed;
-        let failing = tries >= EVIDENCE
-            && share >= BROKEN_SHARE
-            && own
-            && (group.load == Load::Calm || server.probes_bad > 0);
+        let strained = group.load == Load::Shedding && server.probes_bad == 0;
+        let failing = tries >= EVIDENCE && share >= BROKEN_SHARE && own && !strained;
         let silent = server.probes_bad >= 2 && (share > ODD_SHARE || tries < 1.0);
         let rested = now - server.since >= TRIAL && share < ODD_SHARE;
         let needed = CLEARING << server.relapses.saturating_sub(1).min(3);
@@ -355,7 +314,7 @@
             if effect != Effect::Expel {
                 (server.near, server.far, server.pace) = (Met::default(), Met::default(), 1.0);
             }
-            self.settle();
+            self.steps_left = STEPS;
         }
     }
 
@@ -388,8 +347,8 @@
             busy_weight += group.weight * group.busy.unwrap_or(BUSY_UNTOLD);
         }
         let best = self.best_yield.read(now, YIELD_HALF_LIFE);
-        let each = handled / busy_weight / self.own_part();
-        self.best_yield = Decay { sum: if each.is_finite() { each.max(best) } else { best }, at: now };
+        let each = handled / busy_weight.max(1e-9) / self.own_part();
+        self.best_yield = Decay { sum: each.max(best), at: now };
     }
 
     /// Moves each server's weight towards equal waits within its group. It answers whatever makes one server
@@ -410,28 +369,26 @@
         }
     }
 
-    /// Carries every group through `GROUP_MOVES`: more work than a group can do, whatever the cause.
+    /// Carries every group through `GROUP_MOVES`: more work than it can do, whatever the cause, where only
+    /// waits can tell; where busy shares are told, the ceiling of its levels does it.
     fn move_groups(&mut self) {
         for index in 0..self.groups.len() {
             let arrived: f64 = (0..self.classes.len()).flat_map(|class| self.arrivals(index, class)).sum();
             let group = &mut self.groups[index];
-            let alone = if group.busy.is_none() { WAIT_ALONE } else { 1.0 };
-            let (wait, rested) = (group.seen.wait() / self.goals.0 / alone, self.now - group.changed);
-            let busy = group.busy.unwrap_or(1.0);
-            let (full, most) = (CUT * group.handled(HALF_LIFE) / busy, group.limit.min(arrived));
-            let strain = if wait > WAIT_OVER && group.seen.tries >= EVIDENCE && busy >= BUSY_OVER {
+            let (wait, rested) = (group.seen.wait() / self.goals.0, self.now - group.changed);
+            let (full, most) = (CUT * group.handled(HALF_LIFE), group.limit.min(arrived));
+            let strain = if wait > WAIT_OVER && group.seen.tries >= EVIDENCE && group.busy.is_none() {
                 Some(Strain::Over)
             } else if wait < WAIT_LIGHT && group.limit > LIFT * arrived && group.cold.is_none() {
                 Some(Strain::Idle)
             } else {
-                (wait < WAIT_LIGHT || busy < BUSY_LIGHT).then_some(Strain::Light)
+                (wait < WAIT_LIGHT).then_some(Strain::Light)
             };
             let row = GROUP_MOVES.iter().find(|row| row.0 == group.load && Some(row.1) == strain);
             let Some((_, _, next, effect)) = row else { continue };
-            let least = if busy < BUSY_LIGHT { full } else { 0.0 };
             match effect {
                 Limit::Cut if rested >= CUT_EVERY => group.limit = full.clamp(CUT_MOST * most, CUT * most),
-                Limit::Grow if rested >= GROW_EVERY => group.limit = (group.limit * GROWTH).max(least),
+                Limit::Grow if rested >= GROW_EVERY => group.limit *= GROWTH,
                 Limit::Lift if rested >= GROW_EVERY => group.limit = f64::INFINITY,
                 Limit::Cut | Limit::Grow | Limit::Lift => continue,
             }
@@ -453,7 +410,7 @@
     /// Levels of a group's classes: the limit goes to the most important first.
     fn wanted_levels(&self, index: usize) -> BTreeMap<usize, (f64, FurtherTries)> {
         let group = &self.groups[index];
-        // What its members of now can do beside what other controllers send, as far as that is known: a standing
+        // What its members can do beside what other controllers send, as far as that is known: a standing
         // ceiling where busy shares are told, else only while some member is cold.
         let each = self.best_yield.read(self.now, YIELD_HALF_LIFE) * self.own_part();
         let fresh = (self.weight_of(index, &self.placements[0]) - group.weight).max(0.0);
@@ -464,7 +421,6 @@
             None => f64::INFINITY,
         };
         let limit = group.limit.min(able);
-        let calm = group.load == Load::Calm && group.cold.is_none();
         let arrivals: Vec<Vec<f64>> =
             (0..self.classes.len()).map(|class| self.arrivals(index, class)).collect();
         let mut levels = BTreeMap::new();
@@ -482,6 +438,7 @@
                 LevelUnit::Rate => RATE_ALL,
                 LevelUnit::Ignored => 1.0,
             };
+            let calm = group.load == Load::Calm && group.cold.is_none() && share >= 1.0;
             // Further tries are more load; only those that surely ran nowhere are safe for every class.
             let tries = if calm { FurtherTries::Unrun } else { FurtherTries::Never };
             levels.insert(class, (level, tries));
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use rand::SeedableRng;
 use rand_pcg::Pcg32;
 
 use crate::interface::*;
@@ -370,3 +371,34 @@
     pub(crate) best_yield: Decay,
     pub(crate) channel: Channel,
 }
+
+impl Controller {
+    pub fn new(settings: Settings, seed: u64, now: Nanos) -> Self {
+        let row = |class: &ClassSettings| ClassRow {
+            importance: class.importance,
+            placement: Placement { zones: class.only_zones.clone(), kinds: class.only_kinds.clone() },
+            home_only: class.home_only,
+        };
+        let goals = settings.classes.iter().map(|class| class.latency_goal.secs());
+        Controller {
+            rng: Pcg32::seed_from_u64(seed),
+            now,
+            classes: settings.classes.iter().map(row).collect(),
+            goals: (goals.clone().fold(f64::INFINITY, f64::min), goals.fold(0.0, f64::max)),
+            servers: BTreeMap::new(),
+            proxies: BTreeMap::new(),
+            groups: Vec::new(),
+            placements: vec![Placement::default()],
+            tables: BTreeMap::new(),
+            steps_left: 0,
+            next_step: now,
+            next_pace: now,
+            next_wake: now,
+            ask_at: settings.list_on_request.then_some(now),
+            ask_wait: Nanos(0),
+            best_yield: Decay::default(),
+            channel: Channel::new(now),
+            settings,
+        }
+    }
+}
