--- /dev/null
+++ b/tests/plain.rs
@@ -0,0 +1,185 @@
+//! Plain cases, most of them failures once found; none needs a bench.
+
+mod helpers;
+
+use craneknot::interface::*;
+use helpers::{secs, server, settings, World};
+
+/// Ten servers and six proxies, heard to be well for some seconds.
+fn calm_world(unit: LevelUnit) -> World {
+    let mut world = World::new(settings(unit), 7, 10);
+    world.step(0.1, &(0..6).map(World::join).collect::<Vec<_>>());
+    pass(&mut world, 16, &[], 9, Some(0.5));
+    world
+}
+
+/// Seconds in which all servers but the named do well, and each proxy gets so much of a class, of class 2 less.
+fn pass(world: &mut World, seconds: usize, but: &[usize], arrived: u64, busy: Option<f64>) {
+    for _ in 0..seconds {
+        let well = |number: &usize| world.list[&server(*number)].readiness == Readiness::Ready;
+        let known = (0..10).filter(|number| !but.contains(number)).filter(well);
+        let mut events: Vec<Event> = known.map(|number| World::heard(number, 8, 0, 0.3, busy)).collect();
+        let classes =
+            |proxy| [(0, arrived), (1, arrived), (2, arrived / 3)].map(|(k, n)| demand(proxy, k, n));
+        events.extend((0..6).flat_map(classes));
+        world.step(0.5, &events);
+        world.step(0.5, &[Event::Woken]);
+    }
+}
+
+fn demand(proxy: u16, class: u8, arrived: u64) -> Event {
+    let (proxy, class) = (ProxyId(proxy), ClassId(class));
+    Event::Demand { proxy, class, arrived, unanswered: 0, span: secs(1.0) }
+}
+
+fn probed(number: usize, outcome: ProbeOutcome) -> Event {
+    Event::Probed { server: server(number), outcome, took: secs(0.1), report: LoadReport::default() }
+}
+
+fn level(world: &World, proxy: u16, class: usize) -> f64 {
+    world.levels[&(world.bound[&(ProxyId(proxy), class)], class)].0
+}
+
+#[test]
+fn proxies_are_bound_at_home_to_groups_of_one_zone() {
+    let world = calm_world(LevelUnit::Share);
+    for proxy in 0..6 {
+        let zones: Vec<ZoneId> = world.lines(proxy, 0).keys().map(|id| world.list[id].zone).collect();
+        assert_eq!(zones, vec![ZoneId(proxy % 2); 5], "proxy {proxy}");
+    }
+}
+
+#[test]
+fn a_failing_server_is_shut_out_and_comes_back_by_probes() {
+    let mut world = calm_world(LevelUnit::Share);
+    for _ in 0..4 {
+        world.step(0.5, &[World::heard(2, 8, 7, 0.3, None)]);
+    }
+    assert!(!world.lines(0, 2).contains_key(&server(2)), "shut out");
+    assert!(world.lines(0, 2).len() == 4, "and no other");
+    pass(&mut world, 4, &[2], 9, Some(0.5));
+    assert!(!world.lines(0, 2).contains_key(&server(2)), "stays out unprobed");
+    for _ in 0..6 {
+        world.step(0.7, &[probed(2, ProbeOutcome::Answered)]);
+    }
+    let (back, whole) = (world.lines(0, 2)[&server(2)], 3.0);
+    assert!(back < 0.6 * whole, "back at a share: {back}");
+}
+
+#[test]
+fn a_server_that_answers_nothing_is_shut_out_by_failed_probes() {
+    let mut world = calm_world(LevelUnit::Share);
+    for _ in 0..3 {
+        world.step(0.7, &[World::heard(4, 3, 3, 0.0, None)]);
+    }
+    world.step(0.7, &[probed(4, ProbeOutcome::Failed)]);
+    world.step(0.7, &[probed(4, ProbeOutcome::Failed)]);
+    world.step(0.7, &[Event::Woken]);
+    assert!(!world.lines(0, 2).contains_key(&server(4)));
+}
+
+#[test]
+fn a_group_that_fails_as_one_keeps_its_servers() {
+    let mut world = calm_world(LevelUnit::Share);
+    for _ in 0..6 {
+        let failing = (0..5).map(|k| World::heard(2 * k, 10, 7, 0.9, None));
+        world.step(0.5, &failing.collect::<Vec<_>>());
+    }
+    assert_eq!(world.lines(0, 2).len(), 5);
+}
+
+#[test]
+fn a_cold_server_waits_and_then_grows() {
+    let mut world = calm_world(LevelUnit::Share);
+    let start = world.now;
+    world.step(0.1, &[World::change(10, Some(start), Readiness::Ready)]);
+    pass(&mut world, 2, &[], 9, Some(0.5));
+    assert!(!world.lines(0, 2).contains_key(&server(10)), "held back");
+    pass(&mut world, 4, &[], 9, Some(0.5));
+    let young = world.lines(0, 2)[&server(10)];
+    pass(&mut world, 12, &[], 9, Some(0.5));
+    let grown = world.lines(0, 2)[&server(10)];
+    assert!(young < 0.7 * grown, "{young}, later {grown}");
+}
+
+#[test]
+fn a_server_that_restarts_in_its_place_leaves_at_once() {
+    let mut world = calm_world(LevelUnit::Share);
+    let now = world.now;
+    world.step(0.0, &[World::change(2, Some(now), Readiness::Ready)]);
+    assert!(!world.lines(0, 2).contains_key(&server(2)));
+}
+
+#[test]
+fn the_loss_of_a_zone_moves_its_proxies_at_once_and_leaves_closed_classes_an_empty_table() {
+    let mut world = calm_world(LevelUnit::Share);
+    let gone: Vec<Event> = (0..5).map(|k| World::change(2 * k, None, Readiness::Removed)).collect();
+    world.step(0.3, &gone);
+    assert_eq!(world.lines(0, 0).len(), 5, "class 0 goes to the other zone");
+    assert!(world.lines(0, 2).is_empty(), "class 2 may run in the lost zone alone");
+    world.step(0.3, &[World::join(0)]);
+    assert!(world.lines(0, 2).is_empty());
+}
+
+#[test]
+fn too_much_work_sheds_the_least_important_first() {
+    for (unit, busy, wait) in [(LevelUnit::Share, None, 1.5), (LevelUnit::Rate, Some(1.0), 0.9)] {
+        let mut world = calm_world(unit);
+        for _ in 0..4 {
+            let mut events: Vec<Event> = (0..10).map(|k| World::heard(k, 8, 2, wait, busy)).collect();
+            let classes = |proxy| [(0, 20), (1, 20), (2, 2)].map(|(class, n)| demand(proxy, class, n));
+            events.extend((0..6).flat_map(classes));
+            world.step(0.5, &events);
+            world.step(0.5, &[Event::Woken]);
+        }
+        let whole = if unit == LevelUnit::Share { 1.0 } else { 20.0 };
+        assert!(level(&world, 1, 0) < 0.9 * whole, "{unit:?}: class 0 at {}", level(&world, 1, 0));
+        assert!(level(&world, 0, 2) >= whole.min(2.0), "{unit:?}: class 2 at {}", level(&world, 0, 2));
+        let tries = world.levels[&(world.bound[&(ProxyId(1), 0)], 0)].1;
+        assert_eq!(tries, FurtherTries::Never, "no further tries under strain");
+        pass(&mut world, 40, &[], 9, busy.map(|_| 0.5));
+        assert!(level(&world, 1, 0) >= whole.min(9.0), "{unit:?}: all are let in again");
+    }
+}
+
+#[test]
+fn where_busy_shares_are_told_a_ceiling_stands_before_the_burst() {
+    let world = calm_world(LevelUnit::Rate);
+    let level = level(&world, 1, 0);
+    assert!((9.0..60.0).contains(&level), "a ceiling of {level} over 9");
+}
+
+#[test]
+fn weights_follow_waits() {
+    let mut world = calm_world(LevelUnit::Share);
+    for _ in 0..24 {
+        let events = (0..10).map(|k| World::heard(k, 8, 0, if k == 2 { 1.2 } else { 0.3 }, None));
+        world.step(0.5, &events.collect::<Vec<_>>());
+    }
+    let lines = world.lines(0, 2);
+    assert!(
+        lines[&server(2)] < 0.5 * lines[&server(8)],
+        "the slow one, of the same listed weight: {lines:?}"
+    );
+}
+
+#[test]
+fn the_list_is_asked_for_at_the_start_and_again_after_a_failure() {
+    let mut world = World::new(settings(LevelUnit::Share), 7, 10);
+    assert!(world.orders.contains(&Order::WatchList));
+    world.step(0.1, &[Event::List { scope: ListScope::Failed, entries: [].into() }]);
+    assert!(!world.orders.contains(&Order::WatchList));
+    world.step(1.1, &[Event::Woken]);
+    assert!(world.orders.contains(&Order::WatchList));
+}
+
+#[test]
+fn nothing_that_stands_is_sent_again() {
+    let mut world = calm_world(LevelUnit::Share);
+    pass(&mut world, 20, &[], 9, Some(0.5));
+    for _ in 0..20 {
+        pass(&mut world, 1, &[], 9, Some(0.5));
+        let idle = |order: &Order| matches!(order, Order::Wake { .. });
+        assert!(world.orders.iter().all(idle), "{:?}", world.orders);
+    }
+}
