--- a/src/policy.rs
+++ b/src/policy.rs
@@ -58,6 +58,7 @@
 const LEAST: f64 = 0.02; // least share of a weight or a level: something must be met to be judged by
 const CHANNEL_SHARE: f64 = 0.5; // share of the channel's told pace counted on: it may run slower
 const QUEUE_SHARE: f64 = 0.3; // share of the channel's limit used: there is room for what is urgent
+const URGENT_SHARE: f64 = 0.7; // the same for what rules ask for; what one order adds must still fit
 const ASK_AGAIN: Nanos = Nanos::from_millis(500); // ms; first wait before the list is asked for again
 const ASK_AGAIN_MOST: Nanos = Nanos::from_millis(4_000); // ms; the longest: it is one service for all
 const PLACES: usize = 256; // placements a group can have tables for: table numbers end at 65535
@@ -591,8 +592,11 @@
             return;
         }
         let mut users: BTreeMap<TableId, BTreeSet<ProxyId>> = BTreeMap::new();
-        let mut binds: BTreeMap<(ProxyId, TableId), ClassSet> = BTreeMap::new();
+        // By proxy and table: the rank, and the classes.
+        let mut binds: BTreeMap<(ProxyId, TableId), (u8, ClassSet)> = BTreeMap::new();
         let mut used: BTreeSet<TableId> = BTreeSet::new();
+        let lost = |id: &ServerId| !self.servers[id].ready() || self.servers[id].state == Cold;
+        let left_bare = |table: &TableId| self.tables[table].lines.keys().all(lost);
         for (id, proxy) in &self.proxies {
             for (class, binding) in proxy.bindings.iter().enumerate() {
                 if let Some(sent) = binding.sent {
@@ -602,30 +606,28 @@
                 let table = self.table_of(group, binding.place);
                 used.insert(table);
                 if binding.sent != Some(table) {
-                    let set = binds.entry((*id, table)).or_insert(ClassSet(0));
-                    *set = set.with(ClassId(class as u8));
+                    let bind = binds.entry((*id, table)).or_insert((2, ClassSet(0)));
+                    let urgent = binding.sent.as_ref().is_none_or(left_bare);
+                    *bind = (bind.0.min(if urgent { 1 } else { 2 }), bind.1.with(ClassId(class as u8)));
                 }
             }
         }
-        // Orders by rank: servers lost, tables not in use yet, bindings, weights, levels.
+        // Orders by rank: lost servers and what fills empty tables, proxies left bare, bindings, weights, levels.
         let mut ranked: Vec<(u8, Order)> = Vec::new();
-        let lost = |id: &ServerId| !self.servers[id].ready();
         for table in self.tables.keys().chain(&used).copied().collect::<BTreeSet<TableId>>() {
             let held = self.tables.get(&table).cloned().unwrap_or_default();
             let (group, place) = (usize::from(table.0) / PLACES, usize::from(table.0) % PLACES);
+            let kept =
+                || held.lines.iter().filter(|(id, _)| !lost(id)).map(|(id, weight)| (id.clone(), *weight));
             let (wanted, levels) = match used.contains(&table) {
                 true => (self.wanted_lines(group, &self.placements[place]), self.wanted_levels(group)),
-                false => {
-                    (held.lines.clone().into_iter().filter(|(id, _)| !lost(id)).collect(), BTreeMap::new())
-                }
+                false => (kept().collect(), BTreeMap::new()),
             };
             let bare = !held.lines.keys().any(|id| wanted.contains_key(id));
-            let rank = |late: u8| if bare || !users.contains_key(&table) { 1 } else { late };
+            let rank = |late: u8| if bare || !users.contains_key(&table) { 0 } else { late };
             for (server, weight) in held.changes(&wanted, CHANGE) {
-                // So must a server that restarted in its place.
-                let cold = self.servers[&server].state == Cold;
-                let sinks = cold && held.lines.get(&server).is_some_and(|old| weight < *old);
-                let rank = if lost(&server) || sinks { 0 } else { rank(3) };
+                let sinks = held.lines.get(&server).is_some_and(|old| weight < *old);
+                let rank = if sinks && lost(&server) { 0 } else { rank(3) };
                 ranked.push((rank, Order::Line { table, server, weight }));
             }
             for (class, (level, tries)) in levels {
@@ -636,14 +638,18 @@
                 }
             }
         }
-        let bind = |((proxy, table), classes)| (2, Order::Bind { proxy, classes, table });
+        let bind = |((proxy, table), (rank, classes))| (rank, Order::Bind { proxy, classes, table });
         ranked.extend(binds.into_iter().map(bind));
         ranked.sort_by_key(|(rank, _)| *rank);
-        let room = self.settings.channel_lines_limit * QUEUE_SHARE - self.channel.queued;
+        let room = |rank| {
+            let share = if rank < 2 { URGENT_SHARE } else { QUEUE_SHARE };
+            self.settings.channel_lines_limit * share - self.channel.queued
+        };
+        let room: Vec<f64> = (0..5).map(room).collect();
         let (mut cost, mut touched) = (0.0, BTreeSet::new());
         for (rank, order) in ranked {
             let spent = cost + touched.len() as f64 * self.settings.lines_per_message;
-            if rank >= 2 && spent > room || rank >= 3 && rested < TURN + TURN {
+            if spent > room[usize::from(rank)] || rank >= 3 && rested < TURN + TURN {
                 break;
             }
             let (lines, reached) = self.note_sent(&order, &users);
