--- a/src/policy.rs
+++ b/src/policy.rs
@@ -349,6 +349,8 @@
         }
         let best = self.best_yield.read(now, YIELD_HALF_LIFE);
         let each = handled / busy_weight.max(1e-9) / self.own_part();
+        // Sums that are not filled yet tell too little.
+        let each = if now - self.born < STEP { 0.0 } else { each };
         self.best_yield = Decay { sum: each.max(best), at: now };
     }
 
@@ -402,10 +404,15 @@
         (self.proxies.len().max(1) as f64 / f64::from(self.settings.proxies.max(1))).min(1.0)
     }
 
-    /// What comes of a class to each proxy bound to a group, in operations a second.
+    /// What comes of a class to each proxy bound to a group, in operations a second; of one that joined lately and
+    /// is unheard, the usual: many that come at once would else count for nothing.
     fn arrivals(&self, group: usize, class: usize) -> Vec<f64> {
         let bound = self.proxies.values().filter(|proxy| proxy.bindings[class].group == Some(group));
-        bound.map(|proxy| proxy.bindings[class].recent.rate(self.now, HALF_LIFE, proxy.joined)).collect()
+        let rate = |proxy: &Proxy| match &proxy.bindings[class].recent {
+            unheard if unheard.sum == 0.0 && self.now - proxy.joined < LASTING => self.demand(proxy, class),
+            recent => recent.rate(self.now, HALF_LIFE, proxy.joined),
+        };
+        bound.map(rate).collect()
     }
 
     /// Levels of a group's classes: the limit goes to the most important first.
--- a/src/state.rs
+++ b/src/state.rs
@@ -350,6 +350,7 @@
 pub struct Controller {
     pub(crate) settings: Settings,
     pub(crate) rng: Pcg32,
+    pub(crate) born: Nanos,
     pub(crate) now: Nanos,
     pub(crate) classes: Vec<ClassRow>,
     /// The shortest latency goal and the longest, s.
@@ -382,6 +383,7 @@
         let goals = settings.classes.iter().map(|class| class.latency_goal.secs());
         Controller {
             rng: Pcg32::seed_from_u64(seed),
+            born: now,
             now,
             classes: settings.classes.iter().map(row).collect(),
             goals: (goals.clone().fold(f64::INFINITY, f64::min), goals.fold(0.0, f64::max)),
