--- a/src/policy.rs
+++ b/src/policy.rs
@@ -321,8 +321,7 @@
 
     fn probe(&mut self, orders: &mut Vec<Order>) {
         for (id, server) in self.servers.iter_mut().filter(|_| self.settings.probes) {
-            let wanted = matches!(server.state, Doubted | Out);
-            if wanted && self.now - server.probed >= PROBE_EVERY {
+            if matches!(server.state, Doubted | Out) && self.now - server.probed >= PROBE_EVERY {
                 server.probed = self.now;
                 orders.push(Order::Probe { server: id.clone() });
             }
@@ -339,14 +338,14 @@
             group.seen = open().map(|s| s.met(now)).fold(Seen::default(), Seen::plus);
             group.weight = open().map(Server::listed_weight).sum();
             group.listed = members().filter(|s| s.ready()).map(Server::listed_weight).sum();
-            let cold = || members().filter(|s| s.state == Cold);
-            group.cold = cold().map(|s| s.met(now)).reduce(Seen::plus);
+            group.cold = members().filter(|s| s.state == Cold).map(|s| s.met(now)).reduce(Seen::plus);
             let busy = |s: &Server| Some(s.listed_weight() * s.busy.mean(now, HALF_LIFE)?);
             group.busy = open().map(busy).sum::<Option<f64>>().filter(|_| group.weight > 0.0);
             group.busy = group.busy.map(|busy| (busy / group.weight).clamp(0.3, 1.0));
             handled += group.handled(HALF_LIFE);
             busy_weight += group.weight * group.busy.unwrap_or(BUSY_UNTOLD);
         }
+        self.most_listed = self.groups.iter().map(|group| group.listed).sum::<f64>().max(self.most_listed);
         let best = self.best_yield.read(now, YIELD_HALF_LIFE);
         let each = handled / busy_weight.max(1e-9) / self.own_part();
         // Sums that are not filled yet tell too little.
@@ -367,8 +366,8 @@
                 ratio if seen.tries >= EVIDENCE && ratio.is_finite() && ratio > 0.0 => ratio.powf(PACE_POWER),
                 _ => server.pace.powf(-0.1),
             };
-            let step = step.clamp(PACE_STEP.0, PACE_STEP.1);
-            server.pace = (server.pace * step).clamp(PACE_RANGE.0, PACE_RANGE.1);
+            server.pace =
+                (server.pace * step.clamp(PACE_STEP.0, PACE_STEP.1)).clamp(PACE_RANGE.0, PACE_RANGE.1);
         }
     }
 
@@ -418,14 +417,16 @@
     /// Levels of a group's classes: the limit goes to the most important first.
     fn wanted_levels(&self, index: usize) -> BTreeMap<usize, (f64, FurtherTries)> {
         let group = &self.groups[index];
-        // What its members can do beside what other controllers send, as far as that is known: a standing
-        // ceiling where busy shares are told, else only while some member is cold.
-        let each = self.best_yield.read(self.now, YIELD_HALF_LIFE) * self.own_part();
+        // What its members can do beside what other controllers send: a standing ceiling where busy shares are told,
+        // else while some member is cold, or nothing is known yet but usual traffic and what was listed.
+        let best = self.best_yield.read(self.now, YIELD_HALF_LIFE);
+        let usual: f64 = self.proxies.values().map(|proxy| proxy.usual_rate).sum();
+        let each =
+            if best > 0.0 { best * self.own_part() } else { usual / BUSY_UNTOLD / self.most_listed.max(1.0) };
         let fresh = (self.weight_of(index, &self.placements[0]) - group.weight).max(0.0);
-        let able = match group.busy {
-            _ if each <= 0.0 => f64::INFINITY,
+        let able = match group.busy.filter(|_| best > 0.0) {
             Some(busy) => group.handled(HALF_LIFE) + each * ((BUSY_GOAL - busy) * group.weight + fresh),
-            None if group.cold.is_some() => each * (group.weight + fresh),
+            None if group.cold.is_some() || best == 0.0 => each * (group.weight + fresh),
             None => f64::INFINITY,
         };
         let limit = group.limit.min(able);
--- a/src/state.rs
+++ b/src/state.rs
@@ -370,6 +370,8 @@
     pub(crate) ask_wait: Nanos,
     /// Operations a second that a unit of listed weight could do, at its best lately.
     pub(crate) best_yield: Decay,
+    /// The most listed weight that was ever ready.
+    pub(crate) most_listed: f64,
     pub(crate) channel: Channel,
 }
 
@@ -399,6 +401,7 @@
             ask_at: settings.list_on_request.then_some(now),
             ask_wait: Nanos(0),
             best_yield: Decay::default(),
+            most_listed: 0.0,
             channel: Channel::new(now),
             settings,
         }
