--- a/src/policy.rs
+++ b/src/policy.rs
@@ -579,10 +579,14 @@
 
     /// The lines a table should have.
     fn wanted_lines(&self, group: usize, placement: &Placement) -> BTreeMap<ServerId, f64> {
-        // Where tries fail, more are made, and a crowded group has more; a cold server must not get its part.
-        let (open, cold) =
-            (self.groups[group].seen.share(), self.groups[group].cold.unwrap_or_default().share());
-        let guard = ((1.0 - open.max(cold)) / self.groups[group].crowding).powi(2).max(LEAST);
+        // Where tries fail more are made, and proxies that avoid their failing servers send all to one that has not
+        // failed them yet: a cold server gets less, and, beside servers that fail, nothing.
+        let (open, cold) = (&self.groups[group].seen, self.groups[group].cold.unwrap_or_default());
+        let answered = 1.0 - open.share().max(cold.share());
+        let guard = match open.share() < ODD_SHARE {
+            true => (answered / self.groups[group].crowding).powi(2).max(LEAST),
+            false => 0.0,
+        };
         let line = |(server, weight): (&Server, f64)| {
             let weight =
                 weight * if server.state == Cold { server.pace.min(1.0) * guard } else { server.pace };
