--- a/src/policy.rs
+++ b/src/policy.rs
@@ -269,7 +269,7 @@
         let cold = !server.warm(now, &self.settings);
         // Against the others of its group: a crowded group fails as one.
         let group = &self.groups[server.group];
-        let of_group = if server.state == Open { server.met(now) } else { Seen::default() };
+        let of_group = if matches!(server.state, Open | Doubted) { server.met(now) } else { Seen::default() };
         let own = share > OWN_FAULT * group.seen.minus(of_group).share();
         let room = group.weight - FLOOR * group.listed;
         let strained = group.load == Load::Shedding && server.probes_bad == 0;
@@ -334,7 +334,7 @@
         let (mut handled, mut busy_weight) = (0.0, 0.0);
         for (index, group) in self.groups.iter_mut().enumerate() {
             let members = || self.servers.values().filter(|s| s.group == index);
-            let open = || members().filter(|s| s.state == Open);
+            let open = || members().filter(|s| matches!(s.state, Open | Doubted));
             group.seen = open().map(|s| s.met(now)).fold(Seen::default(), Seen::plus);
             group.weight = open().map(Server::listed_weight).sum();
             group.listed = members().filter(|s| s.ready()).map(Server::listed_weight).sum();
