--- a/src/policy.rs
+++ b/src/policy.rs
@@ -49,10 +49,10 @@
 const BUSY_GOAL: f64 = 0.95; // busy share to which a group may be filled
 const BUSY_UNTOLD: f64 = 0.6; // taken for the busy share where servers report none: a usual one
 const YIELD_HALF_LIFE: Nanos = Nanos::from_millis(30_000); // ms; what servers can do changes slowly
-const CUT: f64 = 0.85; // a cut's share of what is handled: queues must drain
+const CUT: f64 = 0.9; // a cut's share of what is handled: queues must drain
 const CUT_MOST: f64 = 0.6; // a cut leaves at least this share of what was let in: reports lag behind it
 const CUT_EVERY: Nanos = Nanos::from_millis(2_500); // ms; reports of the last cut must have come
-const GROWTH: f64 = 1.06; // growth of a limit in a step
+const GROWTH: f64 = 1.1; // growth of a limit in a step
 const GROW_EVERY: Nanos = Nanos::from_millis(1_000); // ms; full again in some seconds, slower than reports
 const LIFT: f64 = 1.2; // a limit this far above what arrives is lifted
 const LEAST: f64 = 0.02; // least share of a weight or a level: something must be met to be judged by
@@ -218,7 +218,6 @@
         if self.groups.is_empty() {
             self.deal(entries);
         }
-        let first = self.servers.is_empty();
         let mut entries: Vec<&Listing> = entries.iter().collect();
         entries.sort_by(|a, b| a.server.cmp(&b.server));
         for entry in entries {
@@ -229,11 +228,6 @@
             server.fresh |= server.listing.started != entry.started;
             (server.listing, server.group) = (entry.clone(), group);
         }
-        if first {
-            // The fleet as first listed is no newcomer.
-            self.move_servers();
-            self.servers.values_mut().for_each(|server| server.joined = None);
-        }
     }
 
     /// Deals the listed servers into fixed groups, of one zone each where every zone has enough. All
@@ -304,7 +298,8 @@
             (server.probes_good, server.probes_bad) = (0, 0);
             match effect {
                 Effect::Nothing => continue,
-                Effect::Join => (server.joined, server.relapses) = (Some(now), 0),
+                // The fleet as first listed is no newcomer.
+                Effect::Join => (server.joined, server.relapses) = ((now > self.born).then_some(now), 0),
                 Effect::Leave => self.next_step = now,
                 Effect::Return => {}
                 Effect::Expel => {
