--- a/src/policy.rs
+++ b/src/policy.rs
@@ -45,7 +45,7 @@
 const PACE_STEP: (f64, f64) = (0.7, 1.25); // bounds of one step: a wrong reading is mended in the next
 const PACE_RANGE: (f64, f64) = (0.2, 1.8); // bounds in all: waits tell of queues more than of speed
 const WAIT_OVER: f64 = 0.6; // mean wait, in latency goals: waits spread, so well before 1 many miss the goal
-const WAIT_LIGHT: f64 = 0.4; // mean wait under which a group can take more
+const WAIT_LIGHT: f64 = 0.5; // mean wait under which a group can take more
 const BUSY_GOAL: f64 = 0.95; // busy share to which a group may be filled
 const BUSY_UNTOLD: f64 = 0.6; // taken for the busy share where servers report none: a usual one
 const YIELD_HALF_LIFE: Nanos = Nanos::from_millis(30_000); // ms; what servers can do changes slowly
@@ -54,6 +54,7 @@
 const CUT_EVERY: Nanos = Nanos::from_millis(2_500); // ms; reports of the last cut must have come
 const GROWTH: f64 = 1.1; // growth of a limit in a step
 const GROW_EVERY: Nanos = Nanos::from_millis(1_000); // ms; full again in some seconds, slower than reports
+const PROVEN: f64 = 0.7; // share of what was handled at best to which a limit grows at once
 const LIFT: f64 = 1.2; // a limit this far above what arrives is lifted
 const LEAST: f64 = 0.02; // least share of a weight or a level: something must be met to be judged by
 const CHANNEL_SHARE: f64 = 0.5; // share of the channel's told pace counted on: it may run slower
@@ -371,7 +372,9 @@
     fn move_groups(&mut self) {
         for index in 0..self.groups.len() {
             let arrived: f64 = (0..self.classes.len()).flat_map(|class| self.arrivals(index, class)).sum();
+            let best = self.best_yield.read(self.now, YIELD_HALF_LIFE) * BUSY_UNTOLD * self.own_part();
             let group = &mut self.groups[index];
+            let proven = PROVEN * best * group.weight;
             let (wait, rested) = (group.seen.wait() / self.goals.0, self.now - group.changed);
             let (full, most) = (CUT * group.handled(HALF_LIFE), group.limit.min(arrived));
             let strain = if wait > WAIT_OVER && group.seen.tries >= EVIDENCE && group.busy.is_none() {
@@ -385,7 +388,7 @@
             let Some((_, _, next, effect)) = row else { continue };
             match effect {
                 Limit::Cut if rested >= CUT_EVERY => group.limit = full.clamp(CUT_MOST * most, CUT * most),
-                Limit::Grow if rested >= GROW_EVERY => group.limit *= GROWTH,
+                Limit::Grow if rested >= GROW_EVERY => group.limit = (group.limit * GROWTH).max(proven),
                 Limit::Lift if rested >= GROW_EVERY => group.limit = f64::INFINITY,
                 Limit::Cut | Limit::Grow | Limit::Lift => continue,
             }
@@ -566,10 +569,6 @@
             }
             loads[group] += wish.demand;
         }
-        let mean = loads.iter().sum::<f64>() / weights.iter().sum::<f64>();
-        for (group, (load, weight)) in self.groups.iter_mut().zip(loads.iter().zip(&weights)) {
-            group.crowding = (load / weight.max(1e-6) / mean).max(1.0);
-        }
     }
 
     /// The lines a table should have.
@@ -579,7 +578,7 @@
         let (open, cold) = (&self.groups[group].seen, self.groups[group].cold.unwrap_or_default());
         let answered = 1.0 - open.share().max(cold.share());
         let guard = match open.share() < ODD_SHARE {
-            true => (answered / self.groups[group].crowding).powi(2).max(LEAST),
+            true => answered.powi(2).max(LEAST),
             false => 0.0,
         };
         let line = |(server, weight): (&Server, f64)| {
--- a/src/state.rs
+++ b/src/state.rs
@@ -246,8 +246,6 @@
     /// Operations a second it takes in at most.
     pub limit: f64,
     pub changed: Nanos,
-    /// Its load against the mean of all groups, 1 at least.
-    pub crowding: f64,
     /// What proxies met of late at its members in no doubt, their mean busy share, and their listed weight.
     pub seen: Seen,
     pub busy: Option<f64>,
@@ -331,7 +329,6 @@
             load: Load::Calm,
             limit: f64::INFINITY,
             changed: Nanos(0),
-            crowding: 1.0,
             seen: Seen::default(),
             busy: None,
             weight: 0.0,
