--- a/src/policy.rs
+++ b/src/policy.rs
@@ -22,8 +22,9 @@
 const HALF_LIFE: Nanos = Nanos::from_millis(2_000); // ms; of what proxies met: a few reports, against noise
 const LASTING: Nanos = Nanos::from_millis(8_000); // ms; half-life of traffic as bindings see it
 const STEP: Nanos = Nanos::from_millis(5_000); // ms; the design's step: half weight, and time between moves
+const JOIN_SHARE: f64 = 0.5; // share of its weight with which a server joins; the design's
 const HELD_BACK: f64 = 0.4; // share of its capacity under which a new server waits: one burst would end it
-const STEPS: u32 = 3; // steps of moves after a change: the design's two, and one for late reports
+const STEPS: u32 = 2; // steps of moves after a change: the design's
 const GROUP_SIZE: usize = 12; // servers; the design's
 const ONE_GROUP_BELOW: usize = 8; // servers; the design's
 const ZONE_LEAST: usize = 3; // servers of a zone that stand as a group: with fewer, losing one halves it
@@ -36,18 +37,19 @@
 const LAST_RESORT: f64 = 0.01; // share of its weight of a server shut out that nothing can stand in for
 const FLOOR: f64 = 0.4; // part of a group's listed weight that stays in use; bindings can leave it
 const PROBE_EVERY: Nanos = Nanos::from_millis(700); // ms; a probe costs a few ms of work
-const CLEARING: u32 = 3; // probes answered before a return, doubled at each relapse up to four times
+const CLEARING: u32 = 3; // probes answered before a return, doubled at each relapse up to three times
+const BAD_PROBES: u32 = 2; // probes failed in a row that shut out: one may be lost
 const TRIAL: Nanos = Nanos::from_millis(8_000); // ms; a return takes this long: reports need a few seconds
 const TRIAL_SHARE: f64 = 0.3; // share of its weight with which a server returns: enough to be judged by
 const CHANGE: f64 = 0.12; // share by which a line or level must move: less is not worth the channel
 const PACE_EVERY: Nanos = Nanos::from_millis(3_000); // ms; reports of the last change must have come
 const PACE_POWER: f64 = 0.2; // weight against wait: a late answer must not swing
-const PACE_STEP: (f64, f64) = (0.7, 1.25); // bounds of one step: a wrong reading is mended in the next
 const PACE_RANGE: (f64, f64) = (0.2, 1.8); // bounds in all: waits tell of queues more than of speed
 const WAIT_OVER: f64 = 0.6; // mean wait, in latency goals: waits spread, so well before 1 many miss the goal
 const WAIT_LIGHT: f64 = 0.5; // mean wait under which a group can take more
 const BUSY_GOAL: f64 = 0.95; // busy share to which a group may be filled
 const BUSY_UNTOLD: f64 = 0.6; // taken for the busy share where servers report none: a usual one
+const BUSY_LEAST: f64 = 0.3; // least busy share counted with: a nearly idle one tells nothing of capacity
 const YIELD_HALF_LIFE: Nanos = Nanos::from_millis(30_000); // ms; what servers can do changes slowly
 const CUT: f64 = 0.9; // a cut's share of what is handled: queues must drain
 const CUT_MOST: f64 = 0.6; // a cut leaves at least this share of what was let in: reports lag behind it
@@ -55,6 +57,7 @@
 const GROWTH: f64 = 1.1; // growth of a limit in a step
 const GROW_EVERY: Nanos = Nanos::from_millis(1_000); // ms; full again in some seconds, slower than reports
 const PROVEN: f64 = 0.7; // share of what was handled at best to which a limit grows at once
+const CEILING_NEAR: f64 = 3.0; // multiple of what arrives above which a ceiling is not worth its lines
 const LIFT: f64 = 1.2; // a limit this far above what arrives is lifted
 const LEAST: f64 = 0.02; // least share of a weight or a level: something must be met to be judged by
 const CHANNEL_SHARE: f64 = 0.5; // share of the channel's told pace counted on: it may run slower
@@ -110,15 +113,15 @@
     }
 
     /// What it can surely do now, as a share of its listed weight.
-    fn share(&self, now: Nanos, settings: &Settings) -> f64 {
+    fn share(&self, now: Nanos, born: Nanos, settings: &Settings) -> f64 {
         let warmth = |started: Nanos| ((now - started).secs() / settings.warm_after.secs()).min(1.0);
         let ramp = |warmth: f64| settings.cold_share + (1.0 - settings.cold_share) * warmth;
         let ramp = self.listing.started.map_or(1.0, |started| ramp(warmth(started)));
-        let step = if self.joined.is_some_and(|joined| now - joined < STEP) { 0.5 } else { 1.0 };
+        let step = if self.joined.is_some_and(|joined| now - joined < STEP) { JOIN_SHARE } else { 1.0 };
         let grown = TRIAL_SHARE + (1.0 - TRIAL_SHARE) * (now - self.since).secs() / TRIAL.secs();
         match self.state {
             Away | Out => 0.0,
-            Cold if ramp < HELD_BACK => 0.0,
+            Cold if ramp < HELD_BACK || now - born < STEP => 0.0, // nor while the controller knows little
             Cold | Open | Doubted => ramp * step,
             Trial => ramp * grown.min(1.0),
         }
@@ -269,7 +272,7 @@
         let room = group.weight - FLOOR * group.listed;
         let strained = group.load == Load::Shedding && server.probes_bad == 0;
         let failing = tries >= EVIDENCE && share >= BROKEN_SHARE && own && !strained;
-        let silent = server.probes_bad >= 2 && (share > ODD_SHARE || tries < 1.0);
+        let silent = server.probes_bad >= BAD_PROBES && (share > ODD_SHARE || tries < 1.0);
         let rested = now - server.since >= TRIAL && share < ODD_SHARE;
         let needed = CLEARING << server.relapses.saturating_sub(1).min(3);
         let waited = now - server.since >= Nanos(PROBE_EVERY.0 * u64::from(needed));
@@ -278,7 +281,7 @@
             Sign::Started => server.ready() && cold && (server.state == Away || server.fresh),
             Sign::Warm => server.ready() && !cold,
             Sign::Broken => (failing || silent) && server.listed_weight() <= room,
-            Sign::Odd => share * tries >= 2.0 && share >= ODD_SHARE && own,
+            Sign::Odd => share * tries >= EVIDENCE / 2.0 && share >= ODD_SHARE && own,
             Sign::Sound => rested || server.state == Doubted && server.probes_good >= CLEARING,
             Sign::Cleared => waited && (server.probes_good >= needed || !self.settings.probes),
         };
@@ -337,7 +340,7 @@
             group.cold = members().filter(|s| s.state == Cold).map(|s| s.met(now)).reduce(Seen::plus);
             let busy = |s: &Server| Some(s.listed_weight() * s.busy.mean(now, HALF_LIFE)?);
             group.busy = open().map(busy).sum::<Option<f64>>().filter(|_| group.weight > 0.0);
-            group.busy = group.busy.map(|busy| (busy / group.weight).clamp(0.3, 1.0));
+            group.busy = group.busy.map(|busy| (busy / group.weight).clamp(BUSY_LEAST, 1.0));
             handled += group.handled(HALF_LIFE);
             busy_weight += group.weight * group.busy.unwrap_or(BUSY_UNTOLD);
         }
@@ -360,10 +363,9 @@
             let seen = server.seen(self.now);
             let step = match self.groups[server.group].seen.wait() / seen.wait() {
                 ratio if seen.tries >= EVIDENCE && ratio.is_finite() && ratio > 0.0 => ratio.powf(PACE_POWER),
-                _ => server.pace.powf(-0.1),
+                _ => server.pace.powf(-PACE_POWER),
             };
-            server.pace =
-                (server.pace * step.clamp(PACE_STEP.0, PACE_STEP.1)).clamp(PACE_RANGE.0, PACE_RANGE.1);
+            server.pace = (server.pace * step).clamp(PACE_RANGE.0, PACE_RANGE.1);
         }
     }
 
@@ -401,8 +403,8 @@
         (self.proxies.len().max(1) as f64 / f64::from(self.settings.proxies.max(1))).min(1.0)
     }
 
-    /// What comes of a class to each proxy bound to a group, in operations a second; of one that joined lately and
-    /// is unheard, the usual: many that come at once would else count for nothing.
+    /// What comes of a class to each proxy bound to a group, per second; of one that joined lately and is
+    /// unheard, the usual: many that come at once would else count for nothing.
     fn arrivals(&self, group: usize, class: usize) -> Vec<f64> {
         let bound = self.proxies.values().filter(|proxy| proxy.bindings[class].group == Some(group));
         let rate = |proxy: &Proxy| match &proxy.bindings[class].recent {
@@ -415,7 +417,7 @@
     /// Levels of a group's classes: the limit goes to the most important first.
     fn wanted_levels(&self, index: usize) -> BTreeMap<usize, (f64, FurtherTries)> {
         let group = &self.groups[index];
-        // What its members can do beside what other controllers send: a standing ceiling where busy shares are told,
+        // What its members can do beside what others send: a standing ceiling where busy shares are told,
         // else while some member is cold, or nothing is known yet but usual traffic and what was listed.
         let best = self.best_yield.read(self.now, YIELD_HALF_LIFE);
         let usual: f64 = self.proxies.values().map(|proxy| proxy.usual_rate).sum();
@@ -441,7 +443,9 @@
             let level = match self.settings.level_unit {
                 LevelUnit::Share => share.min(1.0),
                 LevelUnit::Rate if share < 1.0 => even_cap(&arrivals[class], share),
-                LevelUnit::Rate if share < 3.0 => share * arrivals[class].iter().copied().fold(0.1, f64::max),
+                LevelUnit::Rate if share < CEILING_NEAR => {
+                    share * arrivals[class].iter().copied().fold(0.1, f64::max)
+                }
                 LevelUnit::Rate => RATE_ALL,
                 LevelUnit::Ignored => 1.0,
             };
@@ -478,7 +482,7 @@
     fn weights_of(&self, group: usize, placement: &Placement) -> Vec<(&Server, f64)> {
         let fits = |s: &&Server| s.group == group && s.ready() && placement.allows(&s.listing);
         let members = || self.servers.values().filter(fits);
-        let weigh = |s: &Server| s.listed_weight() * s.share(self.now, &self.settings);
+        let weigh = |s: &Server| s.listed_weight() * s.share(self.now, self.born, &self.settings);
         let open: Vec<_> = members().map(|s| (s, weigh(s))).filter(|(_, weight)| *weight > 0.0).collect();
         if !open.is_empty() {
             return open;
@@ -573,14 +577,11 @@
 
     /// The lines a table should have.
     fn wanted_lines(&self, group: usize, placement: &Placement) -> BTreeMap<ServerId, f64> {
-        // Where tries fail more are made, and proxies that avoid their failing servers send all to one that has not
+        // Where tries fail more are made, and proxies that avoid failing servers send all to one that has not
         // failed them yet: a cold server gets less, and, beside servers that fail, nothing.
         let (open, cold) = (&self.groups[group].seen, self.groups[group].cold.unwrap_or_default());
         let answered = 1.0 - open.share().max(cold.share());
-        let guard = match open.share() < ODD_SHARE {
-            true => answered.powi(2).max(LEAST),
-            false => 0.0,
-        };
+        let guard = if open.share() < ODD_SHARE { answered.powi(2).max(LEAST) } else { 0.0 };
         let line = |(server, weight): (&Server, f64)| {
             let weight =
                 weight * if server.state == Cold { server.pace.min(1.0) * guard } else { server.pace };
@@ -618,7 +619,7 @@
                 }
             }
         }
-        // Orders by rank: lost servers and what fills empty tables, proxies left bare, bindings, weights, levels.
+        // Orders by rank: lost servers and lines for empty tables, bare proxies, bindings, weights, levels.
         let mut ranked: Vec<(u8, Order)> = Vec::new();
         for table in self.tables.keys().chain(&used).copied().collect::<BTreeSet<TableId>>() {
             let held = self.tables.get(&table).cloned().unwrap_or_default();
