--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -102,6 +102,31 @@
     assert!(young < 0.7 * grown, "{young}, later {grown}");
 }
 
+#[test]
+fn a_controller_lets_no_cold_server_in_before_it_knows_more() {
+    let mut world = World::new(settings(LevelUnit::Share), 7, 10);
+    world.step(0.1, &(0..6).map(World::join).collect::<Vec<_>>());
+    let start = Nanos(world.now.0 - secs(8.0).0);
+    world.step(0.1, &[World::change(10, Some(start), Readiness::Ready)]);
+    pass(&mut world, 3, &[], 9, Some(0.5));
+    assert!(!world.lines(0, 2).contains_key(&server(10)), "3 s after the controller's start");
+    pass(&mut world, 4, &[], 9, Some(0.5));
+    assert!(world.lines(0, 2).contains_key(&server(10)), "7 s after it");
+}
+
+#[test]
+fn proxies_that_come_at_once_count_before_they_are_heard() {
+    let mut world = calm_world(LevelUnit::Rate);
+    let gone: Vec<Event> = (0..5).map(|k| World::change(2 * k, None, Readiness::Removed)).collect();
+    world.step(0.1, &gone);
+    world.step(0.1, &(0..6).map(|proxy| Event::ProxyLeft { proxy: ProxyId(proxy) }).collect::<Vec<_>>());
+    let start = Nanos(world.now.0 - secs(8.0).0);
+    world.step(0.1, &[World::change(2, Some(start), Readiness::Ready)]);
+    world.step(0.1, &(0..6).map(World::join).collect::<Vec<_>>());
+    assert!(world.lines(0, 2).contains_key(&server(2)), "one cold server for all");
+    assert!(level(&world, 0, 2) < 1_000.0, "a ceiling of {}", level(&world, 0, 2));
+}
+
 #[test]
 fn a_server_that_restarts_in_its_place_leaves_at_once() {
     let mut world = calm_world(LevelUnit::Share);
