--- a/src/policy.rs
+++ b/src/policy.rs
@@ -34,7 +34,7 @@
 const BROKEN_SHARE: f64 = 0.35; // unanswered share: clients' further tries no longer make up for it
 const ODD_SHARE: f64 = 0.15; // unanswered share: well above chance
 const OWN_FAULT: f64 = 2.5; // factor over the other servers' share: the server's own doing, not the load's
-const LAST_RESORT: f64 = 0.01; // share of its weight of a server shut out that nothing can stand in for
+const LAST_RESORT: f64 = 0.3; // share of its weight of a server shut out that nothing can stand in for
 const FLOOR: f64 = 0.4; // part of a group's listed weight that stays in use; bindings can leave it
 const PROBE_EVERY: Nanos = Nanos::from_millis(700); // ms; a probe costs a few ms of work
 const CLEARING: u32 = 3; // probes answered before a return, doubled at each relapse up to three times
@@ -477,20 +477,18 @@
         TableId((group.min(254) * PLACES + place) as u16)
     }
 
-    /// Weight of each server of a group that a placement allows; if none may be used, of any that is warm and
+    /// Weight of each server of a group that a placement allows; if none warm may be used, of any that is warm and
     /// listed ready, however it seems: a proxy must have a line while there is one.
     fn weights_of(&self, group: usize, placement: &Placement) -> Vec<(&Server, f64)> {
         let fits = |s: &&Server| s.group == group && s.ready() && placement.allows(&s.listing);
         let members = || self.servers.values().filter(fits);
         let weigh = |s: &Server| s.listed_weight() * s.share(self.now, self.born, &self.settings);
-        let open: Vec<_> = members().map(|s| (s, weigh(s))).filter(|(_, weight)| *weight > 0.0).collect();
-        if !open.is_empty() {
-            return open;
+        let mut open: Vec<_> = members().map(|s| (s, weigh(s))).filter(|(_, weight)| *weight > 0.0).collect();
+        if open.iter().all(|(s, _)| s.state == Cold) {
+            let warm = members().filter(|s| s.warm(self.now, &self.settings));
+            open.extend(warm.map(|s| (s, LAST_RESORT * s.listed_weight())));
         }
-        members()
-            .filter(|s| s.warm(self.now, &self.settings))
-            .map(|s| (s, LAST_RESORT * s.listed_weight()))
-            .collect()
+        open
     }
 
     fn weight_of(&self, group: usize, placement: &Placement) -> f64 {
