--- a/src/policy.rs
+++ b/src/policy.rs
@@ -267,7 +267,7 @@
         let cold = !server.warm(now, &self.settings);
         // Against the others of its group: a crowded group fails as one.
         let group = &self.groups[server.group];
-        let of_group = if matches!(server.state, Open | Doubted) { server.met(now) } else { Seen::default() };
+        let of_group = if server.in_use() { server.met(now) } else { Seen::default() };
         let own = share > OWN_FAULT * group.seen.minus(of_group).share();
         let room = group.weight - FLOOR * group.listed;
         let strained = group.load == Load::Shedding && server.probes_bad == 0;
@@ -333,7 +333,7 @@
         let (mut handled, mut busy_weight) = (0.0, 0.0);
         for (index, group) in self.groups.iter_mut().enumerate() {
             let members = || self.servers.values().filter(|s| s.group == index);
-            let open = || members().filter(|s| matches!(s.state, Open | Doubted));
+            let open = || members().filter(|s| s.in_use());
             group.seen = open().map(|s| s.met(now)).fold(Seen::default(), Seen::plus);
             group.weight = open().map(Server::listed_weight).sum();
             group.listed = members().filter(|s| s.ready()).map(Server::listed_weight).sum();
@@ -477,8 +477,8 @@
         TableId((group.min(254) * PLACES + place) as u16)
     }
 
-    /// Weight of each server of a group that a placement allows; if none warm may be used, of any that is warm and
-    /// listed ready, however it seems: a proxy must have a line while there is one.
+    /// Weight of each server of a group that a placement allows; if none warm may be used, of any warm one
+    /// that is listed ready, however it seems: a proxy must have a line while there is one.
     fn weights_of(&self, group: usize, placement: &Placement) -> Vec<(&Server, f64)> {
         let fits = |s: &&Server| s.group == group && s.ready() && placement.allows(&s.listing);
         let members = || self.servers.values().filter(fits);
@@ -515,21 +515,20 @@
         let groups = 0..self.groups.len();
         let weights: Vec<f64> = groups.clone().map(|g| self.weight_of(g, &self.placements[0])).collect();
         let mut loads = vec![0.0; weights.len()];
+        let open_under = |placement: &Placement| {
+            let open: Vec<bool> = groups.clone().map(|g| self.weight_of(g, placement) > 0.0).collect();
+            // Nowhere to go: an empty table still rids a proxy of a standing one that names lost servers.
+            open.iter().map(|may| *may || !open.contains(&true)).collect::<Vec<bool>>()
+        };
+        let open: Vec<Vec<bool>> = self.placements.iter().map(open_under).collect();
         let mut wishes: Vec<Wish> = Vec::new();
         for (id, proxy) in &self.proxies {
             for (class, binding) in proxy.bindings.iter().enumerate() {
                 let demand = self.demand(proxy, class);
-                let placement = &self.placements[binding.place];
-                let mut open: Vec<bool> =
-                    groups.clone().map(|g| self.weight_of(g, placement) > 0.0).collect();
-                if !open.contains(&true) {
-                    // Nowhere to go: an empty table still rids it of a standing one that names lost servers.
-                    open.fill(true);
-                }
                 if let Some(group) = binding.group {
                     loads[group] += demand;
                 }
-                wishes.push(Wish { proxy: *id, class, demand, open });
+                wishes.push(Wish { proxy: *id, class, demand, place: binding.place });
             }
         }
         // Proxies of other controllers load the groups too: as servers report it, else evenly.
@@ -552,12 +551,13 @@
                     let home = self.groups[group].zone.is_none_or(|zone| zone == proxy.zone);
                     (loads[group] + added) / weights[group].max(1e-6) * if home { 1.0 } else { AWAY }
                 };
-                let from = proxy.bindings[wish.class].group.filter(|group| wish.open[*group]);
+                let open = &open[wish.place];
+                let from = proxy.bindings[wish.class].group.filter(|group| open[*group]);
                 if from.is_some() && !due {
                     continue;
                 }
                 let old = from.map_or(1e15 * wish.demand, |from| cost(from, 0.0));
-                for group in groups.clone().filter(|group| wish.open[*group] && Some(*group) != from) {
+                for group in groups.clone().filter(|group| open[*group] && Some(*group) != from) {
                     let gain = old / cost(group, wish.demand);
                     if gain > best.map_or(MOVE_GAIN, |(most, ..)| most) {
                         best = Some((gain, wish, group));
--- a/src/state.rs
+++ b/src/state.rs
@@ -224,12 +224,12 @@
     pub heard: bool,
 }
 
-/// A binding looked at for a move: its traffic, and the groups that can take it.
+/// A binding looked at for a move: its traffic, and where it may go.
 pub struct Wish {
     pub proxy: ProxyId,
     pub class: usize,
     pub demand: f64,
-    pub open: Vec<bool>,
+    pub place: usize,
 }
 
 pub struct Proxy {
@@ -317,6 +317,11 @@
         }
     }
 
+    /// In the tables at its whole weight, and counted for its group.
+    pub fn in_use(&self) -> bool {
+        matches!(self.state, State::Open | State::Doubted)
+    }
+
     pub fn ready(&self) -> bool {
         self.listing.readiness == Readiness::Ready
     }
