--- a/src/policy.rs
+++ b/src/policy.rs
@@ -58,6 +58,8 @@
 const GROW_EVERY: Nanos = Nanos::from_millis(1_000); // ms; full again in some seconds, slower than reports
 const PROVEN: f64 = 0.7; // share of what was handled at best to which a limit grows at once
 const CEILING_NEAR: f64 = 3.0; // multiple of what arrives above which a ceiling is not worth its lines
+const CHANCE: f64 = 2.0; // standard deviations that what arrives in a second may stray: a cap must let it
+const SOFT: f64 = 0.64; // the square of twice the mean excess over a cap at the mean, in standard deviations
 const LIFT: f64 = 1.2; // a limit this far above what arrives is lifted
 const LEAST: f64 = 0.02; // least share of a weight or a level: something must be met to be judged by
 const CHANNEL_SHARE: f64 = 0.5; // share of the channel's told pace counted on: it may run slower
@@ -444,7 +446,8 @@
                 LevelUnit::Share => share.min(1.0),
                 LevelUnit::Rate if share < 1.0 => even_cap(&arrivals[class], share),
                 LevelUnit::Rate if share < CEILING_NEAR => {
-                    share * arrivals[class].iter().copied().fold(0.1, f64::max)
+                    let most = share * arrivals[class].iter().copied().fold(0.1, f64::max);
+                    most + CHANCE * most.sqrt()
                 }
                 LevelUnit::Rate => RATE_ALL,
                 LevelUnit::Ignored => 1.0,
@@ -696,14 +699,16 @@
     }
 }
 
-/// The rate at each proxy that lets in a share of all that arrives: the busiest give first.
+/// The rate at each proxy that lets in a share of all that arrives: the busiest give first. What arrives at one
+/// proxy comes by chance, so that a cap at its mean rate refuses some and a cap above it still does.
 fn even_cap(arrivals: &[f64], share: f64) -> f64 {
     let target = share * arrivals.iter().sum::<f64>();
-    let (mut low, mut high) = (0.0, arrivals.iter().copied().fold(0.1, f64::max));
+    let most = arrivals.iter().copied().fold(0.1, f64::max);
+    let (mut low, mut high) = (0.0, most + CHANCE * most.sqrt());
+    let taken = |rate: f64, cap: f64| (rate + cap - ((rate - cap).powi(2) + SOFT * rate).sqrt()) / 2.0;
     for _ in 0..30 {
         let middle = (low + high) / 2.0;
-        let taken: f64 = arrivals.iter().map(|rate| rate.min(middle)).sum();
-        if taken < target {
+        if arrivals.iter().map(|rate| taken(*rate, middle).max(0.0)).sum::<f64>() < target {
             low = middle
         } else {
             high = middle
