--- a/src/policy.rs
+++ b/src/policy.rs
@@ -10,6 +10,7 @@
 //! changed. Around it stand a server's states (`SERVER_MOVES`), a group's (`GROUP_MOVES`), the weights of
 //! lines within a group, and the guards of the rules.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 use rand::Rng;
@@ -19,7 +20,7 @@
 use crate::state::*;
 
 const TURN: Nanos = Nanos::from_millis(250); // ms; looks round unasked: well under a report's delay
-const HALF_LIFE: Nanos = Nanos::from_millis(2_000); // ms; of what proxies met: a few reports, against noise
+const HALF_LIFE: Nanos = Nanos::from_millis(2_000); // ms; of what proxies met, or the span of a report if longer
 const LASTING: Nanos = Nanos::from_millis(8_000); // ms; half-life of traffic as bindings see it
 const STEP: Nanos = Nanos::from_millis(5_000); // ms; the design's step: half weight, and time between moves
 const JOIN_SHARE: f64 = 0.5; // share of its weight with which a server joins; the design's
@@ -30,6 +31,8 @@
 const ZONE_LEAST: usize = 3; // servers of a zone that stand as a group: with fewer, losing one halves it
 const AWAY: f64 = 1.15; // load factor of a group in another zone: a crossing costs as much as some load
 const MOVE_GAIN: f64 = 1.1; // factor by which a move must lessen the load met: less would be noise
+const HEARD: f64 = 0.1; // least count of what is left of reports that a mean is told from
+const LEAST_AGE: Nanos = Nanos::from_millis(1_000); // ms; a rate over less is chance
 const EVIDENCE: f64 = 4.0; // tries before a server is judged: two or three more failures than chance brings
 const BROKEN_SHARE: f64 = 0.35; // unanswered share: clients' further tries no longer make up for it
 const ODD_SHARE: f64 = 0.15; // unanswered share: well above chance
@@ -63,8 +66,7 @@
 const LIFT: f64 = 1.2; // a limit this far above what arrives is lifted
 const LEAST: f64 = 0.02; // least share of a weight or a level: something must be met to be judged by
 const CHANNEL_SHARE: f64 = 0.5; // share of the channel's told pace counted on: it may run slower
-const QUEUE_SHARE: f64 = 0.3; // share of the channel's limit used: there is room for what is urgent
-const URGENT_SHARE: f64 = 0.7; // the same for what rules ask for; what one order adds must still fit
+const QUEUE_SHARES: [f64; 5] = [0.7, 0.5, 0.3, 0.3, 0.3]; // by rank: share of the channel's limit it may fill up to
 const ASK_AGAIN: Nanos = Nanos::from_millis(500); // ms; first wait before the list is asked for again
 const ASK_AGAIN_MOST: Nanos = Nanos::from_millis(4_000); // ms; the longest: it is one service for all
 const PLACES: usize = 256; // placements a group can have tables for: table numbers end at 65535
@@ -95,19 +97,24 @@
         self.listing.weight.filter(|weight| *weight > 0.0 && weight.is_finite()).unwrap_or(1.0)
     }
 
+    /// In the tables at its whole weight, and counted for its group.
+    fn in_use(&self) -> bool {
+        matches!(self.state, Open | Doubted)
+    }
+
     /// What proxies met: those in its own zone if they are enough, since far ones may suffer from the path.
     fn seen(&self, now: Nanos) -> Seen {
-        let near = self.near.read(now, HALF_LIFE);
+        let near = self.near.read(now);
         if near.tries >= EVIDENCE {
             near
         } else {
-            self.far.read(now, HALF_LIFE)
+            self.far.read(now)
         }
     }
 
     /// What all proxies met.
     fn met(&self, now: Nanos) -> Seen {
-        self.near.read(now, HALF_LIFE).plus(self.far.read(now, HALF_LIFE))
+        self.near.read(now).plus(self.far.read(now))
     }
 
     fn warm(&self, now: Nanos, settings: &Settings) -> bool {
@@ -131,16 +138,21 @@
 }
 
 impl Controller {
-    /// Takes in what has come and gives the orders of this moment.
+    /// Takes in what has come and gives the orders of this moment. Reports alone wait for the next turn.
     pub fn step(&mut self, now: Nanos, events: &[Event]) -> Vec<Order> {
         self.now = now;
         let mut orders = Vec::new();
         for event in events {
             self.take_in(event);
         }
+        let news = |event: &Event| {
+            matches!(event, Event::List { .. } | Event::ProxyJoined { .. } | Event::ProxyLeft { .. })
+        };
         if self.next_wake <= now {
             self.next_wake = now + TURN;
             orders.push(Order::Wake { after: TURN });
+        } else if !events.iter().any(news) {
+            return orders;
         }
         if self.ask_at.is_some_and(|at| at <= now) {
             self.ask_at = None;
@@ -151,8 +163,9 @@
         self.probe(&mut orders);
         if self.settings.slices == 0 {
             self.follow_pace();
-            self.move_groups();
             self.bind();
+            self.count_arrivals();
+            self.move_groups();
             self.publish(&mut orders);
         }
         orders
@@ -173,20 +186,22 @@
                 self.proxies.remove(proxy);
                 self.steps_left = STEPS;
             }
-            Event::Heard { server, zone, tries, unanswered, latency, report, .. } => {
+            Event::Heard { server, zone, tries, unanswered, latency, report, span } => {
                 let Some(server) = self.servers.get_mut(server) else { return };
-                server.busy.hear(now, HALF_LIFE, report.busy);
+                // Where lines wait their turn a report covers more, and must last until the next one.
+                let half = (*span).clamp(HALF_LIFE, LASTING);
+                server.busy.hear(now, half, report.busy);
                 // A try without an answer weighs as much as the slowest that is of use.
                 let (tries, failed) = (*tries as f64, *tries.min(unanswered) as f64);
                 let waited = (tries - failed) * latency.secs() + failed * self.goals.1;
                 let met = if *zone == server.listing.zone { &mut server.near } else { &mut server.far };
-                met.add(now, HALF_LIFE, Seen { tries, failed, waited });
+                met.add(now, half, Seen { tries, failed, waited, ..Seen::default() });
             }
-            Event::Demand { proxy, class, arrived, .. } => {
+            Event::Demand { proxy, class, arrived, span, .. } => {
                 let Some(proxy) = self.proxies.get_mut(proxy) else { return };
                 let Some(binding) = proxy.bindings.get_mut(usize::from(class.0)) else { return };
                 binding.lasting.add(now, LASTING, *arrived as f64);
-                binding.recent.add(now, HALF_LIFE, *arrived as f64);
+                binding.recent.add(now, (*span).clamp(HALF_LIFE, LASTING), *arrived as f64);
                 // A joining is complete once the proxy's own traffic is known.
                 if !binding.heard && now - proxy.joined > STEP {
                     binding.heard = true;
@@ -224,11 +239,20 @@
         if self.groups.is_empty() {
             self.deal(entries);
         }
+        let mut sizes = vec![0; self.groups.len()];
+        self.servers.values().filter(|server| server.ready()).for_each(|server| sizes[server.group] += 1);
         let mut entries: Vec<&Listing> = entries.iter().collect();
         entries.sort_by(|a, b| a.server.cmp(&b.server));
         for entry in entries {
-            let known = self.servers.get(&entry.server).filter(|known| known.listing.zone == entry.zone);
-            let group = known.map(|known| known.group).unwrap_or_else(|| self.group_for(entry));
+            let known = self.servers.get(&entry.server);
+            if let Some(known) = known {
+                sizes[known.group] -= usize::from(known.ready());
+                self.groups[known.group].members.remove(&entry.server);
+            }
+            let stays = known.filter(|known| known.listing.zone == entry.zone).map(|known| known.group);
+            let group = stays.unwrap_or_else(|| self.group_for(entry, &mut sizes));
+            sizes[group] += usize::from(entry.readiness == Readiness::Ready);
+            self.groups[group].members.insert(entry.server.clone());
             let server =
                 self.servers.entry(entry.server.clone()).or_insert_with(|| Server::new(entry.clone(), group));
             server.fresh |= server.listing.started != entry.started;
@@ -253,11 +277,11 @@
     }
 
     /// The smallest group that a server may join; a zone that has none gets one.
-    fn group_for(&mut self, entry: &Listing) -> usize {
-        let size = |group: &usize| self.servers.values().filter(|s| s.group == *group && s.ready()).count();
+    fn group_for(&mut self, entry: &Listing, sizes: &mut Vec<usize>) -> usize {
         let open = |group: &usize| self.groups[*group].zone.is_none_or(|zone| zone == entry.zone);
-        (0..self.groups.len()).filter(open).min_by_key(size).unwrap_or_else(|| {
+        (0..self.groups.len()).filter(open).min_by_key(|group| sizes[*group]).unwrap_or_else(|| {
             self.groups.push(Group::new(Some(entry.zone)));
+            sizes.push(0);
             self.groups.len() - 1
         })
     }
@@ -333,25 +357,26 @@
     fn look_over(&mut self) {
         let now = self.now;
         let (mut handled, mut busy_weight) = (0.0, 0.0);
-        for (index, group) in self.groups.iter_mut().enumerate() {
-            let members = || self.servers.values().filter(|s| s.group == index);
+        for group in &mut self.groups {
+            let members = || group.members.iter().map(|id| &self.servers[id]);
             let open = || members().filter(|s| s.in_use());
-            group.seen = open().map(|s| s.met(now)).fold(Seen::default(), Seen::plus);
-            group.weight = open().map(Server::listed_weight).sum();
-            group.listed = members().filter(|s| s.ready()).map(Server::listed_weight).sum();
+            let busy = |s: &Server| Some(s.listed_weight() * s.busy.mean(now, HEARD)?);
+            let busy: Option<f64> = open().map(busy).sum();
+            let seen = open().map(|s| s.met(now)).fold(Seen::default(), Seen::plus);
+            let weight: f64 = open().map(Server::listed_weight).sum();
+            let listed = members().filter(|s| s.ready()).map(Server::listed_weight).sum();
             group.cold = members().filter(|s| s.state == Cold).map(|s| s.met(now)).reduce(Seen::plus);
-            let busy = |s: &Server| Some(s.listed_weight() * s.busy.mean(now, HALF_LIFE)?);
-            group.busy = open().map(busy).sum::<Option<f64>>().filter(|_| group.weight > 0.0);
-            group.busy = group.busy.map(|busy| (busy / group.weight).clamp(BUSY_LEAST, 1.0));
-            handled += group.handled(HALF_LIFE);
-            busy_weight += group.weight * group.busy.unwrap_or(BUSY_UNTOLD);
+            (group.seen, group.weight, group.listed) = (seen, weight, listed);
+            group.busy = busy.filter(|_| weight > 0.0).map(|busy| (busy / weight).clamp(BUSY_LEAST, 1.0));
+            handled += seen.handled;
+            busy_weight += weight * group.busy.unwrap_or(BUSY_UNTOLD);
         }
         self.most_listed = self.groups.iter().map(|group| group.listed).sum::<f64>().max(self.most_listed);
-        let best = self.best_yield.read(now, YIELD_HALF_LIFE);
         let each = handled / busy_weight.max(1e-9) / self.own_part();
         // Sums that are not filled yet tell too little.
         let each = if now - self.born < STEP { 0.0 } else { each };
-        self.best_yield = Decay { sum: each.max(best), at: now };
+        let best = self.best_yield.read(now);
+        self.best_yield.add(now, YIELD_HALF_LIFE, (each - best).max(0.0));
     }
 
     /// Moves each server's weight towards equal waits within its group. It answers whatever makes one server
@@ -375,12 +400,12 @@
     /// waits can tell; where busy shares are told, the ceiling of its levels does it.
     fn move_groups(&mut self) {
         for index in 0..self.groups.len() {
-            let arrived: f64 = (0..self.classes.len()).flat_map(|class| self.arrivals(index, class)).sum();
-            let best = self.best_yield.read(self.now, YIELD_HALF_LIFE) * BUSY_UNTOLD * self.own_part();
+            let arrived: f64 = self.groups[index].arrivals.iter().flatten().sum();
+            let best = self.best_yield.read(self.now) * BUSY_UNTOLD * self.own_part();
             let group = &mut self.groups[index];
             let proven = PROVEN * best * group.weight;
             let (wait, rested) = (group.seen.wait() / self.goals.0, self.now - group.changed);
-            let (full, most) = (CUT * group.handled(HALF_LIFE), group.limit.min(arrived));
+            let (full, most) = (CUT * group.seen.handled, group.limit.min(arrived));
             let strain = if wait > WAIT_OVER && group.seen.tries >= EVIDENCE && group.busy.is_none() {
                 Some(Strain::Over)
             } else if wait < WAIT_LIGHT && group.limit > LIFT * arrived && group.cold.is_none() {
@@ -405,15 +430,22 @@
         (self.proxies.len().max(1) as f64 / f64::from(self.settings.proxies.max(1))).min(1.0)
     }
 
-    /// What comes of a class to each proxy bound to a group, per second; of one that joined lately and is
-    /// unheard, the usual: many that come at once would else count for nothing.
-    fn arrivals(&self, group: usize, class: usize) -> Vec<f64> {
-        let bound = self.proxies.values().filter(|proxy| proxy.bindings[class].group == Some(group));
-        let rate = |proxy: &Proxy| match &proxy.bindings[class].recent {
-            unheard if unheard.sum == 0.0 && self.now - proxy.joined < LASTING => self.demand(proxy, class),
-            recent => recent.rate(self.now, HALF_LIFE, proxy.joined),
-        };
-        bound.map(rate).collect()
+    /// Counts what comes of each class to each proxy, per second, for its group; of one that joined lately and
+    /// is unheard, the usual: many that come at once would else count for nothing.
+    fn count_arrivals(&mut self) {
+        let mut arrivals = vec![vec![Vec::new(); self.classes.len()]; self.groups.len()];
+        for proxy in self.proxies.values() {
+            for (class, binding) in proxy.bindings.iter().enumerate() {
+                let Some(group) = binding.group else { continue };
+                let age = self.now - proxy.joined;
+                arrivals[group][class].push(match binding.recent.is_empty() && age < LASTING {
+                    true => self.demand(proxy, class),
+                    false => binding.recent.rate(self.now, age.max(LEAST_AGE)),
+                });
+            }
+        }
+        self.groups.iter_mut().zip(arrivals).for_each(|(group, arrivals)| group.arrivals = arrivals);
+        self.usual = self.proxies.values().map(|proxy| proxy.usual_rate).sum();
     }
 
     /// Levels of a group's classes: the limit goes to the most important first.
@@ -421,34 +453,33 @@
         let group = &self.groups[index];
         // What its members can do beside what others send: a standing ceiling where busy shares are told,
         // else while some member is cold, or nothing is known yet but usual traffic and what was listed.
-        let best = self.best_yield.read(self.now, YIELD_HALF_LIFE);
-        let usual: f64 = self.proxies.values().map(|proxy| proxy.usual_rate).sum();
-        let each =
-            if best > 0.0 { best * self.own_part() } else { usual / BUSY_UNTOLD / self.most_listed.max(1.0) };
+        let best = self.best_yield.read(self.now);
+        let each = match best > 0.0 {
+            true => best * self.own_part(),
+            false => self.usual / BUSY_UNTOLD / self.most_listed.max(1.0),
+        };
         let fresh = (self.weight_of(index, &self.placements[0]) - group.weight).max(0.0);
         let able = match group.busy.filter(|_| best > 0.0) {
-            Some(busy) => group.handled(HALF_LIFE) + each * ((BUSY_GOAL - busy) * group.weight + fresh),
+            Some(busy) => group.seen.handled + each * ((BUSY_GOAL - busy) * group.weight + fresh),
             None if group.cold.is_some() || best == 0.0 => each * (group.weight + fresh),
             None => f64::INFINITY,
         };
         let limit = group.limit.min(able);
-        let arrivals: Vec<Vec<f64>> =
-            (0..self.classes.len()).map(|class| self.arrivals(index, class)).collect();
+        let sums: Vec<f64> = group.arrivals.iter().map(|arrivals| arrivals.iter().sum()).collect();
         let mut levels = BTreeMap::new();
         for (class, row) in self.classes.iter().enumerate() {
-            let sum_if = |fits: &dyn Fn(f64) -> bool| -> f64 {
-                let fitting = self.classes.iter().zip(&arrivals).filter(|(other, _)| fits(other.importance));
-                fitting.flat_map(|(_, arrivals)| arrivals).sum()
+            let sum_of = |fits: fn(&f64, &f64) -> bool| -> f64 {
+                let fitting = self.classes.iter().zip(&sums);
+                fitting
+                    .filter(|(other, _)| fits(&other.importance, &row.importance))
+                    .map(|(_, sum)| sum)
+                    .sum()
             };
-            let left = limit - sum_if(&|importance| importance > row.importance);
-            let share = (left / sum_if(&|importance| importance == row.importance).max(0.1)).max(LEAST);
+            let left = limit - sum_of(f64::gt);
+            let share = (left / sum_of(f64::eq).max(0.1)).max(LEAST);
             let level = match self.settings.level_unit {
                 LevelUnit::Share => share.min(1.0),
-                LevelUnit::Rate if share < 1.0 => even_cap(&arrivals[class], share),
-                LevelUnit::Rate if share < CEILING_NEAR => {
-                    let most = share * arrivals[class].iter().copied().fold(0.1, f64::max);
-                    most + CHANCE * most.sqrt()
-                }
+                LevelUnit::Rate if share < CEILING_NEAR => even_cap(&group.arrivals[class], share),
                 LevelUnit::Rate => RATE_ALL,
                 LevelUnit::Ignored => 1.0,
             };
@@ -460,17 +491,6 @@
         levels
     }
 
-    /// Where a class may run for proxies of a zone, by its place among the placements met so far.
-    fn place_of(&mut self, class: usize, zone: ZoneId) -> usize {
-        let row = &self.classes[class];
-        let zones = if row.home_only { vec![zone] } else { row.placement.zones.clone() };
-        let placement = Placement { zones, kinds: row.placement.kinds.clone() };
-        self.placements.iter().position(|known| *known == placement).unwrap_or_else(|| {
-            self.placements.push(placement);
-            self.placements.len() - 1
-        })
-    }
-
     /// The table of a group under a placement; a group of one zone shares one among all that allow it whole.
     fn table_of(&self, group: usize, place: usize) -> TableId {
         let placement = &self.placements[place];
@@ -483,8 +503,8 @@
     /// Weight of each server of a group that a placement allows; if none warm may be used, of any warm one
     /// that is listed ready, however it seems: a proxy must have a line while there is one.
     fn weights_of(&self, group: usize, placement: &Placement) -> Vec<(&Server, f64)> {
-        let fits = |s: &&Server| s.group == group && s.ready() && placement.allows(&s.listing);
-        let members = || self.servers.values().filter(fits);
+        let fits = |s: &&Server| s.ready() && placement.allows(&s.listing);
+        let members = || self.groups[group].members.iter().map(|id| &self.servers[id]).filter(fits);
         let weigh = |s: &Server| s.listed_weight() * s.share(self.now, self.born, &self.settings);
         let mut open: Vec<_> = members().map(|s| (s, weigh(s))).filter(|(_, weight)| *weight > 0.0).collect();
         if open.iter().all(|(s, _)| s.state == Cold) {
@@ -502,78 +522,87 @@
     fn demand(&self, proxy: &Proxy, class: usize) -> f64 {
         let binding = &proxy.bindings[class];
         let rate = match binding.heard {
-            true => binding.lasting.rate(self.now, LASTING, proxy.joined),
+            true => binding.lasting.rate(self.now, (self.now - proxy.joined).max(LEAST_AGE)),
             false => proxy.usual_rate / self.classes.len() as f64,
         };
         rate.max(0.01)
     }
 
-    /// Binds what is unbound to the least loaded group, and in a step moves what meets too much load.
+    /// Binds what is unbound to the least loaded group, and in a step moves what meets too much load: of the
+    /// most loaded group first, the busiest binding first.
     fn bind(&mut self) {
         let due = self.steps_left > 0 && self.now >= self.next_step;
         if due {
             self.steps_left -= 1;
             self.next_step = self.now + STEP;
         }
-        let groups = 0..self.groups.len();
-        let weights: Vec<f64> = groups.clone().map(|g| self.weight_of(g, &self.placements[0])).collect();
-        let mut loads = vec![0.0; weights.len()];
-        let open_under = |placement: &Placement| {
-            let open: Vec<bool> = groups.clone().map(|g| self.weight_of(g, placement) > 0.0).collect();
-            // Nowhere to go: an empty table still rids a proxy of a standing one that names lost servers.
-            open.iter().map(|may| *may || !open.contains(&true)).collect::<Vec<bool>>()
-        };
-        let open: Vec<Vec<bool>> = self.placements.iter().map(open_under).collect();
-        let mut wishes: Vec<Wish> = Vec::new();
-        for (id, proxy) in &self.proxies {
-            for (class, binding) in proxy.bindings.iter().enumerate() {
-                let demand = self.demand(proxy, class);
-                if let Some(group) = binding.group {
-                    loads[group] += demand;
-                }
-                wishes.push(Wish { proxy: *id, class, demand, place: binding.place });
+        let weigh = |place: &Placement| (0..self.groups.len()).map(|g| self.weight_of(g, place)).collect();
+        let weights: Vec<Vec<f64>> = self.placements.iter().map(weigh).collect();
+        // Where no group has a line, a binding still moves: an empty table rids a proxy of a standing one that
+        // names lost servers.
+        let nowhere: Vec<bool> = weights.iter().map(|row| row.iter().all(|weight| *weight <= 0.0)).collect();
+        let open = |place: usize, group: usize| nowhere[place] || weights[place][group] > 0.0;
+        let mut wishes = self.wishes(&open);
+        if !due && wishes.iter().all(|wish| wish.from.is_some()) {
+            return;
+        }
+        let mut standing = Standing::new(&weights[0], self.loads(&weights[0], &wishes));
+        standing.rank(self.placements.len(), &self.groups, &open);
+        wishes.retain(|wish| due || wish.from.is_none());
+        let load = |wish: &Wish| wish.from.map_or(f64::INFINITY, |from| standing.load(from));
+        wishes.sort_by_cached_key(|wish| Reverse((load(wish).to_bits(), wish.demand.to_bits())));
+        for wish in &wishes {
+            let away =
+                |zone: Option<ZoneId>| if zone.is_none_or(|zone| zone == wish.zone) { 1.0 } else { AWAY };
+            let cost = |(zone, group): (Option<ZoneId>, usize)| {
+                let added = wish.demand / standing.weights[group].max(1e-6);
+                (group, (standing.load(group) + added) * away(zone))
+            };
+            let least = standing.least(wish.place, wish.from).map(cost);
+            let Some((to, new)) = least.min_by(|a, b| a.1.total_cmp(&b.1)) else { continue };
+            let old = |from: usize| standing.load(from) * away(self.groups[from].zone);
+            if wish.from.is_some_and(|from| old(from) <= MOVE_GAIN * new) {
+                continue;
+            }
+            standing.add(to, wish.demand);
+            wish.from.into_iter().for_each(|from| standing.add(from, -wish.demand));
+            if let Some(proxy) = self.proxies.get_mut(&wish.proxy) {
+                proxy.bindings[wish.class].group = Some(to);
             }
         }
-        // Proxies of other controllers load the groups too: as servers report it, else evenly.
+    }
+
+    /// All bindings, with the group each is in if that is still open to it.
+    fn wishes(&self, open: &dyn Fn(usize, usize) -> bool) -> Vec<Wish> {
+        let all = self
+            .proxies
+            .iter()
+            .flat_map(|(id, proxy)| (0..proxy.bindings.len()).map(move |k| (id, proxy, k)));
+        let wish = |(id, proxy, class): (&ProxyId, &Proxy, usize)| {
+            let Binding { place, group, .. } = proxy.bindings[class];
+            let (from, demand) = (group.filter(|group| open(place, *group)), self.demand(proxy, class));
+            Wish { proxy: *id, zone: proxy.zone, class, demand, place, from }
+        };
+        all.map(wish).collect()
+    }
+
+    /// The groups' loads. Proxies of other controllers load them too: as servers report it, else evenly.
+    fn loads(&self, weights: &[f64], wishes: &[Wish]) -> Vec<f64> {
+        let mut loads = vec![0.0; weights.len()];
+        for wish in wishes {
+            wish.from.into_iter().for_each(|from| loads[from] += wish.demand);
+        }
         let own: f64 = loads.iter().sum();
         if self.own_part() < 1.0 && own > 0.0 {
             let told = self.groups.iter().all(|group| group.busy.is_some());
-            let part = |g: usize| weights[g] * self.groups[g].busy.filter(|_| told).unwrap_or(1.0);
-            let parts: Vec<f64> = groups.clone().map(part).collect();
+            let part = |(weight, group): (&f64, &Group)| weight * group.busy.filter(|_| told).unwrap_or(1.0);
+            let parts: Vec<f64> = weights.iter().zip(&self.groups).map(part).collect();
             let sum: f64 = parts.iter().sum();
             for (load, part) in loads.iter_mut().zip(parts) {
                 *load = load.max(own / self.own_part() * part / sum.max(1e-9));
             }
         }
-        for _ in 0..2 * wishes.len() {
-            // The binding that gains most by moving, in load met; of those that must go, the busiest.
-            let mut best: Option<(f64, &Wish, usize)> = None;
-            for wish in &wishes {
-                let proxy = &self.proxies[&wish.proxy];
-                let cost = |group: usize, added: f64| {
-                    let home = self.groups[group].zone.is_none_or(|zone| zone == proxy.zone);
-                    (loads[group] + added) / weights[group].max(1e-6) * if home { 1.0 } else { AWAY }
-                };
-                let open = &open[wish.place];
-                let from = proxy.bindings[wish.class].group.filter(|group| open[*group]);
-                if from.is_some() && !due {
-                    continue;
-                }
-                let old = from.map_or(1e15 * wish.demand, |from| cost(from, 0.0));
-                for group in groups.clone().filter(|group| open[*group] && Some(*group) != from) {
-                    let gain = old / cost(group, wish.demand);
-                    if gain > best.map_or(MOVE_GAIN, |(most, ..)| most) {
-                        best = Some((gain, wish, group));
-                    }
-                }
-            }
-            let Some((_, wish, group)) = best else { break };
-            let Some(proxy) = self.proxies.get_mut(&wish.proxy) else { break };
-            if let Some(from) = proxy.bindings[wish.class].group.replace(group) {
-                loads[from] -= wish.demand;
-            }
-            loads[group] += wish.demand;
-        }
+        loads
     }
 
     /// The lines a table should have.
@@ -599,7 +628,7 @@
         if rested < Nanos(gap.unwrap_or(0)) {
             return;
         }
-        let mut users: BTreeMap<TableId, BTreeSet<ProxyId>> = BTreeMap::new();
+        let users = self.users();
         // By proxy and table: the rank, and the classes.
         let mut binds: BTreeMap<(ProxyId, TableId), (u8, ClassSet)> = BTreeMap::new();
         let mut used: BTreeSet<TableId> = BTreeSet::new();
@@ -607,9 +636,6 @@
         let left_bare = |table: &TableId| self.tables[table].lines.keys().all(lost);
         for (id, proxy) in &self.proxies {
             for (class, binding) in proxy.bindings.iter().enumerate() {
-                if let Some(sent) = binding.sent {
-                    users.entry(sent).or_default().insert(*id);
-                }
                 let Some(group) = binding.group else { continue };
                 let table = self.table_of(group, binding.place);
                 used.insert(table);
@@ -620,7 +646,7 @@
                 }
             }
         }
-        // Orders by rank: lost servers and lines for empty tables, bare proxies, bindings, weights, levels.
+        // By rank: lost servers and lines for empty tables, bare proxies, bindings, weights, levels.
         let mut ranked: Vec<(u8, Order)> = Vec::new();
         for table in self.tables.keys().chain(&used).copied().collect::<BTreeSet<TableId>>() {
             let held = self.tables.get(&table).cloned().unwrap_or_default();
@@ -639,8 +665,8 @@
                 ranked.push((rank, Order::Line { table, server, weight }));
             }
             for (class, (level, tries)) in levels {
-                let old = held.levels.get(&class).copied();
-                if old.is_none_or(|(old, way)| way != tries || (level - old).abs() > CHANGE * old) {
+                let differs = |old: &(f64, _)| tries != old.1 || (level - old.0).abs() > CHANGE * old.0;
+                if held.levels.get(&class).is_none_or(differs) {
                     let classes = ClassSet::of(ClassId(class as u8));
                     ranked.push((rank(4), Order::Level { table, classes, level, tries }));
                 }
@@ -649,15 +675,11 @@
         let bind = |((proxy, table), (rank, classes))| (rank, Order::Bind { proxy, classes, table });
         ranked.extend(binds.into_iter().map(bind));
         ranked.sort_by_key(|(rank, _)| *rank);
-        let room = |rank| {
-            let share = if rank < 2 { URGENT_SHARE } else { QUEUE_SHARE };
-            self.settings.channel_lines_limit * share - self.channel.queued
-        };
-        let room: Vec<f64> = (0..5).map(room).collect();
+        let (limit, queued) = (self.settings.channel_lines_limit, self.channel.queued);
         let (mut cost, mut touched) = (0.0, BTreeSet::new());
         for (rank, order) in ranked {
             let spent = cost + touched.len() as f64 * self.settings.lines_per_message;
-            if spent > room[usize::from(rank)] || rank >= 3 && rested < TURN + TURN {
+            if queued + spent > limit * QUEUE_SHARES[usize::from(rank)] || rank >= 3 && rested < TURN + TURN {
                 break;
             }
             let (lines, reached) = self.note_sent(&order, &users);
@@ -670,41 +692,17 @@
             self.channel.sent_at = self.now;
         }
     }
-
-    /// Keeps what an order leaves at the proxies, and tells its lines and the proxies it reaches.
-    fn note_sent(
-        &mut self,
-        order: &Order,
-        users: &BTreeMap<TableId, BTreeSet<ProxyId>>,
-    ) -> (usize, BTreeSet<ProxyId>) {
-        match order {
-            Order::Line { table, server, weight } => {
-                self.tables.entry(*table).or_default().set_line(server, *weight);
-                (1, users.get(table).cloned().unwrap_or_default())
-            }
-            Order::Level { table, classes, level, tries } => {
-                let class = classes.0.trailing_zeros() as usize;
-                self.tables.entry(*table).or_default().levels.insert(class, (*level, *tries));
-                (1, users.get(table).cloned().unwrap_or_default())
-            }
-            Order::Bind { proxy, classes, table } => {
-                let bindings = self.proxies.get_mut(proxy).into_iter().flat_map(|proxy| &mut proxy.bindings);
-                let bound = bindings.enumerate().filter(|(class, _)| classes.has(ClassId(*class as u8)));
-                bound.for_each(|(_, binding)| binding.sent = Some(*table));
-                let sent = self.tables.entry(*table).or_default();
-                (1 + sent.lines.len() + sent.levels.len(), BTreeSet::from([*proxy]))
-            }
-            Order::Probe { .. } | Order::WatchList | Order::Wake { .. } => (0, BTreeSet::new()),
-        }
-    }
 }
 
 /// The rate at each proxy that lets in a share of all that arrives: the busiest give first. What arrives at one
 /// proxy comes by chance, so that a cap at its mean rate refuses some and a cap above it still does.
 fn even_cap(arrivals: &[f64], share: f64) -> f64 {
-    let target = share * arrivals.iter().sum::<f64>();
-    let most = arrivals.iter().copied().fold(0.1, f64::max);
+    let most = share.max(1.0) * arrivals.iter().copied().fold(0.1, f64::max);
     let (mut low, mut high) = (0.0, most + CHANCE * most.sqrt());
+    if share >= 1.0 {
+        return high;
+    }
+    let target = share * arrivals.iter().sum::<f64>();
     let taken = |rate: f64, cap: f64| (rate + cap - ((rate - cap).powi(2) + SOFT * rate).sqrt()) / 2.0;
     for _ in 0..30 {
         let middle = (low + high) / 2.0;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,36 +1,49 @@
 //! What a controller keeps: plain types and sums, without any decision, table or tuned value.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 
 use crate::interface::*;
 
-/// A sum that halves with every half-life; brought up to date when read.
+/// A sum that halves with every half-life, which comes with what is added; brought up to date when read.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Decay {
-    pub sum: f64,
-    pub at: Nanos,
+    sum: f64,
+    at: Nanos,
+    half: Nanos,
 }
 
 impl Decay {
-    pub fn read(&self, now: Nanos, half: Nanos) -> f64 {
-        self.sum * 0.5f64.powf((now - self.at).secs() / half.secs())
+    pub fn read(&self, now: Nanos) -> f64 {
+        match self.half {
+            Nanos(0) => 0.0,
+            half => self.sum * 0.5f64.powf((now - self.at).secs() / half.secs()),
+        }
     }
 
     pub fn add(&mut self, now: Nanos, half: Nanos, amount: f64) {
-        *self = Decay { sum: self.read(now, half) + amount, at: now };
+        *self = Decay { sum: self.read(now) + amount, at: now, half };
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.half == Nanos(0)
     }
 
-    /// Per second, where the first was added at `since` or later.
-    pub fn rate(&self, now: Nanos, half: Nanos, since: Nanos) -> f64 {
-        let filled = 1.0 - 0.5f64.powf((now - since).secs().max(1.0) / half.secs());
-        self.read(now, half) * std::f64::consts::LN_2 / half.secs() / filled
+    /// Per second, where adding has gone on for `age`.
+    pub fn rate(&self, now: Nanos, age: Nanos) -> f64 {
+        match self.half {
+            Nanos(0) => 0.0,
+            half => {
+                let filled = 1.0 - 0.5f64.powf(age.secs() / half.secs());
+                self.read(now) * std::f64::consts::LN_2 / half.secs() / filled
+            }
+        }
     }
 }
 
-/// A mean in which older values count less; nothing where nothing was heard lately.
+/// A mean in which older values count less; nothing where too little was heard lately.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Mean {
     sum: Decay,
@@ -45,47 +58,56 @@
         }
     }
 
-    pub fn mean(&self, now: Nanos, half: Nanos) -> Option<f64> {
-        let count = self.count.read(now, half);
-        (count > 0.1).then(|| self.sum.read(now, half) / count)
+    pub fn mean(&self, now: Nanos, least: f64) -> Option<f64> {
+        let count = self.count.read(now);
+        (count > least).then(|| self.sum.read(now) / count)
     }
 }
 
-/// What proxies met: tries, those without a good answer, and seconds waited.
+/// What proxies met: tries, those without a good answer, seconds waited, and good answers a second.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Seen {
     pub tries: f64,
     pub failed: f64,
     pub waited: f64,
+    pub handled: f64,
 }
 
 impl Seen {
     pub fn plus(self, other: Seen) -> Seen {
-        let (tries, failed) = (self.tries + other.tries, self.failed + other.failed);
-        Seen { tries, failed, waited: self.waited + other.waited }
+        self.with(other, 1.0)
     }
 
     pub fn minus(self, other: Seen) -> Seen {
-        let (tries, failed) = ((self.tries - other.tries).max(0.0), (self.failed - other.failed).max(0.0));
-        Seen { tries, failed, waited: (self.waited - other.waited).max(0.0) }
+        self.with(other, -1.0)
+    }
+
+    fn with(self, other: Seen, sign: f64) -> Seen {
+        let sum = |a: f64, b: f64| (a + sign * b).max(0.0);
+        Seen {
+            tries: sum(self.tries, other.tries),
+            failed: sum(self.failed, other.failed),
+            waited: sum(self.waited, other.waited),
+            handled: sum(self.handled, other.handled),
+        }
     }
 
     /// Unanswered share; nothing where nothing was tried.
     pub fn share(&self) -> f64 {
-        if self.tries > 0.0 {
-            (self.failed / self.tries).min(1.0)
-        } else {
-            0.0
-        }
+        ratio(self.failed, self.tries).min(1.0)
     }
 
     /// Mean wait, s.
     pub fn wait(&self) -> f64 {
-        if self.tries > 0.0 {
-            self.waited / self.tries
-        } else {
-            0.0
-        }
+        ratio(self.waited, self.tries)
+    }
+}
+
+fn ratio(part: f64, whole: f64) -> f64 {
+    if whole > 0.0 {
+        part / whole
+    } else {
+        0.0
     }
 }
 
@@ -104,9 +126,11 @@
         self.waited.add(now, half, seen.waited);
     }
 
-    pub fn read(&self, now: Nanos, half: Nanos) -> Seen {
-        let (tries, failed) = (self.tries.read(now, half), self.failed.read(now, half));
-        Seen { tries, failed, waited: self.waited.read(now, half) }
+    pub fn read(&self, now: Nanos) -> Seen {
+        let (tries, failed) = (self.tries.read(now), self.failed.read(now));
+        let waited = self.waited.read(now);
+        let per_second = std::f64::consts::LN_2 * ratio(1.0, self.tries.half.secs());
+        Seen { tries, failed, waited, handled: (tries - failed).max(0.0) * per_second }
     }
 }
 
@@ -224,12 +248,69 @@
     pub heard: bool,
 }
 
-/// A binding looked at for a move: its traffic, and where it may go.
+/// A binding looked at for a move: its traffic, where it may go and where it is.
 pub struct Wish {
     pub proxy: ProxyId,
+    pub zone: ZoneId,
     pub class: usize,
     pub demand: f64,
     pub place: usize,
+    pub from: Option<usize>,
+}
+
+/// Groups in order of load: its bits, which sort as it does, and the group.
+type Ranking = BTreeSet<(u64, usize)>;
+
+/// The groups' loads, and for each placement and zone its open groups in order of load.
+pub struct Standing {
+    pub weights: Vec<f64>,
+    pub loads: Vec<f64>,
+    ranks: Vec<BTreeMap<Option<ZoneId>, Ranking>>,
+}
+
+impl Standing {
+    pub fn new(weights: &[f64], loads: Vec<f64>) -> Self {
+        Standing { weights: weights.to_vec(), loads, ranks: Vec::new() }
+    }
+
+    /// Load over weight.
+    pub fn load(&self, group: usize) -> f64 {
+        self.loads[group] / self.weights[group].max(1e-6)
+    }
+
+    /// Ranks the groups that are open under each placement.
+    pub fn rank(&mut self, places: usize, groups: &[Group], open: &dyn Fn(usize, usize) -> bool) {
+        self.ranks = vec![BTreeMap::new(); places];
+        for place in 0..places {
+            for group in (0..groups.len()).filter(|group| open(place, *group)) {
+                let key = (self.load(group).max(0.0).to_bits(), group);
+                self.ranks[place].entry(groups[group].zone).or_default().insert(key);
+            }
+        }
+    }
+
+    /// Adds load to a group; its ranks follow.
+    pub fn add(&mut self, group: usize, load: f64) {
+        let old = (self.load(group).max(0.0).to_bits(), group);
+        self.loads[group] = (self.loads[group] + load).max(0.0);
+        let new = (self.load(group).max(0.0).to_bits(), group);
+        for ranks in self.ranks.iter_mut().flat_map(BTreeMap::values_mut) {
+            if ranks.remove(&old) {
+                ranks.insert(new);
+            }
+        }
+    }
+
+    /// The least loaded open group of each zone, but for one.
+    pub fn least(
+        &self,
+        place: usize,
+        but: Option<usize>,
+    ) -> impl Iterator<Item = (Option<ZoneId>, usize)> + '_ {
+        let first =
+            move |ranks: &Ranking| ranks.iter().map(|(_, group)| *group).find(|group| Some(*group) != but);
+        self.ranks[place].iter().filter_map(move |(zone, ranks)| Some((*zone, first(ranks)?)))
+    }
 }
 
 pub struct Proxy {
@@ -240,6 +321,7 @@
 }
 
 pub struct Group {
+    pub members: BTreeSet<ServerId>,
     /// The zone of its servers, where all are of one.
     pub zone: Option<ZoneId>,
     pub load: Load,
@@ -254,6 +336,8 @@
     pub listed: f64,
     /// What proxies met at its cold members, if there are any.
     pub cold: Option<Seen>,
+    /// By class: what comes to each proxy bound here, per second.
+    pub arrivals: Vec<Vec<f64>>,
 }
 
 /// A shared table as proxies have it.
@@ -317,11 +401,6 @@
         }
     }
 
-    /// In the tables at its whole weight, and counted for its group.
-    pub fn in_use(&self) -> bool {
-        matches!(self.state, State::Open | State::Doubted)
-    }
-
     pub fn ready(&self) -> bool {
         self.listing.readiness == Readiness::Ready
     }
@@ -330,6 +409,7 @@
 impl Group {
     pub fn new(zone: Option<ZoneId>) -> Self {
         Group {
+            members: BTreeSet::new(),
             zone,
             load: Load::Calm,
             limit: f64::INFINITY,
@@ -339,13 +419,9 @@
             weight: 0.0,
             listed: 0.0,
             cold: None,
+            arrivals: Vec::new(),
         }
     }
-
-    /// Operations a second that its members answered well.
-    pub fn handled(&self, half: Nanos) -> f64 {
-        (self.seen.tries - self.seen.failed).max(0.0) * std::f64::consts::LN_2 / half.secs()
-    }
 }
 
 /// One instance of the decisions in `policy.rs`, and all it knows.
@@ -374,6 +450,8 @@
     pub(crate) best_yield: Decay,
     /// The most listed weight that was ever ready.
     pub(crate) most_listed: f64,
+    /// Operations a second that all joined proxies usually get.
+    pub(crate) usual: f64,
     pub(crate) channel: Channel,
 }
 
@@ -404,8 +482,58 @@
             ask_wait: Nanos(0),
             best_yield: Decay::default(),
             most_listed: 0.0,
+            usual: 0.0,
             channel: Channel::new(now),
             settings,
         }
     }
+
+    /// Where a class may run for proxies of a zone, by its place among the placements met so far.
+    pub(crate) fn place_of(&mut self, class: usize, zone: ZoneId) -> usize {
+        let row = &self.classes[class];
+        let zones = if row.home_only { vec![zone] } else { row.placement.zones.clone() };
+        let placement = Placement { zones, kinds: row.placement.kinds.clone() };
+        self.placements.iter().position(|known| *known == placement).unwrap_or_else(|| {
+            self.placements.push(placement);
+            self.placements.len() - 1
+        })
+    }
+
+    /// The proxies that hold each table.
+    pub(crate) fn users(&self) -> BTreeMap<TableId, BTreeSet<ProxyId>> {
+        let mut users: BTreeMap<TableId, BTreeSet<ProxyId>> = BTreeMap::new();
+        for (id, proxy) in &self.proxies {
+            for table in proxy.bindings.iter().filter_map(|binding| binding.sent) {
+                users.entry(table).or_default().insert(*id);
+            }
+        }
+        users
+    }
+
+    /// Keeps what an order leaves at the proxies, and tells its lines and the proxies it reaches.
+    pub(crate) fn note_sent(
+        &mut self,
+        order: &Order,
+        users: &BTreeMap<TableId, BTreeSet<ProxyId>>,
+    ) -> (usize, BTreeSet<ProxyId>) {
+        match order {
+            Order::Line { table, server, weight } => {
+                self.tables.entry(*table).or_default().set_line(server, *weight);
+                (1, users.get(table).cloned().unwrap_or_default())
+            }
+            Order::Level { table, classes, level, tries } => {
+                let class = classes.0.trailing_zeros() as usize;
+                self.tables.entry(*table).or_default().levels.insert(class, (*level, *tries));
+                (1, users.get(table).cloned().unwrap_or_default())
+            }
+            Order::Bind { proxy, classes, table } => {
+                let bindings = self.proxies.get_mut(proxy).into_iter().flat_map(|proxy| &mut proxy.bindings);
+                let bound = bindings.enumerate().filter(|(class, _)| classes.has(ClassId(*class as u8)));
+                bound.for_each(|(_, binding)| binding.sent = Some(*table));
+                let sent = self.tables.entry(*table).or_default();
+                (1 + sent.lines.len() + sent.levels.len(), BTreeSet::from([*proxy]))
+            }
+            Order::Probe { .. } | Order::WatchList | Order::Wake { .. } => (0, BTreeSet::new()),
+        }
+    }
 }
