--- a/src/policy.rs
+++ b/src/policy.rs
@@ -26,7 +26,7 @@
 const JOIN_SHARE: f64 = 0.5; // share of its weight with which a server joins; the design's
 const HELD_BACK: f64 = 0.4; // share of its capacity under which a new server waits: one burst would end it
 const STEPS: u32 = 2; // steps of moves after a change: the design's
-const GROUP_SIZES: (f64, f64) = (8.0, 30.0); // servers; least: fewer connections a server; most: the design's
+const GROUP_SIZES: (f64, f64) = (5.0, 30.0); // servers; least: fewer connections a server; most: the design's
 const BINDINGS: f64 = 4.0; // of a controller for each group: with fewer no move evens out the loads
 const ONE_GROUP_BELOW: usize = 8; // servers; the design's
 const ZONE_LEAST: usize = 3; // servers of a zone that stand as a group: with fewer, losing one halves it
@@ -275,9 +275,9 @@
         // The same for all controllers: by what all are told.
         let bindings = f64::from(self.settings.proxies) * self.classes.len() as f64;
         let bindings = bindings / f64::from(self.settings.controllers.max(1));
-        let size = (BINDINGS * all as f64 / bindings.max(1.0)).clamp(GROUP_SIZES.0, GROUP_SIZES.1) as usize;
+        let size = (BINDINGS * all as f64 / bindings.max(1.0)).clamp(GROUP_SIZES.0, GROUP_SIZES.1);
         for (zone, count) in dealt {
-            self.groups.extend((0..count.div_ceil(size)).map(|_| Group::new(zone)));
+            self.groups.extend((0..((count as f64 / size).round() as usize).max(1)).map(|_| Group::new(zone)));
         }
     }
 
