--- a/src/policy.rs
+++ b/src/policy.rs
@@ -277,7 +277,8 @@
         let bindings = bindings / f64::from(self.settings.controllers.max(1));
         let size = (BINDINGS * all as f64 / bindings.max(1.0)).clamp(GROUP_SIZES.0, GROUP_SIZES.1);
         for (zone, count) in dealt {
-            self.groups.extend((0..((count as f64 / size).round() as usize).max(1)).map(|_| Group::new(zone)));
+            self.groups
+                .extend((0..((count as f64 / size).round() as usize).max(1)).map(|_| Group::new(zone)));
         }
     }
 
@@ -599,12 +600,9 @@
         }
         let own: f64 = loads.iter().sum();
         if self.own_part() < 1.0 && own > 0.0 {
-            let told = self.groups.iter().all(|group| group.busy.is_some());
-            let part = |(weight, group): (&f64, &Group)| weight * group.busy.filter(|_| told).unwrap_or(1.0);
-            let parts: Vec<f64> = weights.iter().zip(&self.groups).map(part).collect();
-            let sum: f64 = parts.iter().sum();
-            for (load, part) in loads.iter_mut().zip(parts) {
-                *load = load.max(own / self.own_part() * part / sum.max(1e-9));
+            let sum: f64 = weights.iter().sum();
+            for (load, weight) in loads.iter_mut().zip(weights) {
+                *load += own * (1.0 / self.own_part() - 1.0) * weight / sum.max(1e-9);
             }
         }
         loads
