Health against the better half of a group; strain only where good answers are slow too

Now the better half of a group is what a server is held against, a strain needs slow good answers too, and a limit grows when these are fast. It should also answer lost answers and hangs. It could harm where half a group is crowded alone.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -194,9 +194,10 @@
                 server.busy.hear(now, half, report.busy);
                 // A try without an answer weighs as much as the slowest that is of use.
                 let (tries, failed) = (*tries as f64, *tries.min(unanswered) as f64);
-                let waited = (tries - failed) * latency.secs() + failed * self.goals.1;
+                let answering = (tries - failed) * latency.secs();
+                let waited = answering + failed * self.goals.1;
                 let met = if *zone == server.listing.zone { &mut server.near } else { &mut server.far };
-                met.add(now, half, Seen { tries, failed, waited, ..Seen::default() });
+                met.add(now, half, Seen { tries, failed, waited, answering, ..Seen::default() });
             }
             Event::Demand { proxy, class, arrived, span, .. } => {
                 let Some(proxy) = self.proxies.get_mut(proxy) else { return };
@@ -297,10 +298,9 @@
         let (now, seen) = (self.now, server.seen(self.now));
         let (tries, share) = (seen.tries, seen.share());
         let cold = !server.warm(now, &self.settings);
-        // Against the others of its group: a crowded group fails as one.
+        // Against the better half of its group: a crowded group fails as one, but for a path most may be lost.
         let group = &self.groups[server.group];
-        let of_group = if server.in_use() { server.met(now) } else { Seen::default() };
-        let own = share > OWN_FAULT * group.seen.minus(of_group).share();
+        let own = share > OWN_FAULT * group.better;
         let room = group.weight - FLOOR * group.listed;
         let strained = group.load == Load::Shedding && server.probes_bad == 0;
         let failing = tries >= EVIDENCE && share >= BROKEN_SHARE && own && !strained;
@@ -371,6 +371,11 @@
             let seen = open().map(|s| s.met(now)).fold(Seen::default(), Seen::plus);
             let weight: f64 = open().map(Server::listed_weight).sum();
             let listed = members().filter(|s| s.ready()).map(Server::listed_weight).sum();
+            let mut shares: Vec<Seen> = open().map(|s| s.met(now)).collect();
+            shares.sort_by(|a, b| a.share().total_cmp(&b.share()));
+            let half = shares.len().div_ceil(2);
+            let better = shares.into_iter().take(half).fold(Seen::default(), Seen::plus);
+            group.better = (better.failed + 1.0) / (better.tries + EVIDENCE);
             group.cold = members().filter(|s| s.state == Cold).map(|s| s.met(now)).reduce(Seen::plus);
             (group.seen, group.weight, group.listed) = (seen, weight, listed);
             group.busy = busy.filter(|_| weight > 0.0).map(|busy| (busy / weight).clamp(BUSY_LEAST, 1.0));
@@ -410,14 +415,20 @@
             let best = self.best_yield.read(self.now) * BUSY_UNTOLD * self.own_part();
             let group = &mut self.groups[index];
             let proven = PROVEN * best * group.weight;
-            let (wait, rested) = (group.seen.wait() / self.goals.0, self.now - group.changed);
+            // Tries that fail while the others are answered fast are lost, not crowded out.
+            let (wait, answer) = (group.seen.wait() / self.goals.0, group.seen.answer_wait() / self.goals.0);
+            let rested = self.now - group.changed;
             let (full, most) = (CUT * group.seen.handled, group.limit.min(arrived));
-            let strain = if wait > WAIT_OVER && group.seen.tries >= EVIDENCE && group.busy.is_none() {
+            let strain = if wait > WAIT_OVER
+                && answer > WAIT_LIGHT
+                && group.seen.tries >= EVIDENCE
+                && group.busy.is_none()
+            {
                 Some(Strain::Over)
-            } else if wait < WAIT_LIGHT && group.limit > LIFT * arrived && group.cold.is_none() {
+            } else if answer < WAIT_LIGHT && group.limit > LIFT * arrived && group.cold.is_none() {
                 Some(Strain::Idle)
             } else {
-                (wait < WAIT_LIGHT).then_some(Strain::Light)
+                (answer < WAIT_LIGHT).then_some(Strain::Light)
             };
             let row = GROUP_MOVES.iter().find(|row| row.0 == group.load && Some(row.1) == strain);
             let Some((_, _, next, effect)) = row else { continue };
--- a/src/state.rs
+++ b/src/state.rs
@@ -70,25 +70,19 @@
     pub tries: f64,
     pub failed: f64,
     pub waited: f64,
+    /// Of the seconds waited, those for good answers.
+    pub answering: f64,
     pub handled: f64,
 }
 
 impl Seen {
     pub fn plus(self, other: Seen) -> Seen {
-        self.with(other, 1.0)
-    }
-
-    pub fn minus(self, other: Seen) -> Seen {
-        self.with(other, -1.0)
-    }
-
-    fn with(self, other: Seen, sign: f64) -> Seen {
-        let sum = |a: f64, b: f64| (a + sign * b).max(0.0);
         Seen {
-            tries: sum(self.tries, other.tries),
-            failed: sum(self.failed, other.failed),
-            waited: sum(self.waited, other.waited),
-            handled: sum(self.handled, other.handled),
+            tries: self.tries + other.tries,
+            failed: self.failed + other.failed,
+            waited: self.waited + other.waited,
+            answering: self.answering + other.answering,
+            handled: self.handled + other.handled,
         }
     }
 
@@ -103,6 +97,13 @@
     }
 }
 
+impl Seen {
+    /// Mean wait for a good answer, s.
+    pub fn answer_wait(&self) -> f64 {
+        ratio(self.answering, self.tries - self.failed)
+    }
+}
+
 fn ratio(part: f64, whole: f64) -> f64 {
     if whole > 0.0 {
         part / whole
@@ -117,6 +118,7 @@
     tries: Decay,
     failed: Decay,
     waited: Decay,
+    answering: Decay,
 }
 
 impl Met {
@@ -124,13 +126,14 @@
         self.tries.add(now, half, seen.tries);
         self.failed.add(now, half, seen.failed);
         self.waited.add(now, half, seen.waited);
+        self.answering.add(now, half, seen.answering);
     }
 
     pub fn read(&self, now: Nanos) -> Seen {
         let (tries, failed) = (self.tries.read(now), self.failed.read(now));
-        let waited = self.waited.read(now);
+        let (waited, answering) = (self.waited.read(now), self.answering.read(now));
         let per_second = std::f64::consts::LN_2 * ratio(1.0, self.tries.half.secs());
-        Seen { tries, failed, waited, handled: (tries - failed).max(0.0) * per_second }
+        Seen { tries, failed, waited, answering, handled: (tries - failed).max(0.0) * per_second }
     }
 }
 
@@ -330,6 +333,8 @@
     pub changed: Nanos,
     /// What proxies met of late at its members in no doubt, their mean busy share, and their listed weight.
     pub seen: Seen,
+    /// The unanswered share at the better half of them.
+    pub better: f64,
     pub busy: Option<f64>,
     pub weight: f64,
     /// Listed weight of all members listed ready.
@@ -415,6 +420,7 @@
             limit: f64::INFINITY,
             changed: Nanos(0),
             seen: Seen::default(),
+            better: 0.0,
             busy: None,
             weight: 0.0,
             listed: 0.0,
