--- a/src/policy.rs
+++ b/src/policy.rs
@@ -16,7 +16,7 @@
 use rand::Rng;
 
 use crate::interface::*;
-use crate::state::State::{Away, Cold, Doubted, Open, Out, Trial};
+use crate::state::State::{Away, Cold, Doubted, Open, Out};
 use crate::state::*;
 
 const TURN: Nanos = Nanos::from_millis(250); // ms; looks round unasked: well under a report's delay
@@ -43,8 +43,7 @@
 const PROBE_EVERY: Nanos = Nanos::from_millis(700); // ms; a probe costs a few ms of work
 const CLEARING: u32 = 3; // probes answered before a return, doubled at each relapse up to three times
 const BAD_PROBES: u32 = 2; // probes failed in a row that shut out: one may be lost
-const TRIAL: Nanos = Nanos::from_millis(8_000); // ms; a return takes this long: reports need a few seconds
-const TRIAL_SHARE: f64 = 0.3; // share of its weight with which a server returns: enough to be judged by
+const TRIAL: Nanos = Nanos::from_millis(8_000); // ms; a doubt ends after this without signs
 const CHANGE: f64 = 0.12; // share by which a line or level must move: less is not worth the channel
 const PACE_EVERY: Nanos = Nanos::from_millis(3_000); // ms; reports of the last change must have come
 const PACE_POWER: f64 = 0.2; // weight against wait: a late answer must not swing
@@ -75,14 +74,14 @@
 
 /// A server's states, sign, next state, effect. The first sign that holds and has a row is taken.
 const SERVER_MOVES: &[(&[State], Sign, State, Effect)] = &[
-    (&[Cold, Open, Doubted, Out, Trial], Sign::Unlisted, Away, Effect::Leave),
-    (&[Away, Open, Doubted, Out, Trial, Cold], Sign::Started, Cold, Effect::Join),
+    (&[Cold, Open, Doubted, Out], Sign::Unlisted, Away, Effect::Leave),
+    (&[Away, Open, Doubted, Out, Cold], Sign::Started, Cold, Effect::Join),
     (&[Away], Sign::Warm, Open, Effect::Join),
     (&[Cold], Sign::Warm, Open, Effect::Nothing),
-    (&[Cold, Open, Doubted, Trial], Sign::Broken, Out, Effect::Expel),
+    (&[Cold, Open, Doubted], Sign::Broken, Out, Effect::Expel),
     (&[Open], Sign::Odd, Doubted, Effect::Nothing),
-    (&[Doubted, Trial], Sign::Sound, Open, Effect::Nothing),
-    (&[Out], Sign::Cleared, Trial, Effect::Return),
+    (&[Doubted], Sign::Sound, Open, Effect::Nothing),
+    (&[Out], Sign::Cleared, Open, Effect::Return),
 ];
 
 /// A group's state, strain, next state, effect on the limit of what it takes in.
@@ -128,12 +127,10 @@
         let ramp = |warmth: f64| settings.cold_share + (1.0 - settings.cold_share) * warmth;
         let ramp = self.listing.started.map_or(1.0, |started| ramp(warmth(started)));
         let step = if self.joined.is_some_and(|joined| now - joined < STEP) { JOIN_SHARE } else { 1.0 };
-        let grown = TRIAL_SHARE + (1.0 - TRIAL_SHARE) * (now - self.since).secs() / TRIAL.secs();
         match self.state {
             Away | Out => 0.0,
             Cold if ramp < HELD_BACK || now - born < STEP => 0.0, // nor while the controller knows little
             Cold | Open | Doubted => ramp * step,
-            Trial => ramp * grown.min(1.0),
         }
     }
 }
@@ -337,7 +334,7 @@
                 // The fleet as first listed is no newcomer.
                 Effect::Join => (server.joined, server.relapses) = ((now > self.born).then_some(now), 0),
                 Effect::Leave => self.next_step = now,
-                Effect::Return => {}
+                Effect::Return => server.joined = Some(now),
                 Effect::Expel => {
                     server.relapses += 1;
                     self.groups[server.group].weight -= server.listed_weight();
--- a/src/state.rs
+++ b/src/state.rs
@@ -148,8 +148,6 @@
     Doubted,
     /// Shut out for its health, and probed.
     Out,
-    /// Back from that, at a growing share.
-    Trial,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
