--- a/src/policy.rs
+++ b/src/policy.rs
@@ -24,7 +24,7 @@
 const LASTING: Nanos = Nanos::from_millis(8_000); // ms; half-life of traffic as bindings see it
 const STEP: Nanos = Nanos::from_millis(5_000); // ms; the design's step: half weight, and time between moves
 const JOIN_SHARE: f64 = 0.5; // share of its weight with which a server joins; the design's
-const HELD_BACK: f64 = 0.4; // share of its capacity under which a new server waits: one burst would end it
+const HELD_BACK: f64 = 0.5; // share of its capacity under which a new server waits: one burst would end it
 const STEPS: u32 = 2; // steps of moves after a change: the design's
 const GROUP_SIZES: (f64, f64) = (5.0, 30.0); // servers; least: fewer connections a server; most: the design's
 const BINDINGS: f64 = 4.0; // of a controller for each group: with fewer no move evens out the loads
@@ -104,12 +104,8 @@
 
     /// What proxies met: those in its own zone if they are enough, since far ones may suffer from the path.
     fn seen(&self, now: Nanos) -> Seen {
-        let near = self.near.read(now);
-        if near.tries >= EVIDENCE {
-            near
-        } else {
-            self.far.read(now)
-        }
+        let near = Some(self.near.read(now)).filter(|near| near.tries >= EVIDENCE);
+        near.unwrap_or_else(|| self.far.read(now))
     }
 
     /// What all proxies met.
@@ -452,10 +448,9 @@
             for (class, binding) in proxy.bindings.iter().enumerate() {
                 let Some(group) = binding.group else { continue };
                 let age = self.now - proxy.joined;
-                arrivals[group][class].push(match binding.recent.is_empty() && age < LASTING {
-                    true => self.demand(proxy, class),
-                    false => binding.recent.rate(self.now, age.max(LEAST_AGE)),
-                });
+                let heard = !binding.recent.is_empty() || age >= LASTING;
+                let rate = heard.then(|| binding.recent.rate(self.now, age.max(LEAST_AGE)));
+                arrivals[group][class].push(rate.unwrap_or_else(|| self.demand(proxy, class)));
             }
         }
         self.groups.iter_mut().zip(arrivals).for_each(|(group, arrivals)| group.arrivals = arrivals);
@@ -468,10 +463,8 @@
         // What its members can do beside what others send: a standing ceiling where busy shares are told,
         // else while some member is cold, or nothing is known yet but usual traffic and what was listed.
         let best = self.best_yield.read(self.now);
-        let each = match best > 0.0 {
-            true => best * self.own_part(),
-            false => self.usual / BUSY_UNTOLD / self.most_listed.max(1.0),
-        };
+        let usual = self.usual / BUSY_UNTOLD / self.most_listed.max(1.0);
+        let each = if best > 0.0 { best * self.own_part() } else { usual };
         let fresh = (self.weight_of(index, &self.placements[0]) - group.weight).max(0.0);
         let able = match group.busy.filter(|_| best > 0.0) {
             Some(busy) => group.seen.handled + each * ((BUSY_GOAL - busy) * group.weight + fresh),
@@ -535,11 +528,9 @@
     /// A proxy's lasting traffic of a class, in operations a second; unheard, the average of its kind.
     fn demand(&self, proxy: &Proxy, class: usize) -> f64 {
         let binding = &proxy.bindings[class];
-        let rate = match binding.heard {
-            true => binding.lasting.rate(self.now, (self.now - proxy.joined).max(LEAST_AGE)),
-            false => proxy.usual_rate / self.classes.len() as f64,
-        };
-        rate.max(0.01)
+        let age = (self.now - proxy.joined).max(LEAST_AGE);
+        let heard = binding.heard.then(|| binding.lasting.rate(self.now, age));
+        heard.unwrap_or(proxy.usual_rate / self.classes.len() as f64).max(0.01)
     }
 
     /// Binds what is unbound to the least loaded group, and in a step moves what meets too much load: of the
@@ -662,11 +653,9 @@
         for table in self.tables.keys().chain(&used).copied().collect::<BTreeSet<TableId>>() {
             let held = self.tables.get(&table).cloned().unwrap_or_default();
             let (group, place) = (usize::from(table.0) / PLACES, usize::from(table.0) % PLACES);
-            let kept =
-                || held.lines.iter().filter(|(id, _)| !lost(id)).map(|(id, weight)| (id.clone(), *weight));
             let (wanted, levels) = match used.contains(&table) {
                 true => (self.wanted_lines(group, &self.placements[place]), self.wanted_levels(group)),
-                false => (kept().collect(), BTreeMap::new()),
+                false => (held.without(lost), BTreeMap::new()),
             };
             let bare = !held.lines.keys().any(|id| wanted.contains_key(id));
             let rank = |late: u8| if bare || !users.contains_key(&table) { 0 } else { late };
--- a/src/state.rs
+++ b/src/state.rs
@@ -95,9 +95,7 @@
     pub fn wait(&self) -> f64 {
         ratio(self.waited, self.tries)
     }
-}
 
-impl Seen {
     /// Mean wait for a good answer, s.
     pub fn answer_wait(&self) -> f64 {
         ratio(self.answering, self.tries - self.failed)
@@ -359,6 +357,12 @@
         moved.map(|(id, weight)| (id.clone(), *weight)).chain(gone.map(|id| (id.clone(), 0.0))).collect()
     }
 
+    /// Its lines without the lost servers'.
+    pub fn without(&self, lost: impl Fn(&ServerId) -> bool) -> BTreeMap<ServerId, f64> {
+        let kept = self.lines.iter().filter(|(id, _)| !lost(id));
+        kept.map(|(id, weight)| (id.clone(), *weight)).collect()
+    }
+
     pub fn set_line(&mut self, server: &ServerId, weight: f64) {
         self.lines.insert(server.clone(), weight);
         self.lines.retain(|_, weight| *weight > 0.0);
