--- a/src/policy.rs
+++ b/src/policy.rs
@@ -20,7 +20,7 @@
 use crate::state::*;
 
 const TURN: Nanos = Nanos::from_millis(250); // ms; looks round unasked: well under a report's delay
-const HALF_LIFE: Nanos = Nanos::from_millis(2_000); // ms; of what proxies met, or the span of a report if longer
+const HALF_LIFE: Nanos = Nanos::from_millis(2_000); // ms; of what proxies met; or a report's span
 const LASTING: Nanos = Nanos::from_millis(8_000); // ms; half-life of traffic as bindings see it
 const STEP: Nanos = Nanos::from_millis(5_000); // ms; the design's step: half weight, and time between moves
 const JOIN_SHARE: f64 = 0.5; // share of its weight with which a server joins; the design's
@@ -30,7 +30,7 @@
 const BINDINGS: f64 = 4.0; // of a controller for each group: with fewer no move evens out the loads
 const ONE_GROUP_BELOW: usize = 8; // servers; the design's
 const ZONE_LEAST: usize = 3; // servers of a zone that stand as a group: with fewer, losing one halves it
-const AWAY: f64 = 1.15; // load factor of a group in another zone: a crossing costs as much as some load
+const AWAY: f64 = 1.3; // load factor of a group in another zone: crossings cost, and cuts strike them
 const MOVE_GAIN: f64 = 1.1; // factor by which a move must lessen the load met: less would be noise
 const HEARD: f64 = 0.1; // least count of what is left of reports that a mean is told from
 const LEAST_AGE: Nanos = Nanos::from_millis(1_000); // ms; a rate over less is chance
@@ -61,12 +61,12 @@
 const GROW_EVERY: Nanos = Nanos::from_millis(1_000); // ms; full again in some seconds, slower than reports
 const PROVEN: f64 = 0.7; // share of what was handled at best to which a limit grows at once
 const CEILING_NEAR: f64 = 3.0; // multiple of what arrives above which a ceiling is not worth its lines
-const CHANCE: f64 = 1.0; // standard deviations that a cap leaves for what arrives in a second: more lets bursts in
+const CHANCE: f64 = 1.0; // deviations a cap leaves for what arrives in a second: more lets bursts in
 const SOFT: f64 = 0.16; // how early a cap bites: the square of twice the excess at the mean, in deviations
 const LIFT: f64 = 1.2; // a limit this far above what arrives is lifted
 const LEAST: f64 = 0.02; // least share of a weight or a level: something must be met to be judged by
 const CHANNEL_SHARE: f64 = 0.5; // share of the channel's told pace counted on: it may run slower
-const QUEUE_SHARES: [f64; 5] = [0.7, 0.5, 0.3, 0.3, 0.3]; // by rank: share of the channel's limit it may fill up to
+const QUEUE_SHARES: [f64; 5] = [0.7, 0.5, 0.3, 0.3, 0.3]; // by rank: share of the limit to be filled
 const ASK_AGAIN: Nanos = Nanos::from_millis(500); // ms; first wait before the list is asked for again
 const ASK_AGAIN_MOST: Nanos = Nanos::from_millis(4_000); // ms; the longest: it is one service for all
 const PLACES: usize = 256; // placements a group can have tables for: table numbers end at 65535
@@ -291,7 +291,7 @@
         let (now, seen) = (self.now, server.seen(self.now));
         let (tries, share) = (seen.tries, seen.share());
         let cold = !server.warm(now, &self.settings);
-        // Against the better half of its group: a crowded group fails as one, but for a path most may be lost.
+        // Against the better half of its group: a crowded one fails as one, a lost path may take most.
         let group = &self.groups[server.group];
         let own = share > OWN_FAULT * group.better;
         let room = group.weight - FLOOR * group.listed;
@@ -440,8 +440,8 @@
         (self.proxies.len().max(1) as f64 / f64::from(self.settings.proxies.max(1))).min(1.0)
     }
 
-    /// Counts what comes of each class to each proxy, per second, for its group; of one that joined lately and
-    /// is unheard, the usual: many that come at once would else count for nothing.
+    /// Counts what comes of each class to each proxy, per second, for its group; of one that joined
+    /// lately and is unheard, the usual: many that come at once would else count for nothing.
     fn count_arrivals(&mut self) {
         let mut arrivals = vec![vec![Vec::new(); self.classes.len()]; self.groups.len()];
         for proxy in self.proxies.values() {
@@ -543,8 +543,8 @@
         }
         let weigh = |place: &Placement| (0..self.groups.len()).map(|g| self.weight_of(g, place)).collect();
         let weights: Vec<Vec<f64>> = self.placements.iter().map(weigh).collect();
-        // Where no group has a line, a binding still moves: an empty table rids a proxy of a standing one that
-        // names lost servers.
+        // Where no group has a line, a binding still moves: an empty table rids a proxy of a standing one
+        // that names lost servers.
         let nowhere: Vec<bool> = weights.iter().map(|row| row.iter().all(|weight| *weight <= 0.0)).collect();
         let open = |place: usize, group: usize| nowhere[place] || weights[place][group] > 0.0;
         let mut wishes = self.wishes(&open);
@@ -694,8 +694,8 @@
     }
 }
 
-/// The rate at each proxy that lets in a share of all that arrives: the busiest give first. What arrives at one
-/// proxy comes by chance, so that a cap at its mean rate refuses some and a cap above it still does.
+/// The rate at each proxy that lets in a share of all that arrives: the busiest give first. What arrives at
+/// one proxy comes by chance, so that a cap at its mean rate refuses some and a cap above it still does.
 fn even_cap(arrivals: &[f64], share: f64) -> f64 {
     let most = share.max(1.0) * arrivals.iter().copied().fold(0.1, f64::max);
     let (mut low, mut high) = (0.0, most + CHANCE * most.sqrt());
