--- a/crates/craneknot-wirehost/src/wire.rs
+++ b/crates/craneknot-wirehost/src/wire.rs
@@ -401,6 +401,7 @@
             json!(["ALLOW", instance, classes.0, level, how, table.0])
         }
         Order::Probe { server } => json!(["INSPECT", instance, &*server.0]),
+        Order::Mark { mark } => json!(["STAMP", instance, mark, false]),
         Order::WatchList => json!(["SUBSCRIBE", instance, true]),
         Order::Wake { after } => json!(["SLEEP", instance, after.secs(), "turn"]),
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -314,6 +314,10 @@
     Probe {
         server: ServerId,
     },
+    /// Every proxy that gets a message of this moment answers with the mark; a line a message.
+    Mark {
+        mark: u16,
+    },
     /// A standing request for changes to the list.
     WatchList,
     Wake {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -2,8 +2,7 @@
 //!
 //! A host makes one [`Controller`] for each instance, with the settings and the seed that instance is given,
 //! and calls [`Controller::step`] with the clock and what has come in; what comes back is to be carried out
-//! then, in order. Nothing else goes in or out: no clock, no file, nothing shared between instances.
-//! The types stand in `interface.rs`.
+//! then, in order. Nothing else goes in or out, nothing is shared. The types stand in `interface.rs`.
 //!
 //! The ordinary path: the listed servers are dealt into groups, a table each; a proxy is bound, per class, to
 //! one group; bindings move by load only as proxies or servers come and go; a paced sender publishes what
@@ -67,6 +66,9 @@
 const LEAST: f64 = 0.02; // least share of a weight or a level: something must be met to be judged by
 const CHANNEL_SHARE: f64 = 0.5; // share of the channel's told pace counted on: it may run slower
 const QUEUE_SHARES: [f64; 5] = [0.7, 0.5, 0.3, 0.3, 0.3]; // by rank: share of the limit to be filled
+const MARK_SHARE: f64 = 0.1; // share of the channel's limit sent between marks: a mark costs a line a message
+const WAY: Nanos = Nanos::from_millis(1_000); // ms; a message's way to a proxy and its answer's back, at most
+const MARK_LOST: Nanos = Nanos::from_millis(10_000); // ms; an answer this late is lost, with its stream
 const ASK_AGAIN: Nanos = Nanos::from_millis(500); // ms; first wait before the list is asked for again
 const ASK_AGAIN_MOST: Nanos = Nanos::from_millis(4_000); // ms; the longest: it is one service for all
 const PLACES: usize = 256; // placements a group can have tables for: table numbers end at 65535
@@ -108,7 +110,6 @@
         near.unwrap_or_else(|| self.far.read(now))
     }
 
-    /// What all proxies met.
     fn met(&self, now: Nanos) -> Seen {
         self.near.read(now).plus(self.far.read(now))
     }
@@ -212,7 +213,8 @@
                     ProbeOutcome::Failed => (0, server.probes_bad + 1),
                 };
             }
-            Event::Applied { .. } | Event::Woken | Event::PeerSaid { .. } => {}
+            Event::Applied { mark, .. } => self.channel.applied(*mark),
+            Event::Woken | Event::PeerSaid { .. } => {}
             Event::SliceGiven { .. } | Event::SliceLine { .. } | Event::SliceDemand { .. } => {}
         }
     }
@@ -267,12 +269,12 @@
         let dealt =
             if zoned { zones.into_iter().map(|(z, n)| (Some(z), n)).collect() } else { vec![(None, all)] };
         // The same for all controllers: by what all are told.
-        let bindings = f64::from(self.settings.proxies) * self.classes.len() as f64;
-        let bindings = bindings / f64::from(self.settings.controllers.max(1));
+        let proxies = f64::from(self.settings.proxies) / f64::from(self.settings.controllers.max(1));
+        let bindings = proxies * self.classes.len() as f64;
         let size = (BINDINGS * all as f64 / bindings.max(1.0)).clamp(GROUP_SIZES.0, GROUP_SIZES.1);
         for (zone, count) in dealt {
-            self.groups
-                .extend((0..((count as f64 / size).round() as usize).max(1)).map(|_| Group::new(zone)));
+            let many = (count as f64 / size).round().max(1.0) as usize;
+            self.groups.extend((0..many).map(|_| Group::new(zone)));
         }
     }
 
@@ -286,7 +288,6 @@
         })
     }
 
-    /// The first sign of a server that holds now and has a row for its state.
     fn sign_of(&self, server: &Server) -> Option<(State, Effect)> {
         let (now, seen) = (self.now, server.seen(self.now));
         let (tries, share) = (seen.tries, seen.share());
@@ -577,7 +578,6 @@
         }
     }
 
-    /// All bindings, with the group each is in if that is still open to it.
     fn wishes(&self, open: &dyn Fn(usize, usize) -> bool) -> Vec<Wish> {
         let all = self
             .proxies
@@ -591,23 +591,20 @@
         all.map(wish).collect()
     }
 
-    /// The groups' loads. Proxies of other controllers load them too: as servers report it, else evenly.
+    /// The groups' loads. Proxies of other controllers are taken to load them evenly.
     fn loads(&self, weights: &[f64], wishes: &[Wish]) -> Vec<f64> {
         let mut loads = vec![0.0; weights.len()];
         for wish in wishes {
             wish.from.into_iter().for_each(|from| loads[from] += wish.demand);
         }
         let own: f64 = loads.iter().sum();
-        if self.own_part() < 1.0 && own > 0.0 {
-            let sum: f64 = weights.iter().sum();
-            for (load, weight) in loads.iter_mut().zip(weights) {
-                *load += own * (1.0 / self.own_part() - 1.0) * weight / sum.max(1e-9);
-            }
+        let sum = weights.iter().sum::<f64>().max(1e-9);
+        for (load, weight) in loads.iter_mut().zip(weights) {
+            *load += own * (1.0 / self.own_part() - 1.0) * weight / sum;
         }
         loads
     }
 
-    /// The lines a table should have.
     fn wanted_lines(&self, group: usize, placement: &Placement) -> BTreeMap<ServerId, f64> {
         // Where tries fail more are made, and proxies that avoid failing servers send all to one that has not
         // failed them yet: a cold server gets less, and, beside servers that fail, nothing.
@@ -630,8 +627,7 @@
         if rested < Nanos(gap.unwrap_or(0)) {
             return;
         }
-        let users = self.users();
-        // By proxy and table: the rank, and the classes.
+        let mut users = self.users();
         let mut binds: BTreeMap<(ProxyId, TableId), (u8, ClassSet)> = BTreeMap::new();
         let mut used: BTreeSet<TableId> = BTreeSet::new();
         let lost = |id: &ServerId| !self.servers[id].ready() || self.servers[id].state == Cold;
@@ -675,21 +671,25 @@
         let bind = |((proxy, table), (rank, classes))| (rank, Order::Bind { proxy, classes, table });
         ranked.extend(binds.into_iter().map(bind));
         ranked.sort_by_key(|(rank, _)| *rank);
-        let (limit, queued) = (self.settings.channel_lines_limit, self.channel.queued);
+        // What is not applied yet still waits, where the channel runs slower than counted on.
+        let limit = self.settings.channel_lines_limit;
+        let under_way = self.settings.channel_lines_per_second * WAY.secs();
+        let queued = self.channel.queued.max(self.channel.unapplied(self.now, MARK_LOST) - under_way);
         let (mut cost, mut touched) = (0.0, BTreeSet::new());
         for (rank, order) in ranked {
             let spent = cost + touched.len() as f64 * self.settings.lines_per_message;
             if queued + spent > limit * QUEUE_SHARES[usize::from(rank)] || rank >= 3 && rested < TURN + TURN {
                 break;
             }
-            let (lines, reached) = self.note_sent(&order, &users);
+            let (lines, reached) = self.note_sent(&order, &mut users);
             cost += (lines * reached.len()) as f64;
             touched.extend(reached);
             orders.push(order);
         }
         if !touched.is_empty() {
-            self.channel.queued += cost + touched.len() as f64 * self.settings.lines_per_message;
-            self.channel.sent_at = self.now;
+            let lines = cost + touched.len() as f64 * self.settings.lines_per_message;
+            let marked = self.channel.send(self.now, lines, touched.len() as f64, MARK_SHARE * limit);
+            orders.extend(marked.map(|mark| Order::Mark { mark }));
         }
     }
 }
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -81,6 +81,8 @@
     pub levels: BTreeMap<(TableId, usize), (f64, FurtherTries)>,
     pub bound: BTreeMap<(ProxyId, usize), TableId>,
     pub orders: Vec<Order>,
+    /// What proxies answer to marks, told with the next step.
+    answers: Vec<Event>,
     /// When a server was first told to be lost.
     lost: BTreeMap<ServerId, Nanos>,
     /// Since when a proxy has had no line for a class, though there should be one.
@@ -102,6 +104,7 @@
             levels: BTreeMap::new(),
             bound: BTreeMap::new(),
             orders: Vec::new(),
+            answers: Vec::new(),
             lost: BTreeMap::new(),
             bare: BTreeMap::new(),
             queued: 0.0,
@@ -137,6 +140,7 @@
     pub fn step(&mut self, after: f64, events: &[Event]) {
         self.now = self.now + secs(after);
         self.queued = (self.queued - after * self.settings.channel_lines_per_second).max(0.0);
+        let events = &[std::mem::take(&mut self.answers), events.to_vec()].concat();
         for event in events {
             match event {
                 Event::List { scope, entries } => {
@@ -207,6 +211,11 @@
                     assert!(self.list.contains_key(server), "a probe of a server in no list");
                     BTreeSet::new()
                 }
+                Order::Mark { mark } => {
+                    let applied = |proxy: &ProxyId| Event::Applied { proxy: *proxy, mark: *mark };
+                    self.answers = touched.iter().map(applied).collect();
+                    touched.clone()
+                }
                 Order::WatchList | Order::Wake { .. } => BTreeSet::new(),
             };
             self.queued += reached.len() as f64;
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -208,3 +208,25 @@
         assert!(world.orders.iter().all(idle), "{:?}", world.orders);
     }
 }
+
+#[test]
+fn a_server_bad_for_most_of_its_group_is_told_by_the_better_half() {
+    let mut world = calm_world(LevelUnit::Share);
+    // Three of the five in zone 0 lose six tries of ten, as on a path that is bad for this controller alone.
+    for _ in 0..6 {
+        let failed = |k: usize| if [0, 2, 4].contains(&k) { 6 } else { 0 };
+        let events: Vec<Event> = (0..10).map(|k| World::heard(k, 10, failed(k), 0.3, None)).collect();
+        world.step(0.5, &events);
+    }
+    let lines = world.lines(0, 2);
+    assert!(lines.contains_key(&server(6)) && lines.contains_key(&server(8)), "{lines:?}");
+    assert!(lines.len() < 5, "some of the bad are out: {lines:?}");
+}
+
+#[test]
+fn a_rate_level_leaves_room_for_chance_where_little_comes() {
+    let mut world = calm_world(LevelUnit::Rate);
+    pass(&mut world, 20, &[], 1, Some(0.9));
+    let level = level(&world, 1, 0);
+    assert!(level >= 1.5, "one operation a second and proxy, at a cap of {level}");
+}
