--- a/src/policy.rs
+++ b/src/policy.rs
@@ -42,7 +42,7 @@
 const PROBE_EVERY: Nanos = Nanos::from_millis(700); // ms; a probe costs a few ms of work
 const CLEARING: u32 = 3; // probes answered before a return, doubled at each relapse up to three times
 const BAD_PROBES: u32 = 2; // probes failed in a row that shut out: one may be lost
-const TRIAL: Nanos = Nanos::from_millis(8_000); // ms; a doubt ends after this without signs
+const DOUBT_ENDS: Nanos = Nanos::from_millis(8_000); // ms; a doubt ends after this without signs
 const CHANGE: f64 = 0.12; // share by which a line or level must move: less is not worth the channel
 const PACE_EVERY: Nanos = Nanos::from_millis(3_000); // ms; reports of the last change must have come
 const PACE_POWER: f64 = 0.2; // weight against wait: a late answer must not swing
@@ -56,7 +56,7 @@
 const CUT: f64 = 0.9; // a cut's share of what is handled: queues must drain
 const CUT_MOST: f64 = 0.6; // a cut leaves at least this share of what was let in: reports lag behind it
 const CUT_EVERY: Nanos = Nanos::from_millis(2_500); // ms; reports of the last cut must have come
-const GROWTH: f64 = 1.05; // growth of a limit in a step: refused operations come again, faster fills queues anew
+const GROWTH: f64 = 1.05; // growth of a limit in a step: refused operations come again, faster fills queues
 const GROW_EVERY: Nanos = Nanos::from_millis(1_000); // ms; slower than reports
 const PROVEN: f64 = 0.7; // share of what was handled at best to which a limit grows at once
 const CEILING_NEAR: f64 = 3.0; // multiple of what arrives above which a ceiling is not worth its lines
@@ -299,7 +299,7 @@
         let strained = group.load == Load::Shedding && server.probes_bad == 0;
         let failing = tries >= EVIDENCE && share >= BROKEN_SHARE && own && !strained;
         let silent = server.probes_bad >= BAD_PROBES && (share > ODD_SHARE || tries < 1.0);
-        let rested = now - server.since >= TRIAL && share < ODD_SHARE;
+        let rested = now - server.since >= DOUBT_ENDS && share < ODD_SHARE;
         let needed = CLEARING << server.relapses.saturating_sub(1).min(3);
         let waited = now - server.since >= Nanos(PROBE_EVERY.0 * u64::from(needed));
         let holds = |sign: Sign| match sign {
@@ -362,13 +362,13 @@
             let open = || members().filter(|s| s.in_use());
             let busy = |s: &Server| Some(s.listed_weight() * s.busy.mean(now, HEARD)?);
             let busy: Option<f64> = open().map(busy).sum();
-            let seen = open().map(|s| s.met(now)).fold(Seen::default(), Seen::plus);
             let weight: f64 = open().map(Server::listed_weight).sum();
             let listed = members().filter(|s| s.ready()).map(Server::listed_weight).sum();
-            let mut shares: Vec<Seen> = open().map(|s| s.met(now)).collect();
-            shares.sort_by(|a, b| a.share().total_cmp(&b.share()));
-            let half = shares.len().div_ceil(2);
-            let better = shares.into_iter().take(half).fold(Seen::default(), Seen::plus);
+            let mut met: Vec<Seen> = open().map(|s| s.met(now)).collect();
+            let seen = met.iter().copied().fold(Seen::default(), Seen::plus);
+            met.sort_by(|a, b| a.share().total_cmp(&b.share()));
+            let half = met.len().div_ceil(2);
+            let better = met.into_iter().take(half).fold(Seen::default(), Seen::plus);
             group.better = (better.failed + 1.0) / (better.tries + EVIDENCE);
             group.cold = members().filter(|s| s.state == Cold).map(|s| s.met(now)).reduce(Seen::plus);
             (group.seen, group.weight, group.listed) = (seen, weight, listed);
@@ -552,8 +552,8 @@
         if !due && wishes.iter().all(|wish| wish.from.is_some()) {
             return;
         }
-        let mut standing = Standing::new(&weights[0], self.loads(&weights[0], &wishes));
-        standing.rank(self.placements.len(), &self.groups, &open);
+        let loads = self.loads(&weights[0], &wishes);
+        let mut standing = Standing::new(&weights[0], loads, weights.len(), &self.groups, &open);
         wishes.retain(|wish| due || wish.from.is_none());
         let load = |wish: &Wish| wish.from.map_or(f64::INFINITY, |from| standing.load(from));
         wishes.sort_by_cached_key(|wish| Reverse((load(wish).to_bits(), wish.demand.to_bits())));
--- a/src/state.rs
+++ b/src/state.rs
@@ -263,13 +263,28 @@
 /// The groups' loads, and for each placement and zone its open groups in order of load.
 pub struct Standing {
     pub weights: Vec<f64>,
-    pub loads: Vec<f64>,
+    loads: Vec<f64>,
     ranks: Vec<BTreeMap<Option<ZoneId>, Ranking>>,
 }
 
 impl Standing {
-    pub fn new(weights: &[f64], loads: Vec<f64>) -> Self {
-        Standing { weights: weights.to_vec(), loads, ranks: Vec::new() }
+    /// Ranks the groups that are open under each placement.
+    pub fn new(
+        weights: &[f64],
+        loads: Vec<f64>,
+        places: usize,
+        groups: &[Group],
+        open: &dyn Fn(usize, usize) -> bool,
+    ) -> Self {
+        let mut standing =
+            Standing { weights: weights.to_vec(), loads, ranks: vec![BTreeMap::new(); places] };
+        for place in 0..places {
+            for group in (0..groups.len()).filter(|group| open(place, *group)) {
+                let key = standing.key(group);
+                standing.ranks[place].entry(groups[group].zone).or_default().insert(key);
+            }
+        }
+        standing
     }
 
     /// Load over weight.
@@ -277,22 +292,15 @@
         self.loads[group] / self.weights[group].max(1e-6)
     }
 
-    /// Ranks the groups that are open under each placement.
-    pub fn rank(&mut self, places: usize, groups: &[Group], open: &dyn Fn(usize, usize) -> bool) {
-        self.ranks = vec![BTreeMap::new(); places];
-        for place in 0..places {
-            for group in (0..groups.len()).filter(|group| open(place, *group)) {
-                let key = (self.load(group).max(0.0).to_bits(), group);
-                self.ranks[place].entry(groups[group].zone).or_default().insert(key);
-            }
-        }
+    fn key(&self, group: usize) -> (u64, usize) {
+        (self.load(group).max(0.0).to_bits(), group)
     }
 
     /// Adds load to a group; its ranks follow.
     pub fn add(&mut self, group: usize, load: f64) {
-        let old = (self.load(group).max(0.0).to_bits(), group);
+        let old = self.key(group);
         self.loads[group] = (self.loads[group] + load).max(0.0);
-        let new = (self.load(group).max(0.0).to_bits(), group);
+        let new = self.key(group);
         for ranks in self.ranks.iter_mut().flat_map(BTreeMap::values_mut) {
             if ranks.remove(&old) {
                 ranks.insert(new);
@@ -599,22 +607,15 @@
 
     #[test]
     fn what_is_sent_waits_for_marks_where_the_channel_runs_slowly() {
-        let mut channel = Channel::new(Nanos::from_secs(0.0));
-        let mark = channel.send(Nanos::from_secs(0.0), 600.0, 4.0, 500.0).expect("enough to be marked");
-        assert_eq!(channel.send(Nanos::from_secs(0.1), 90.0, 4.0, 500.0), None, "too little for a mark");
-        channel.drain(Nanos::from_secs(1.0), 1e6);
+        let secs = Nanos::from_secs;
+        let mut channel = Channel::new(secs(0.0));
+        let mark = channel.send(secs(0.0), 600.0, 4.0, 500.0).expect("enough to be marked");
+        assert_eq!(channel.send(secs(0.1), 90.0, 4.0, 500.0), None, "too little for a mark");
+        channel.drain(secs(1.0), 1e6);
         assert_eq!(channel.queued, 0.0, "by the told pace nothing waits");
-        assert_eq!(channel.unapplied(Nanos::from_secs(1.0), Nanos::from_secs(10.0)), 604.0);
+        assert_eq!(channel.unapplied(secs(1.0), secs(10.0)), 604.0);
         channel.applied(mark);
-        assert_eq!(
-            channel.unapplied(Nanos::from_secs(1.0), Nanos::from_secs(10.0)),
-            453.0,
-            "three messages of four"
-        );
-        assert_eq!(
-            channel.unapplied(Nanos::from_secs(11.0), Nanos::from_secs(10.0)),
-            0.0,
-            "answers so late are lost"
-        );
+        assert_eq!(channel.unapplied(secs(1.0), secs(10.0)), 453.0, "three messages of four");
+        assert_eq!(channel.unapplied(secs(11.0), secs(10.0)), 0.0, "answers so late are lost");
     }
 }
