--- /dev/null
+++ b/crates/craneknot-cli/src/main.rs
@@ -0,0 +1,221 @@
+//! The `craneknot` program.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use clap::{Parser, Subcommand, ValueEnum};
+use craneknot_coordinator::shell::{Ended, Shell};
+use craneknot_reactor::SteadyClock;
+use craneknot_rehearsal::Script;
+use craneknot_settings::{load, schema_text, AgentSettings, CoordinatorSettings, Problems};
+use tracing::error;
+use tracing_subscriber::EnvFilter;
+
+const SIGINT: i32 = 2;
+const SIGTERM: i32 = 15;
+
+/// What went wrong, by exit code; 2 is clap's, for a command line that is not understood.
+#[derive(Clone, Copy)]
+enum Failed {
+    /// A rule was broken in a rehearsal.
+    Rule = 1,
+    /// Settings or a script are wrong.
+    Settings = 3,
+    /// Files, sockets or processes.
+    System = 4,
+}
+
+#[derive(Parser)]
+#[command(name = "craneknot", version, about = "A traffic director for a fleet of plain proxies")]
+#[command(after_help = "Exit codes: 0 done, 1 a rule was broken, 2 command line, 3 settings, 4 system.")]
+struct Cli {
+    /// How the log is written, to standard error.
+    #[arg(long, global = true, value_enum, default_value = "text")]
+    log: LogForm,
+    /// What is logged: a level, or levels by module, such as `info,craneknot_agent=debug`.
+    #[arg(long, global = true, default_value = "info")]
+    level: String,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum LogForm {
+    Json,
+    Text,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Kind {
+    Coordinator,
+    Agent,
+    Script,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Runs a coordinator.
+    Run {
+        /// Its settings, a JSON file.
+        settings: PathBuf,
+    },
+    /// Runs an agent beside one proxy or several.
+    Agent {
+        /// Its settings, a JSON file.
+        settings: PathBuf,
+    },
+    /// Checks a file of settings, or a rehearsal's script.
+    Check {
+        file: PathBuf,
+        #[arg(long, value_enum, default_value = "coordinator")]
+        kind: Kind,
+    },
+    /// Prints the JSON schema of settings or scripts.
+    Schema {
+        #[arg(value_enum, default_value = "coordinator")]
+        kind: Kind,
+    },
+    /// Raises a whole fleet of stand-ins on this machine, plays a script of troubles, and judges the rules from
+    /// what crossed the sockets.
+    Rehearse {
+        /// The script, a JSON file; left out: a short one that is built in.
+        script: Option<PathBuf>,
+        /// In place of the script's own.
+        #[arg(long)]
+        seed: Option<u64>,
+        /// Where the report is written, as JSON.
+        #[arg(long)]
+        report: Option<PathBuf>,
+        /// Where settings, files and logs of the rehearsal are kept; left out: a new folder, removed at the end.
+        #[arg(long)]
+        folder: Option<PathBuf>,
+    },
+    /// Measures one coordinator with many agents: from decision to swapped file, cost and recovery.
+    Measure {
+        /// Agents in all.
+        #[arg(long, default_value_t = 100)]
+        agents: u32,
+        /// Servers in the list.
+        #[arg(long, default_value_t = 40)]
+        servers: u16,
+        /// How long each part lasts, s.
+        #[arg(long, default_value_t = 15)]
+        seconds: u64,
+        /// Agents sync files to the disk.
+        #[arg(long)]
+        sync: bool,
+        #[arg(long)]
+        report: Option<PathBuf>,
+    },
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let Ok(filter) = EnvFilter::try_new(&cli.level) else {
+        eprintln!(
+            "craneknot: --level {:?} is not a level such as `info` or `warn,craneknot_agent=debug`",
+            cli.level
+        );
+        return ExitCode::from(2);
+    };
+    let log =
+        tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_target(false);
+    match cli.log {
+        LogForm::Json => log.json().init(),
+        LogForm::Text => log.with_ansi(false).init(),
+    }
+    match act(cli.command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failed) => ExitCode::from(failed as u8),
+    }
+}
+
+fn wrong(problems: Problems) -> Failed {
+    eprintln!("{problems}");
+    Failed::Settings
+}
+
+fn system(cause: std::io::Error) -> Failed {
+    error!(%cause, "cannot go on");
+    Failed::System
+}
+
+fn folder_of(file: &Path) -> &Path {
+    file.parent().filter(|folder| !folder.as_os_str().is_empty()).unwrap_or(Path::new("."))
+}
+
+fn act(command: Command) -> Result<(), Failed> {
+    match command {
+        Command::Run { settings } => {
+            let read: CoordinatorSettings = load(&settings).map_err(wrong)?;
+            let clock = Arc::new(SteadyClock::new());
+            let mut shell = Shell::new(read, folder_of(&settings), clock).map_err(system)?;
+            shell.end_on(&[SIGINT, SIGTERM]).map_err(system)?;
+            match shell.run() {
+                Ended::Asked => Ok(()),
+                Ended::Failed(cause) => Err(system(cause)),
+            }
+        }
+        Command::Agent { settings } => {
+            let read: AgentSettings = load(&settings).map_err(wrong)?;
+            let clock = Arc::new(SteadyClock::new());
+            let shell = craneknot_agent::shell::Shell::new(read, folder_of(&settings), clock);
+            let mut shell = shell.map_err(system)?;
+            shell.end_on(&[SIGINT, SIGTERM]).map_err(system)?;
+            shell.run().map_err(system)
+        }
+        Command::Check { file, kind } => {
+            match kind {
+                Kind::Coordinator => load::<CoordinatorSettings>(&file).map(drop),
+                Kind::Agent => load::<AgentSettings>(&file).map(drop),
+                Kind::Script => load::<Script>(&file).map(drop),
+            }
+            .map_err(wrong)?;
+            println!("{}: in order", file.display());
+            Ok(())
+        }
+        Command::Schema { kind } => {
+            println!(
+                "{}",
+                match kind {
+                    Kind::Coordinator => schema_text::<CoordinatorSettings>(),
+                    Kind::Agent => schema_text::<AgentSettings>(),
+                    Kind::Script => schema_text::<Script>(),
+                }
+            );
+            Ok(())
+        }
+        Command::Rehearse { script, seed, report, folder } => {
+            let mut read = match &script {
+                Some(file) => load::<Script>(file).map_err(wrong)?,
+                None => Script::built_in().map_err(wrong)?,
+            };
+            read.seed = seed.unwrap_or(read.seed);
+            let program = std::env::current_exe().map_err(system)?;
+            let result = craneknot_rehearsal::rehearse(&read, &program, folder.as_deref()).map_err(system)?;
+            print!("{}", result.lines());
+            if let Some(path) = report {
+                let text = serde_json::to_string_pretty(&result).unwrap_or_default();
+                fs::write(&path, text + "\n").map_err(system)?;
+            }
+            if result.passed() {
+                Ok(())
+            } else {
+                Err(Failed::Rule)
+            }
+        }
+        Command::Measure { agents, servers, seconds, sync, report } => {
+            let program = std::env::current_exe().map_err(system)?;
+            let asked = craneknot_rehearsal::measure::Asked { agents, servers, seconds, sync };
+            let figures = craneknot_rehearsal::measure::measure(&program, asked).map_err(system)?;
+            let text = serde_json::to_string_pretty(&figures).unwrap_or_default();
+            println!("{text}");
+            if let Some(path) = report {
+                fs::write(&path, text + "\n").map_err(system)?;
+            }
+            Ok(())
+        }
+    }
+}
--- /dev/null
+++ b/crates/craneknot-coordinator/src/desk.rs
@@ -0,0 +1,457 @@
+//! The coordinator without I/O: what came in goes to the decisions, their orders to the book, the channel and the
+//! streams. The owner hands in what its sockets brought, calls [`Desk::turn`], and carries out what comes back.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use bytes::Bytes;
+use craneknot::interface::*;
+use craneknot::Controller;
+use craneknot_settings::{CoordinatorSettings, Names};
+use craneknot_xds::discovery::{DiscoveryRequest, Kind, Node};
+use craneknot_xds::load::LoadStatsRequest;
+use serde::Serialize;
+
+use crate::book::{Book, Message};
+use crate::channel::Channel;
+use crate::ids::Ids;
+use crate::intake::{Intake, Unheard};
+use crate::roster::{Judge, Refusal};
+use crate::session::{Answer, Asked, Outcome, Session};
+
+const NAMES_MOST: usize = 1_024; // resources one request may name: more than any proxy follows
+const RATE_MOST: f64 = 1e6; // operations a second that a proxy may say it usually gets
+const SPANS_KEPT: usize = 65_536; // spans from decision to swap kept for the figures
+
+/// A stream, by the owner's number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StreamId(pub u64);
+
+/// What the owner is to do.
+#[derive(Debug)]
+pub enum Output {
+    Answer {
+        stream: StreamId,
+        answer: Answer,
+        version: String,
+    },
+    /// End the stream.
+    Break {
+        stream: StreamId,
+        cause: String,
+    },
+    Probe {
+        server: ServerId,
+    },
+    /// Read the roster again.
+    ReadRoster,
+}
+
+/// Why a request is not taken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// It has a first request without a node.
+    NoNode,
+    UnknownZone(String),
+    TooManyNames(usize),
+    NoNumberLeft,
+    OtherKind(String),
+}
+
+impl std::fmt::Display for Refused {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Refused::NoNode => write!(f, "the first request of a stream must name its node"),
+            Refused::UnknownZone(zone) => write!(f, "zone {zone:?} is not one of the fleet's"),
+            Refused::TooManyNames(count) => write!(f, "{count} resource names; {NAMES_MOST} at most"),
+            Refused::NoNumberLeft => write!(f, "no more proxies can be told apart"),
+            Refused::OtherKind(kind) => write!(f, "type {kind:?} does not belong to this path"),
+        }
+    }
+}
+
+struct Stream {
+    proxy: ProxyId,
+    zone: ZoneId,
+    session: Session,
+}
+
+/// Figures for `status`.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Status {
+    pub name: String,
+    pub source: String,
+    pub streams: usize,
+    pub owing: usize,
+    pub refusing: usize,
+    pub servers: usize,
+    pub roster_version: u64,
+    pub tables: usize,
+    /// Lines in the channel, and the most that ever were.
+    pub channel_lines: f64,
+    pub channel_most: f64,
+    pub channel_limit: f64,
+    /// Lines that wait for proxies that have not answered.
+    pub held_lines: f64,
+    pub messages: u64,
+    pub lines: f64,
+    pub texts: u64,
+    pub steps: u64,
+    pub refusals: u64,
+    pub reports_repeated: u64,
+    pub reports_left_out: u64,
+    /// From decision to accepted answer, ms: half of them, 99 of 100, and the longest.
+    pub decided_to_swapped_ms: Option<(f64, f64, f64)>,
+}
+
+pub struct Desk {
+    controller: Controller,
+    settings: Settings,
+    names: Names,
+    name: String,
+    source: String,
+    ids: Ids,
+    book: Book,
+    channel: Channel<(StreamId, Message)>,
+    intake: Intake,
+    judge: Judge,
+    streams: BTreeMap<StreamId, Stream>,
+    of_proxy: BTreeMap<ProxyId, StreamId>,
+    events: Vec<Event>,
+    outputs: Vec<Output>,
+    wake_at: Option<Nanos>,
+    flush_at: Nanos,
+    /// Streams that something may be due to.
+    stirred: BTreeSet<StreamId>,
+    moment: u64,
+    spans: VecDeque<Nanos>,
+    messages: u64,
+    lines: f64,
+    refusals: u64,
+}
+
+impl Desk {
+    /// `seed` is that of the decisions' random numbers; `now` also tells this start from earlier ones.
+    pub fn new(settings: &CoordinatorSettings, seed: u64, now: Nanos) -> Self {
+        let (names, decisions) = settings.decisions();
+        let channel = Channel::new(decisions.channel_lines_per_second);
+        let source = format!("{}-{}", settings.name, now.0 / 1_000_000);
+        let book = Book::new(
+            source.clone(),
+            names.classes.clone(),
+            decisions.level_unit,
+            decisions.lines_per_message,
+            settings.fleet.lb_policy.clone(),
+        );
+        Desk {
+            controller: Controller::new(decisions.clone(), seed, now),
+            name: settings.name.clone(),
+            source,
+            ids: Ids::default(),
+            book,
+            channel,
+            intake: Intake::new(names.classes.clone()),
+            judge: Judge::new(decisions.drain_grace),
+            names,
+            flush_at: now + decisions.report_period,
+            settings: decisions,
+            streams: BTreeMap::new(),
+            of_proxy: BTreeMap::new(),
+            events: Vec::new(),
+            outputs: Vec::new(),
+            // The decisions ask to be woken once they have been called.
+            wake_at: Some(now),
+            stirred: BTreeSet::new(),
+            moment: 0,
+            spans: VecDeque::new(),
+            messages: 0,
+            lines: 0.0,
+            refusals: 0,
+        }
+    }
+
+    /// Takes the list kept from before this start.
+    pub fn remember(&mut self, now: Nanos, text: &[u8]) -> Result<(), Refusal> {
+        let taken = self.judge.remember(now, text, &mut self.names)?;
+        self.take_list(taken.event);
+        Ok(())
+    }
+
+    /// Takes a list of servers; what was set right in it is told. Entries that changed are counted.
+    pub fn roster(&mut self, now: Nanos, text: &[u8]) -> Result<(usize, Vec<String>), Refusal> {
+        match self.judge.take(now, text, &mut self.names) {
+            Ok(taken) => {
+                let told = (taken.changed, taken.notes);
+                if taken.changed > 0 {
+                    self.take_list(taken.event);
+                }
+                Ok(told)
+            }
+            Err(refusal) => {
+                if let Refusal::Unreadable(_) = refusal {
+                    self.events.push(Event::List { scope: ListScope::Failed, entries: Arc::from([]) });
+                }
+                Err(refusal)
+            }
+        }
+    }
+
+    /// The roster's source cannot be read at all.
+    pub fn roster_failed(&mut self, now: Nanos) {
+        self.judge.put_off(now);
+        self.events.push(Event::List { scope: ListScope::Failed, entries: Arc::from([]) });
+    }
+
+    fn take_list(&mut self, event: Event) {
+        if let Event::List { entries, .. } = &event {
+            for entry in entries.iter() {
+                self.book.place(&entry.server, self.names.zone_name(entry.zone));
+            }
+        }
+        self.events.push(event);
+    }
+
+    /// A discovery request came on a stream. The first one joins its proxy; whoever held that name before is
+    /// held to be gone.
+    pub fn ask(
+        &mut self,
+        now: Nanos,
+        id: StreamId,
+        kind: Kind,
+        request: DiscoveryRequest,
+    ) -> Result<Option<Outcome>, Refused> {
+        if request.resource_names.len() > NAMES_MOST {
+            return Err(Refused::TooManyNames(request.resource_names.len()));
+        }
+        if !request.type_url.is_empty() && Kind::of_type(&request.type_url) != Some(kind) {
+            return Err(Refused::OtherKind(request.type_url));
+        }
+        if !self.streams.contains_key(&id) {
+            let node = request.node.as_ref().filter(|node| !node.id.is_empty()).ok_or(Refused::NoNode)?;
+            self.join(now, id, node)?;
+        }
+        let Some(stream) = self.streams.get_mut(&id) else { return Ok(None) };
+        self.stirred.insert(id);
+        let nonce = request.response_nonce.parse().ok();
+        let refused = request.error_detail.map(|status| status.message);
+        let outcome = stream.session.ask(now, Asked { kind, nonce, refused });
+        let proxy = stream.proxy;
+        match &outcome {
+            Some(Outcome::Applied { marks, decided }) => {
+                self.events.extend(marks.iter().map(|mark| Event::Applied { proxy, mark: *mark }));
+                if let Some(decided) = decided {
+                    if self.spans.len() == SPANS_KEPT {
+                        self.spans.pop_front();
+                    }
+                    self.spans.push_back(now - *decided);
+                }
+            }
+            Some(Outcome::Refused { .. }) => self.refusals += 1,
+            Some(Outcome::Stray { .. }) | None => {}
+        }
+        Ok(outcome)
+    }
+
+    fn join(&mut self, now: Nanos, id: StreamId, node: &Node) -> Result<(), Refused> {
+        if !self.names_zone(&node.locality.zone) {
+            return Err(Refused::UnknownZone(node.locality.zone.clone()));
+        }
+        let zone = self.names.zone(&node.locality.zone);
+        let proxy = self.ids.join(&node.id).ok_or(Refused::NoNumberLeft)?;
+        if let Some(old) = self.of_proxy.get(&proxy).copied() {
+            self.leave(now, old);
+            self.outputs.push(Output::Break { stream: old, cause: "its proxy has joined anew".into() });
+        }
+        let rate = node.metadata.get("usual_rate").and_then(|value| value.as_f64());
+        let usual_rate = rate.filter(|rate| rate.is_finite()).unwrap_or(1.0).clamp(0.0, RATE_MOST);
+        self.book.join(proxy);
+        self.streams.insert(id, Stream { proxy, zone, session: Session::new(now) });
+        self.of_proxy.insert(proxy, id);
+        self.events.push(Event::ProxyJoined { proxy, zone, usual_rate });
+        Ok(())
+    }
+
+    fn names_zone(&self, zone: &str) -> bool {
+        (0..=u16::MAX)
+            .map(ZoneId)
+            .map(|id| self.names.zone_name(id))
+            .take_while(|name| !name.is_empty())
+            .any(|name| name == zone)
+    }
+
+    /// A stream has ended, from whichever side.
+    pub fn leave(&mut self, now: Nanos, id: StreamId) {
+        let Some(stream) = self.streams.remove(&id) else { return };
+        self.of_proxy.remove(&stream.proxy);
+        self.stirred.remove(&id);
+        self.ids.leave(stream.proxy);
+        self.intake.leave(stream.proxy);
+        self.book.leave(stream.proxy);
+        self.channel.discard(now, |(of, _)| *of == id);
+        self.events.push(Event::ProxyLeft { proxy: stream.proxy });
+    }
+
+    /// The name of a stream's proxy.
+    pub fn proxy_name(&self, id: StreamId) -> &str {
+        self.streams.get(&id).map_or("", |stream| self.ids.name(stream.proxy))
+    }
+
+    /// A load report came, by whichever connection; only joined proxies count.
+    pub fn report(&mut self, now: Nanos, report: &LoadStatsRequest) -> Result<(), Unheard> {
+        let node = report.node.as_ref().map_or("", |node| node.id.as_str());
+        let stream = self.ids.find(node).and_then(|proxy| self.of_proxy.get(&proxy));
+        let Some(stream) = stream.and_then(|id| self.streams.get_mut(id)) else { return Ok(()) };
+        stream.session.hear(now);
+        self.intake.take(stream.proxy, stream.zone, report)
+    }
+
+    pub fn probed(&mut self, server: ServerId, outcome: ProbeOutcome, took: Nanos, report: LoadReport) {
+        self.events.push(Event::Probed { server, outcome, took, report });
+    }
+
+    /// Lets the decisions act on what has come, carries out what they order, and gives what the owner is to do.
+    pub fn turn(&mut self, now: Nanos) -> Vec<Output> {
+        self.break_silent(now);
+        if now >= self.flush_at {
+            self.flush_at = now + self.settings.report_period;
+            self.events.extend(self.intake.flush());
+        }
+        if self.wake_at.is_some_and(|at| at <= now) {
+            self.wake_at = None;
+            self.events.push(Event::Woken);
+        }
+        if !self.events.is_empty() {
+            self.step(now);
+        }
+        while let Some((id, message)) = self.channel.release(now) {
+            if let Some(stream) = self.streams.get_mut(&id) {
+                stream.session.offer(message);
+                self.stirred.insert(id);
+            }
+        }
+        self.answer(now);
+        std::mem::take(&mut self.outputs)
+    }
+
+    fn step(&mut self, now: Nanos) {
+        self.moment += 1;
+        let orders = self.controller.step(now, &std::mem::take(&mut self.events));
+        for order in &orders {
+            match order {
+                Order::Wake { after } => {
+                    let at = now + *after;
+                    self.wake_at = Some(self.wake_at.map_or(at, |earlier| earlier.min(at)));
+                }
+                Order::Probe { server } => self.outputs.push(Output::Probe { server: server.clone() }),
+                Order::WatchList => self.outputs.push(Output::ReadRoster),
+                Order::Line { .. } | Order::Bind { .. } | Order::Level { .. } | Order::Mark { .. } => {}
+            }
+        }
+        for message in self.book.apply(now, &orders) {
+            let Some(id) = self.of_proxy.get(&message.proxy) else { continue };
+            self.messages += 1;
+            self.lines += message.lines;
+            self.channel.offer(now, message.lines, (*id, message));
+        }
+    }
+
+    fn answer(&mut self, now: Nanos) {
+        for id in std::mem::take(&mut self.stirred) {
+            let Some(stream) = self.streams.get_mut(&id) else { continue };
+            // Clusters are always told whole: a class left out would lose its binding at the proxy.
+            if !self.book.is_complete(stream.proxy) {
+                continue;
+            }
+            let (book, proxy) = (&mut self.book, stream.proxy);
+            let answers = stream.session.answers(now, || book.all_of(proxy));
+            if stream.session.next_at().is_some() {
+                self.stirred.insert(id);
+            }
+            let version = format!("{}/{}", self.source, self.moment);
+            let answers = answers.into_iter();
+            self.outputs.extend(answers.map(|answer| Output::Answer {
+                stream: id,
+                answer,
+                version: version.clone(),
+            }));
+        }
+    }
+
+    fn break_silent(&mut self, now: Nanos) {
+        let period = self.settings.report_period;
+        let silent = self.streams.iter().filter(|(_, stream)| stream.session.is_silent(now, period));
+        for id in silent.map(|(id, _)| *id).collect::<Vec<StreamId>>() {
+            self.outputs.push(Output::Break { stream: id, cause: "it has been silent".into() });
+            self.leave(now, id);
+        }
+    }
+
+    /// When the next turn is due though nothing comes in.
+    pub fn next_at(&self) -> Nanos {
+        let streams = self.stirred.iter().filter_map(|id| self.streams.get(id)?.session.next_at());
+        let times = [self.wake_at, self.channel.next_at(), self.judge.next_at(), Some(self.flush_at)];
+        times.into_iter().flatten().chain(streams).min().unwrap_or(self.flush_at)
+    }
+
+    /// A list that was doubted is to be read again.
+    pub fn roster_due(&self, now: Nanos) -> bool {
+        self.judge.next_at().is_some_and(|at| at <= now)
+    }
+
+    pub fn report_period(&self) -> Nanos {
+        self.settings.report_period
+    }
+
+    pub fn status(&self) -> Status {
+        let (tables, _, texts) = self.book.counts();
+        let sessions = || self.streams.values().map(|stream| &stream.session);
+        let count = |state| sessions().filter(|session| session.state() == state).count();
+        let (reports_repeated, reports_left_out) = self.intake.unheard();
+        let mut spans: Vec<Nanos> = self.spans.iter().copied().collect();
+        spans.sort();
+        let at =
+            |part: f64| spans.get(((spans.len() as f64 - 1.0) * part) as usize).map(|span| span.secs() * 1e3);
+        Status {
+            name: self.name.clone(),
+            source: self.source.clone(),
+            streams: self.streams.len(),
+            owing: count(crate::session::State::Owing),
+            refusing: count(crate::session::State::Refusing),
+            servers: self.judge.servers(),
+            roster_version: self.judge.version(),
+            tables,
+            channel_lines: self.channel.lines(),
+            channel_most: self.channel.most(),
+            channel_limit: self.settings.channel_lines_limit,
+            held_lines: sessions().map(Session::held_lines).sum(),
+            messages: self.messages,
+            lines: self.lines,
+            texts,
+            steps: self.moment,
+            refusals: self.refusals,
+            reports_repeated,
+            reports_left_out,
+            decided_to_swapped_ms: at(0.5)
+                .zip(at(0.99))
+                .zip(at(1.0))
+                .map(|((p50, p99), most)| (p50, p99, most)),
+        }
+    }
+}
+
+/// The body of a response, of texts that others share.
+pub fn body(kind: Kind, version: &str, nonce: u64, resources: Vec<Bytes>) -> Vec<Bytes> {
+    let version = serde_json::Value::from(version);
+    let url = kind.type_url();
+    let head =
+        format!("{{\"version_info\":{version},\"type_url\":\"{url}\",\"nonce\":\"{nonce}\",\"resources\":[");
+    let mut chunks = vec![Bytes::from(head)];
+    for (place, resource) in resources.into_iter().enumerate() {
+        if place > 0 {
+            chunks.push(Bytes::from_static(b","));
+        }
+        chunks.push(resource);
+    }
+    chunks.push(Bytes::from_static(b"]}"));
+    chunks
+}
--- /dev/null
+++ b/crates/craneknot-coordinator/src/session.rs
@@ -0,0 +1,353 @@
+//! One stream: what is due to its proxy, what it was sent and has not answered, and what a refusal leads to.
+//!
+//! An agent asks for each kind of resource by a request that is held open. As soon as something is due, the
+//! requests at the front are answered, up to the last one that has something: in full where its kind changed, with
+//! 304 where not. The next request of that kind accepts the response of its nonce, or refuses it.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use craneknot::interface::Nanos;
+use craneknot_xds::discovery::Kind;
+
+use crate::book::{Message, Parts};
+
+const AGAIN_FIRST: Nanos = Nanos::from_millis(500); // ms; wait before what was refused is offered again, whole
+const AGAIN_MOST: Nanos = Nanos::from_millis(16_000); // ms; the longest such wait: a full disk stays full a while
+const SILENT: Nanos = Nanos::from_millis(3_000); // ms; at the least, until a stream that says nothing is broken
+const SILENT_PERIODS: u64 = 6; // report periods that may pass without a word: two lost and two late are borne
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// It holds all that was sent.
+    Settled,
+    /// It has not answered all that was sent.
+    Owing,
+    /// It refused something; all it holds is offered again later.
+    Refusing,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sign {
+    /// Something was sent.
+    Sent,
+    /// The last answer owed came, and none was a refusal.
+    Accepted,
+    Refused,
+    /// The wait after a refusal is over.
+    Rested,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Effect {
+    Nothing,
+    /// What was sent counts as applied.
+    Count,
+    /// Wait, twice as long after each refusal in a row.
+    Rest,
+    /// Offer all again.
+    Renew,
+}
+
+/// State, sign, next state, effect.
+const MOVES: &[(State, Sign, State, Effect)] = &[
+    (State::Settled, Sign::Sent, State::Owing, Effect::Nothing),
+    (State::Owing, Sign::Sent, State::Owing, Effect::Nothing),
+    (State::Owing, Sign::Accepted, State::Settled, Effect::Count),
+    (State::Owing, Sign::Refused, State::Refusing, Effect::Rest),
+    (State::Refusing, Sign::Rested, State::Settled, Effect::Renew),
+];
+
+/// One answer to one held request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    Resources { kind: Kind, nonce: u64, resources: Vec<Bytes> },
+    Unchanged { kind: Kind },
+}
+
+/// What a request of the stream says of an earlier response.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Asked {
+    pub kind: Kind,
+    pub nonce: Option<u64>,
+    /// The cause, where the response of that nonce was refused.
+    pub refused: Option<String>,
+}
+
+struct Owed {
+    kind: Kind,
+    nonce: u64,
+}
+
+pub struct Session {
+    state: State,
+    open: VecDeque<Kind>,
+    due: Parts,
+    due_lines: f64,
+    due_marks: Vec<u16>,
+    due_since: Option<Nanos>,
+    owed: Vec<Owed>,
+    sent_marks: Vec<u16>,
+    sent_since: Option<Nanos>,
+    refusals: u32,
+    again_at: Option<Nanos>,
+    renew: bool,
+    next_nonce: u64,
+    heard: Nanos,
+}
+
+/// What the owner is to do or know after an input.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outcome {
+    /// The marks whose messages are applied, and when the oldest of these was decided.
+    Applied {
+        marks: Vec<u16>,
+        decided: Option<Nanos>,
+    },
+    Refused {
+        kind: Kind,
+        cause: String,
+        again_at: Nanos,
+    },
+    /// An answer to nothing that was sent: of an earlier stream, or made up. It counts for nothing.
+    Stray {
+        kind: Kind,
+    },
+}
+
+impl Session {
+    pub fn new(now: Nanos) -> Self {
+        Session {
+            state: State::Settled,
+            open: VecDeque::new(),
+            due: Parts::default(),
+            due_lines: 0.0,
+            due_marks: Vec::new(),
+            due_since: None,
+            owed: Vec::new(),
+            sent_marks: Vec::new(),
+            sent_since: None,
+            refusals: 0,
+            again_at: None,
+            renew: false,
+            next_nonce: 1,
+            heard: now,
+        }
+    }
+
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// Lines that have left the channel and wait for the proxy: of a proxy that stands still these grow no
+    /// further than all it can hold.
+    pub fn held_lines(&self) -> f64 {
+        self.due_lines
+    }
+
+    fn sign(&mut self, now: Nanos, sign: Sign) -> Effect {
+        let row = MOVES.iter().find(|row| row.0 == self.state && row.1 == sign);
+        let Some((_, _, next, effect)) = row else { return Effect::Nothing };
+        self.state = *next;
+        match effect {
+            Effect::Nothing => {}
+            Effect::Count => self.refusals = 0,
+            Effect::Rest => {
+                let wait = Nanos(AGAIN_FIRST.0 << self.refusals.min(5)).min(AGAIN_MOST);
+                self.refusals += 1;
+                self.again_at = Some(now + wait);
+            }
+            Effect::Renew => {
+                self.again_at = None;
+                self.renew = true;
+            }
+        }
+        *effect
+    }
+
+    /// A message is through the channel.
+    pub fn offer(&mut self, message: Message) {
+        self.due.absorb(message.parts);
+        self.due_lines += message.lines;
+        self.due_marks.extend(message.mark);
+        self.due_since = self.due_since.or(Some(message.decided));
+    }
+
+    /// Any word of the agent shows that the stream stands.
+    pub fn hear(&mut self, now: Nanos) {
+        self.heard = self.heard.max(now);
+    }
+
+    /// Nothing came for so long that the stream counts as broken.
+    pub fn is_silent(&self, now: Nanos, report_period: Nanos) -> bool {
+        now - self.heard > SILENT.max(Nanos(report_period.0.saturating_mul(SILENT_PERIODS)))
+    }
+
+    /// A request has come.
+    pub fn ask(&mut self, now: Nanos, asked: Asked) -> Option<Outcome> {
+        self.hear(now);
+        let Asked { kind, nonce, refused } = asked;
+        if !self.open.contains(&kind) {
+            self.open.push_back(kind);
+        }
+        let nonce = nonce?;
+        let Some(place) = self.owed.iter().position(|owed| owed.kind == kind && owed.nonce == nonce) else {
+            // The kind was answered with 304 since: its last nonce comes again.
+            let known = nonce < self.next_nonce;
+            return (!known).then_some(Outcome::Stray { kind });
+        };
+        self.owed.remove(place);
+        if let Some(cause) = refused {
+            self.sign(now, Sign::Refused);
+            let again_at = *self.again_at.get_or_insert(now + AGAIN_FIRST);
+            return Some(Outcome::Refused { kind, cause, again_at });
+        }
+        if !self.owed.is_empty() || self.sign(now, Sign::Accepted) != Effect::Count {
+            return None;
+        }
+        let (marks, decided) = (std::mem::take(&mut self.sent_marks), self.sent_since.take());
+        Some(Outcome::Applied { marks, decided })
+    }
+
+    /// What is to be sent now. `all` gives everything the proxy shall hold, asked for after a refusal.
+    pub fn answers(&mut self, now: Nanos, all: impl FnOnce() -> Parts) -> Vec<Answer> {
+        if self.again_at.is_some_and(|at| at <= now) {
+            self.sign(now, Sign::Rested);
+        }
+        // While it refuses, more of the same would be refused too.
+        if self.state == State::Refusing {
+            return Vec::new();
+        }
+        if std::mem::take(&mut self.renew) {
+            self.due = all();
+        }
+        let last = self.open.iter().rposition(|kind| self.due.has(*kind));
+        let Some(last) = last else { return Vec::new() };
+        let mut answers = Vec::new();
+        for kind in self.open.drain(..=last).collect::<Vec<Kind>>() {
+            match self.due.take(kind) {
+                Some(resources) => {
+                    let nonce = self.next_nonce;
+                    self.next_nonce += 1;
+                    self.owed.push(Owed { kind, nonce });
+                    answers.push(Answer::Resources { kind, nonce, resources });
+                }
+                None => answers.push(Answer::Unchanged { kind }),
+            }
+        }
+        if self.due.is_empty() {
+            // All of these messages is under way: once accepted, their marks are answered.
+            self.due_lines = 0.0;
+            self.sent_marks.append(&mut self.due_marks);
+            let due_since = self.due_since.take();
+            self.sent_since = self.sent_since.or(due_since);
+        }
+        self.sign(now, Sign::Sent);
+        answers
+    }
+
+    /// When it must be looked at again without any input.
+    pub fn next_at(&self) -> Option<Nanos> {
+        self.again_at
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use craneknot::interface::{ProxyId, TableId};
+    use std::collections::BTreeMap;
+
+    fn message(table: u16, mark: Option<u16>, clusters: bool) -> Message {
+        let text = Bytes::from(format!("table {table}"));
+        let parts = Parts {
+            endpoints: BTreeMap::from([(TableId(table), text)]),
+            routes: BTreeMap::new(),
+            clusters: clusters.then(|| vec![Bytes::from_static(b"cluster")]),
+        };
+        Message { proxy: ProxyId(0), parts, mark, lines: 4.0, decided: Nanos(1) }
+    }
+
+    fn ask(session: &mut Session, kind: Kind, nonce: Option<u64>, refused: Option<&str>) -> Option<Outcome> {
+        session.ask(Nanos(2), Asked { kind, nonce, refused: refused.map(str::to_owned) })
+    }
+
+    fn asked() -> Session {
+        let mut session = Session::new(Nanos(0));
+        Kind::ALL.into_iter().for_each(|kind| assert_eq!(ask(&mut session, kind, None, None), None));
+        session
+    }
+
+    #[test]
+    fn a_mark_is_answered_only_when_every_part_is_accepted() {
+        let mut session = asked();
+        session.offer(message(1, Some(7), true));
+        let answers = session.answers(Nanos(3), Parts::default);
+        assert!(matches!(
+            &answers[..],
+            [
+                Answer::Resources { kind: Kind::Endpoints, nonce: 1, .. },
+                Answer::Unchanged { kind: Kind::Routes },
+                Answer::Resources { kind: Kind::Clusters, nonce: 2, .. }
+            ]
+        ));
+        assert_eq!(session.state(), State::Owing);
+        assert_eq!(ask(&mut session, Kind::Endpoints, Some(1), None), None);
+        assert_eq!(ask(&mut session, Kind::Routes, None, None), None);
+        let applied = Outcome::Applied { marks: vec![7], decided: Some(Nanos(1)) };
+        assert_eq!(ask(&mut session, Kind::Clusters, Some(2), None), Some(applied));
+        assert_eq!(session.state(), State::Settled);
+    }
+
+    /// A proxy that stands still: what comes meanwhile waits, newer in the place of older.
+    #[test]
+    fn what_is_due_to_a_proxy_that_stands_still_does_not_grow() {
+        let mut session = asked();
+        session.offer(message(1, None, false));
+        assert_eq!(session.answers(Nanos(3), Parts::default).len(), 1);
+        for _ in 0..1000 {
+            session.offer(message(1, None, false));
+            assert!(session.answers(Nanos(4), Parts::default).is_empty());
+        }
+        ask(&mut session, Kind::Endpoints, Some(1), None);
+        let answers = session.answers(Nanos(5), Parts::default);
+        // Routes and clusters were still held: endpoints now stand behind them.
+        assert_eq!(answers.len(), 3);
+        assert!(matches!(&answers[2], Answer::Resources { resources, .. } if resources.len() == 1));
+        assert_eq!(session.held_lines(), 0.0);
+    }
+
+    #[test]
+    fn a_refusal_is_followed_by_a_wait_and_by_all_that_the_proxy_shall_hold() {
+        let mut session = asked();
+        session.offer(message(1, Some(3), false));
+        session.answers(Nanos(3), Parts::default);
+        let refused = ask(&mut session, Kind::Endpoints, Some(1), Some("disk full"));
+        let again = Nanos(2) + AGAIN_FIRST;
+        assert_eq!(
+            refused,
+            Some(Outcome::Refused { kind: Kind::Endpoints, cause: "disk full".into(), again_at: again })
+        );
+        session.offer(message(2, None, false));
+        assert!(session.answers(again - Nanos(1), Parts::default).is_empty());
+        let all = || message(9, None, true).parts;
+        let answers = session.answers(again, all);
+        assert!(matches!(&answers[0], Answer::Unchanged { kind: Kind::Routes }));
+        assert!(answers.len() == 3 && session.state() == State::Owing);
+        // The mark of what was refused is answered with what took its place.
+        ask(&mut session, Kind::Clusters, Some(2), None);
+        let outcome = ask(&mut session, Kind::Endpoints, Some(3), None);
+        assert!(matches!(outcome, Some(Outcome::Applied { marks, .. }) if marks == [3]));
+    }
+
+    #[test]
+    fn an_answer_to_what_was_never_sent_counts_for_nothing() {
+        let mut session = asked();
+        assert_eq!(
+            ask(&mut session, Kind::Routes, Some(40), None),
+            Some(Outcome::Stray { kind: Kind::Routes })
+        );
+        assert!(!session.is_silent(Nanos::from_millis(2_000), Nanos::from_millis(100)));
+        assert!(session.is_silent(Nanos::from_millis(3_001), Nanos::from_millis(100)));
+    }
+}
--- /dev/null
+++ b/crates/craneknot-coordinator/src/shell.rs
@@ -0,0 +1,481 @@
+//! The coordinator on sockets and files.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::fs;
+use std::io::{self, Read};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use bytes::Bytes;
+use craneknot::interface::{Nanos, ProbeOutcome, ServerId};
+use craneknot_http::{
+    request, response, response_chunks, Limits as HttpLimits, RequestReader, ResponseReader,
+};
+use craneknot_reactor::{Clock, ConnId, FolderWatch, Happened, Limits, ListenerId, Reactor};
+use craneknot_settings::CoordinatorSettings;
+use craneknot_store::{replace, RealDisk};
+use craneknot_xds::discovery::{DiscoveryRequest, Kind};
+use craneknot_xds::load::{self, LoadStatsRequest, LoadStatsResponse, Seconds};
+use craneknot_xds::orca;
+use http::{header, HeaderName, Method, Request, StatusCode};
+use tracing::{debug, info, warn};
+
+use crate::desk::{self, Desk, Output, StreamId};
+use crate::intake::Unheard;
+use crate::probes::{self, Probes};
+use crate::roster::Refusal;
+use crate::session::{Answer, Outcome};
+
+const JSON: (HeaderName, &str) = (header::CONTENT_TYPE, "application/json");
+const LARGEST_ROSTER: u64 = 16 * 1024 * 1024; // bytes of a list of servers
+const ROSTER: usize = 1; // the number under which the roster's folder is watched
+const PIPELINE: usize = 16; // requests taken ahead of their answers: three kinds, twice over, and some room
+
+/// What ends the program.
+#[derive(Debug)]
+pub enum Ended {
+    /// By a signal, after the streams were closed.
+    Asked,
+    Failed(io::Error),
+}
+
+impl From<io::Error> for Ended {
+    fn from(cause: io::Error) -> Self {
+        Ended::Failed(cause)
+    }
+}
+
+enum Due {
+    Turn,
+    Sweep,
+}
+
+/// A connection of a peer that dialled.
+struct Peer {
+    reader: RequestReader,
+    stream: StreamId,
+    joined: bool,
+    from: SocketAddr,
+    /// Requests whose answers are still to be written, in order.
+    asked: VecDeque<Kind>,
+}
+
+pub struct Shell {
+    settings: CoordinatorSettings,
+    folder: PathBuf,
+    reactor: Reactor<Due>,
+    desk: Desk,
+    listener: ListenerId,
+    peers: BTreeMap<ConnId, Peer>,
+    conns: BTreeMap<StreamId, ConnId>,
+    probes: Probes<ConnId>,
+    probe_readers: BTreeMap<ConnId, ResponseReader>,
+    watch: FolderWatch,
+    next_stream: u64,
+    turn_at: Option<Nanos>,
+    read_roster: bool,
+}
+
+const DISK: RealDisk = RealDisk { sync: true };
+
+impl Shell {
+    /// Listens, and takes the list kept from an earlier start. `folder` is where relative paths begin.
+    pub fn new(settings: CoordinatorSettings, folder: &Path, clock: Arc<dyn Clock>) -> io::Result<Self> {
+        let limits = Limits {
+            input: settings.streams.request_bytes.max(64 * 1024),
+            connections: settings.streams.connections,
+            ..Limits::default()
+        };
+        let mut reactor = Reactor::new(clock, limits)?;
+        let now = reactor.now();
+        let seed = settings.seed.unwrap_or(now.0);
+        let mut desk = Desk::new(&settings, seed, now);
+        let roster = folder.join(&settings.roster.file);
+        let mut watch = FolderWatch::new()?;
+        watch.add(roster.parent().unwrap_or(folder))?;
+        reactor.watch(&watch, ROSTER)?;
+        if let Some(path) = &settings.roster.remembered {
+            match fs::read(folder.join(path)) {
+                Ok(text) => match desk.remember(now, &text) {
+                    Ok(()) => info!(file = %path.display(), "took the list kept from before this start"),
+                    Err(refusal) => {
+                        warn!(file = %path.display(), cause = %refusal, "the kept list is of no use")
+                    }
+                },
+                Err(cause) => debug!(file = %path.display(), %cause, "no list is kept"),
+            }
+        }
+        let (listener, address) = reactor.listen(settings.listen)?;
+        if let Some(path) = &settings.ready_file {
+            let text = serde_json::json!({"address": address.to_string(), "pid": std::process::id()});
+            replace(&DISK, &folder.join(path), text.to_string().as_bytes())?;
+        }
+        info!(coordinator = %settings.name, %address, "listening");
+        reactor.set_timer(now, Due::Sweep);
+        Ok(Shell {
+            probes: Probes::new(settings.probes.time_out.0),
+            folder: folder.to_owned(),
+            settings,
+            reactor,
+            desk,
+            listener,
+            peers: BTreeMap::new(),
+            conns: BTreeMap::new(),
+            probe_readers: BTreeMap::new(),
+            watch,
+            next_stream: 0,
+            turn_at: None,
+            read_roster: true,
+        })
+    }
+
+    /// Takes these signals as a wish to end.
+    pub fn end_on(&mut self, signals: &[i32]) -> io::Result<()> {
+        signals.iter().try_for_each(|signal| self.reactor.signal(*signal))
+    }
+
+    /// Runs until a signal ends it.
+    pub fn run(&mut self) -> Ended {
+        loop {
+            match self.round() {
+                Ok(true) => {}
+                Ok(false) => {
+                    self.reactor.unlisten(self.listener);
+                    self.peers.keys().for_each(|conn| self.reactor.finish(*conn));
+                    return Ended::Asked;
+                }
+                Err(cause) => return Ended::Failed(cause),
+            }
+        }
+    }
+
+    /// Waits for what happens, and acts on it; false: a signal asks for the end.
+    pub fn round(&mut self) -> io::Result<bool> {
+        self.turn();
+        self.reactor.poll(None)?;
+        while let Some(happened) = self.reactor.happened() {
+            match happened {
+                Happened::Accepted { conn, from, .. } => {
+                    self.next_stream += 1;
+                    let limits =
+                        HttpLimits { body: self.settings.streams.request_bytes, ..HttpLimits::default() };
+                    let reader = RequestReader::new(limits);
+                    let (stream, asked) = (StreamId(self.next_stream), VecDeque::new());
+                    self.peers.insert(conn, Peer { reader, stream, joined: false, from, asked });
+                }
+                Happened::Connected { conn } => self.ask_probe(conn),
+                Happened::Came { conn } if self.probes.has(conn) => self.read_probe(conn, false),
+                Happened::Came { conn } => self.read(conn),
+                Happened::Flushed { .. } => {}
+                Happened::Closed { conn, cause } => {
+                    if self.probes.has(conn) {
+                        self.end_probe(conn, ProbeOutcome::Failed, None);
+                    } else {
+                        self.gone(conn, &format!("{cause:?}"));
+                    }
+                }
+                Happened::Timer(Due::Turn) => self.turn_at = None,
+                Happened::Timer(Due::Sweep) => self.sweep(),
+                Happened::Ready(_) => {
+                    self.watch.changes()?;
+                    self.read_roster = true;
+                }
+                Happened::Signal(signal) => {
+                    info!(signal, "ending");
+                    return Ok(false);
+                }
+            }
+        }
+        Ok(true)
+    }
+
+    /// Lets the desk act, and carries out what it asks for.
+    fn turn(&mut self) {
+        let now = self.reactor.now();
+        if std::mem::take(&mut self.read_roster) || self.desk.roster_due(now) {
+            self.take_roster(now);
+        }
+        for output in self.desk.turn(now) {
+            match output {
+                Output::Answer { stream, answer, version } => self.answer(stream, answer, &version),
+                Output::Break { stream, cause } => {
+                    if let Some(conn) = self.conns.remove(&stream) {
+                        warn!(stream = stream.0, %cause, "breaking a stream");
+                        self.peers.remove(&conn);
+                        self.reactor.close(conn);
+                    }
+                }
+                Output::Probe { server } => self.begin_probe(now, server),
+                Output::ReadRoster => self.read_roster = true,
+            }
+        }
+        let at = if self.read_roster { now } else { self.desk.next_at() };
+        if self.turn_at.is_none_or(|set| at < set) {
+            self.turn_at = Some(at);
+            self.reactor.set_timer(at, Due::Turn);
+        }
+    }
+
+    fn take_roster(&mut self, now: Nanos) {
+        let path = self.folder.join(&self.settings.roster.file);
+        let mut text = Vec::new();
+        let read = fs::File::open(&path).and_then(|file| file.take(LARGEST_ROSTER).read_to_end(&mut text));
+        if let Err(cause) = read {
+            warn!(file = %path.display(), %cause, "the list of servers cannot be read");
+            self.desk.roster_failed(now);
+            return;
+        }
+        match self.desk.roster(now, &text) {
+            Ok((0, _)) => {}
+            Ok((changed, notes)) => {
+                info!(changed, "took a list of servers");
+                notes.iter().for_each(|note| warn!(note, "set right in the list of servers"));
+                if let Some(kept) = &self.settings.roster.remembered {
+                    if let Err(cause) = replace(&DISK, &self.folder.join(kept), &text) {
+                        warn!(file = %kept.display(), %cause, "the list cannot be kept for the next start");
+                    }
+                }
+            }
+            Err(Refusal::Short { until, .. }) if now < until => warn!("the list is suddenly short; waiting"),
+            Err(refusal) => warn!(cause = %refusal, "the list of servers is refused; the old one stands"),
+        }
+    }
+
+    fn answer(&mut self, stream: StreamId, answer: Answer, version: &str) {
+        let Some(conn) = self.conns.get(&stream).copied() else { return };
+        let Some(peer) = self.peers.get_mut(&conn) else { return };
+        let chunks = match answer {
+            Answer::Resources { kind, nonce, resources } => {
+                peer.asked.pop_front();
+                debug!(
+                    proxy = self.desk.proxy_name(stream),
+                    kind = ?kind,
+                    resources = resources.len(),
+                    version,
+                    nonce,
+                    "sent"
+                );
+                response_chunks(StatusCode::OK, &[JSON], desk::body(kind, version, nonce, resources))
+            }
+            Answer::Unchanged { .. } => {
+                peer.asked.pop_front();
+                vec![response(StatusCode::NOT_MODIFIED, &[], b"")]
+            }
+        };
+        if self.reactor.send(conn, chunks).is_err() {
+            self.gone(conn, "more would wait than may");
+            self.reactor.close(conn);
+        }
+    }
+
+    /// A peer's connection is of no more use.
+    fn gone(&mut self, conn: ConnId, cause: &str) {
+        let Some(peer) = self.peers.remove(&conn) else { return };
+        if peer.joined {
+            info!(proxy = self.desk.proxy_name(peer.stream), cause, "a stream ended");
+            self.conns.remove(&peer.stream);
+            self.desk.leave(self.reactor.now(), peer.stream);
+        }
+    }
+
+    /// Answers and closes: what the peer said cannot be gone on from.
+    fn turn_down(&mut self, conn: ConnId, status: StatusCode, cause: &str) {
+        if let Some(peer) = self.peers.get(&conn) {
+            warn!(from = %peer.from, %status, cause, "turned down");
+        }
+        let headers = [(header::CONTENT_TYPE, "text/plain"), (header::CONNECTION, "close")];
+        let _ = self.reactor.send(conn, [response(status, &headers, cause.as_bytes())]);
+        self.gone(conn, cause);
+        self.reactor.finish(conn);
+    }
+
+    fn read(&mut self, conn: ConnId) {
+        loop {
+            let now = self.reactor.now();
+            let Some(peer) = self.peers.get_mut(&conn) else { return };
+            let Some(input) = self.reactor.input(conn) else { return };
+            match peer.reader.next(input, now) {
+                Ok(Some(message)) => self.serve(conn, now, &message),
+                Ok(None) => break,
+                Err(wrong) => return self.turn_down(conn, wrong.status(), &wrong.to_string()),
+            }
+        }
+        self.reactor.taken(conn);
+    }
+
+    fn serve(&mut self, conn: ConnId, now: Nanos, message: &Request<Bytes>) {
+        let (method, path) = (message.method(), message.uri().path());
+        if let Some(kind) = Kind::of_path(path).filter(|_| method == Method::POST) {
+            self.discovery(conn, now, kind, message.body());
+        } else if path == load::PATH && method == Method::POST {
+            self.load_report(conn, now, message.body());
+        } else if path == "/status" && method == Method::GET {
+            let body = serde_json::to_vec(&self.desk.status()).unwrap_or_default();
+            self.reply(conn, StatusCode::OK, &body);
+        } else if path == "/healthz" && method == Method::GET {
+            self.reply(conn, StatusCode::OK, b"{\"ok\":true}");
+        } else {
+            self.reply(conn, StatusCode::NOT_FOUND, b"{\"error\":\"no such resource\"}");
+        }
+        if !RequestReader::persistent(message) && !self.peers.get(&conn).is_some_and(|peer| peer.joined) {
+            self.peers.remove(&conn);
+            self.reactor.finish(conn);
+        }
+    }
+
+    fn reply(&mut self, conn: ConnId, status: StatusCode, body: &[u8]) {
+        // Answers come in the order of their requests: one in between held requests would take another's place.
+        if self.peers.get(&conn).is_some_and(|peer| !peer.asked.is_empty()) {
+            return self.turn_down(
+                conn,
+                StatusCode::BAD_REQUEST,
+                "a stream's connection is for discovery alone",
+            );
+        }
+        if self.reactor.send(conn, [response(status, &[JSON], body)]).is_err() {
+            self.gone(conn, "more would wait than may");
+            self.reactor.close(conn);
+        }
+    }
+
+    fn discovery(&mut self, conn: ConnId, now: Nanos, kind: Kind, body: &[u8]) {
+        let Some(peer) = self.peers.get_mut(&conn) else { return };
+        let asked: DiscoveryRequest = match serde_json::from_slice(body) {
+            Ok(asked) => asked,
+            Err(cause) => return self.turn_down(conn, StatusCode::BAD_REQUEST, &cause.to_string()),
+        };
+        if peer.asked.len() >= PIPELINE || peer.asked.contains(&kind) {
+            return self.turn_down(conn, StatusCode::TOO_MANY_REQUESTS, "that kind is asked for already");
+        }
+        let (stream, first) = (peer.stream, !peer.joined);
+        peer.asked.push_back(kind);
+        match self.desk.ask(now, stream, kind, asked) {
+            Ok(outcome) => {
+                if first {
+                    peer.joined = true;
+                    self.conns.insert(stream, conn);
+                    info!(proxy = self.desk.proxy_name(stream), stream = stream.0, "a proxy joined");
+                }
+                match outcome {
+                    Some(Outcome::Refused { kind, cause, .. }) => {
+                        let proxy = self.desk.proxy_name(stream);
+                        warn!(proxy, ?kind, cause, "a proxy refused what it was sent; its old one stands");
+                    }
+                    Some(Outcome::Stray { kind }) => {
+                        warn!(
+                            proxy = self.desk.proxy_name(stream),
+                            ?kind,
+                            "an answer to what was never sent"
+                        );
+                    }
+                    Some(Outcome::Applied { marks, .. }) => {
+                        debug!(proxy = self.desk.proxy_name(stream), ?marks, "applied");
+                    }
+                    None => {}
+                }
+            }
+            Err(refused) => self.turn_down(conn, StatusCode::BAD_REQUEST, &refused.to_string()),
+        }
+    }
+
+    fn load_report(&mut self, conn: ConnId, now: Nanos, body: &[u8]) {
+        let report: LoadStatsRequest = match serde_json::from_slice(body) {
+            Ok(report) => report,
+            Err(cause) => return self.turn_down(conn, StatusCode::BAD_REQUEST, &cause.to_string()),
+        };
+        match self.desk.report(now, &report) {
+            Ok(()) => {}
+            Err(Unheard::Repeated) => debug!("a report came again"),
+            Err(unheard) => warn!(?unheard, "a report was not counted whole"),
+        }
+        let wanted = LoadStatsResponse {
+            send_all_clusters: true,
+            load_reporting_interval: Seconds(self.desk.report_period().secs()),
+            report_endpoint_granularity: true,
+        };
+        self.reply(conn, StatusCode::OK, &serde_json::to_vec(&wanted).unwrap_or_default());
+    }
+
+    /// Ends connections whose peers send too slowly or never read.
+    fn sweep(&mut self) {
+        let now = self.reactor.now();
+        let (within, stuck) = (self.settings.streams.request_within.0, self.settings.streams.stuck_after.0);
+        let slow: Vec<ConnId> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.reader.partial_for(now) > within)
+            .map(|(c, _)| *c)
+            .collect();
+        for conn in slow {
+            self.turn_down(conn, StatusCode::REQUEST_TIMEOUT, "the request did not come whole in time");
+        }
+        let mute: Vec<ConnId> =
+            self.peers.keys().filter(|conn| self.reactor.stuck(**conn) > stuck).copied().collect();
+        for conn in mute {
+            self.gone(conn, "the peer does not read");
+            self.reactor.close(conn);
+        }
+        for conn in self.probes.overdue(now) {
+            self.end_probe(conn, ProbeOutcome::Failed, None);
+            self.reactor.close(conn);
+        }
+        let next = [Some(now + Nanos(within.0 / 4)), self.probes.next_at()].into_iter().flatten().min();
+        self.reactor.set_timer(next.unwrap_or(now).max(now + Nanos::from_millis(20)), Due::Sweep);
+    }
+
+    fn begin_probe(&mut self, now: Nanos, server: ServerId) {
+        if self.probes.is_probed(&server) {
+            return;
+        }
+        let conn =
+            server.0.parse().map_err(io::Error::other).and_then(|at: SocketAddr| self.reactor.connect(at));
+        match conn {
+            Ok(conn) => {
+                self.probes.begin(now, conn, server);
+                let limits = HttpLimits { body: 64 * 1024, ..HttpLimits::default() };
+                self.probe_readers.insert(conn, ResponseReader::new(limits));
+                self.reactor.set_timer(now + self.settings.probes.time_out.0, Due::Sweep);
+            }
+            Err(cause) => {
+                debug!(server = %server.0, %cause, "a probe cannot be sent");
+                self.desk.probed(server, ProbeOutcome::Failed, Nanos(0), Default::default());
+            }
+        }
+    }
+
+    fn ask_probe(&mut self, conn: ConnId) {
+        let Some(server) = self.probes.server(conn) else { return };
+        let headers = [(header::CONNECTION, "close")];
+        let asked = request(&Method::GET, &self.settings.probes.path, &server.0, &headers, b"");
+        let _ = self.reactor.send(conn, [asked]);
+    }
+
+    fn read_probe(&mut self, conn: ConnId, ended: bool) {
+        let now = self.reactor.now();
+        let (Some(reader), Some(input)) = (self.probe_readers.get_mut(&conn), self.reactor.input(conn))
+        else {
+            return;
+        };
+        match reader.next(input, ended, now) {
+            Ok(Some(answer)) => {
+                let report = answer.headers().get(orca::HEADER).and_then(|value| value.to_str().ok());
+                self.end_probe(conn, probes::outcome(answer.status()), report);
+                self.reactor.close(conn);
+            }
+            Ok(None) => {}
+            Err(_) => {
+                self.end_probe(conn, ProbeOutcome::Failed, None);
+                self.reactor.close(conn);
+            }
+        }
+    }
+
+    fn end_probe(&mut self, conn: ConnId, outcome: ProbeOutcome, report: Option<&str>) {
+        self.probe_readers.remove(&conn);
+        if let Some((server, took)) = self.probes.end(self.reactor.now(), conn) {
+            debug!(server = %server.0, ?outcome, "probed");
+            self.desk.probed(server, outcome, took, probes::load(report));
+        }
+    }
+}
--- /dev/null
+++ b/crates/craneknot-http/src/reader.rs
@@ -0,0 +1,395 @@
+//! From bytes to messages.
+
+use std::fmt;
+
+use bytes::{Buf, Bytes, BytesMut};
+use craneknot::interface::Nanos;
+use http::{header, HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Version};
+
+/// What a peer may send in one message.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Bytes of the first line and all headers.
+    pub head: usize,
+    /// Bytes of the body.
+    pub body: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { head: 16 * 1024, body: 4 * 1024 * 1024 }
+    }
+}
+
+const HEADERS: usize = 64; // in one message: more is no one's need
+const CHUNK_LINE: usize = 256; // bytes of a chunk's size line, extensions included
+
+/// What is wrong with a message; the connection cannot be used any further.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Wrong {
+    HeadTooLarge,
+    BodyTooLarge,
+    Malformed(String),
+    /// Message bodies coded in a way that is not spoken here.
+    Unsupported(String),
+    /// The peer ended within a message.
+    CutShort,
+}
+
+impl Wrong {
+    /// The status to answer a request with.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Wrong::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Wrong::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Wrong::Malformed(_) | Wrong::CutShort => StatusCode::BAD_REQUEST,
+            Wrong::Unsupported(_) => StatusCode::NOT_IMPLEMENTED,
+        }
+    }
+}
+
+impl fmt::Display for Wrong {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Wrong::HeadTooLarge => write!(f, "the head of the message is too large"),
+            Wrong::BodyTooLarge => write!(f, "the body of the message is too large"),
+            Wrong::Malformed(what) => write!(f, "malformed message: {what}"),
+            Wrong::Unsupported(what) => write!(f, "not supported: {what}"),
+            Wrong::CutShort => write!(f, "the message was cut short"),
+        }
+    }
+}
+
+impl std::error::Error for Wrong {}
+
+fn malformed(what: impl fmt::Display) -> Wrong {
+    Wrong::Malformed(what.to_string())
+}
+
+enum Stage {
+    Head,
+    Length(usize),
+    ChunkSize,
+    Chunk(usize),
+    ChunkEnd,
+    Trailer,
+    /// A response without a length: up to the end of the connection.
+    UntilEnd,
+}
+
+/// What requests and responses share: finding the head's end, and the body after it.
+struct Reader<H> {
+    limits: Limits,
+    stage: Stage,
+    head: Option<H>,
+    body: BytesMut,
+    /// Bytes of the input already searched for the head's end.
+    searched: usize,
+    /// When the first byte of a message that is not whole yet came.
+    since: Option<Nanos>,
+}
+
+impl<H> Reader<H> {
+    fn new(limits: Limits) -> Self {
+        Reader { limits, stage: Stage::Head, head: None, body: BytesMut::new(), searched: 0, since: None }
+    }
+
+    /// The bytes of a whole head, once they are there.
+    fn head_bytes(&mut self, input: &mut BytesMut) -> Result<Option<BytesMut>, Wrong> {
+        if self.searched == 0 {
+            // Empty lines before a message are let pass.
+            while input.starts_with(b"\r\n") {
+                input.advance(2);
+            }
+        }
+        let from = self.searched.saturating_sub(3);
+        let end = input[from..].windows(4).position(|four| four == b"\r\n\r\n").map(|at| from + at + 4);
+        match end {
+            Some(end) if end > self.limits.head => Err(Wrong::HeadTooLarge),
+            Some(end) => {
+                self.searched = 0;
+                Ok(Some(input.split_to(end)))
+            }
+            None if input.len() > self.limits.head => Err(Wrong::HeadTooLarge),
+            None => {
+                self.searched = input.len();
+                Ok(None)
+            }
+        }
+    }
+
+    fn begin(&mut self, head: H, stage: Stage) -> Result<(), Wrong> {
+        if let Stage::Length(length) = stage {
+            if length > self.limits.body {
+                return Err(Wrong::BodyTooLarge);
+            }
+        }
+        self.head = Some(head);
+        self.stage = stage;
+        Ok(())
+    }
+
+    /// Takes in the body; a whole message once it is all there.
+    fn body(&mut self, input: &mut BytesMut) -> Result<Option<(H, Bytes)>, Wrong> {
+        loop {
+            match self.stage {
+                Stage::Head => return Ok(None),
+                Stage::Length(length) => {
+                    let part = (length - self.body.len()).min(input.len());
+                    self.body.extend_from_slice(&input.split_to(part));
+                    if self.body.len() < length {
+                        return Ok(None);
+                    }
+                    return Ok(self.whole());
+                }
+                Stage::UntilEnd => {
+                    self.take_body(input.len(), input)?;
+                    return Ok(None);
+                }
+                Stage::ChunkSize => {
+                    let Some(line) = line(input)? else { return Ok(None) };
+                    let digits = line[..].split(|byte| *byte == b';').next().unwrap_or_default().trim_ascii();
+                    let plain =
+                        !digits.is_empty() && digits.len() <= 8 && digits.iter().all(u8::is_ascii_hexdigit);
+                    let digits = std::str::from_utf8(digits).ok().filter(|_| plain);
+                    let size = digits.and_then(|digits| usize::from_str_radix(digits, 16).ok());
+                    let size = size.ok_or_else(|| malformed("a chunk's size is not a number"))?;
+                    if self.body.len() + size > self.limits.body {
+                        return Err(Wrong::BodyTooLarge);
+                    }
+                    self.stage = if size == 0 { Stage::Trailer } else { Stage::Chunk(size) };
+                }
+                Stage::Chunk(left) => {
+                    let part = left.min(input.len());
+                    self.take_body(part, input)?;
+                    if part < left {
+                        self.stage = Stage::Chunk(left - part);
+                        return Ok(None);
+                    }
+                    self.stage = Stage::ChunkEnd;
+                }
+                Stage::ChunkEnd => {
+                    if input.len() < 2 {
+                        return Ok(None);
+                    }
+                    if !input.starts_with(b"\r\n") {
+                        return Err(malformed("a chunk is longer than it said"));
+                    }
+                    input.advance(2);
+                    self.stage = Stage::ChunkSize;
+                }
+                Stage::Trailer => match line(input)? {
+                    None => return Ok(None),
+                    Some(line) if line.is_empty() => return Ok(self.whole()),
+                    Some(_) => {}
+                },
+            }
+        }
+    }
+
+    fn take_body(&mut self, part: usize, input: &mut BytesMut) -> Result<(), Wrong> {
+        if self.body.len() + part > self.limits.body {
+            return Err(Wrong::BodyTooLarge);
+        }
+        self.body.extend_from_slice(&input.split_to(part));
+        Ok(())
+    }
+
+    fn whole(&mut self) -> Option<(H, Bytes)> {
+        self.stage = Stage::Head;
+        self.since = None;
+        let body = std::mem::take(&mut self.body).freeze();
+        self.head.take().map(|head| (head, body))
+    }
+
+    fn note(&mut self, input: &BytesMut, now: Nanos) {
+        let within = !input.is_empty() || !matches!(self.stage, Stage::Head);
+        self.since = if within { self.since.or(Some(now)) } else { None };
+    }
+}
+
+/// A line that ends with CR LF, without these.
+fn line(input: &mut BytesMut) -> Result<Option<BytesMut>, Wrong> {
+    match input.windows(2).take(CHUNK_LINE).position(|two| two == b"\r\n") {
+        Some(end) => {
+            let line = input.split_to(end);
+            input.advance(2);
+            Ok(Some(line))
+        }
+        None if input.len() > CHUNK_LINE => Err(malformed("a chunk's line is too long")),
+        None => Ok(None),
+    }
+}
+
+fn headers(parsed: &[httparse::Header<'_>]) -> Result<HeaderMap, Wrong> {
+    let mut headers = HeaderMap::with_capacity(parsed.len());
+    for header in parsed {
+        let name = HeaderName::from_bytes(header.name.as_bytes()).map_err(malformed)?;
+        let value = HeaderValue::from_bytes(header.value).map_err(malformed)?;
+        headers.append(name, value);
+    }
+    Ok(headers)
+}
+
+/// How the body comes: nothing where neither a length nor a coding is told.
+fn framing(headers: &HeaderMap) -> Result<Option<Stage>, Wrong> {
+    let mut lengths = headers.get_all(header::CONTENT_LENGTH).iter();
+    let length = lengths.next();
+    if lengths.any(|other| Some(other) != length) {
+        return Err(malformed("two lengths that differ"));
+    }
+    match (headers.get(header::TRANSFER_ENCODING), length) {
+        // A sender of both may want to smuggle a second message past a reader that trusts the other.
+        (Some(_), Some(_)) => Err(malformed("both a length and a transfer coding")),
+        (Some(coding), None) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => {
+            Ok(Some(Stage::ChunkSize))
+        }
+        (Some(coding), None) => Err(Wrong::Unsupported(format!("transfer coding {coding:?}"))),
+        (None, Some(length)) => {
+            let digits = length.to_str().ok().filter(|text| text.bytes().all(|byte| byte.is_ascii_digit()));
+            let length = digits.and_then(|digits| digits.parse().ok());
+            Ok(Some(Stage::Length(length.ok_or_else(|| malformed("a length that is no number"))?)))
+        }
+        (None, None) => Ok(None),
+    }
+}
+
+fn persistent(version: Version, headers: &HeaderMap) -> bool {
+    let says = |word: &str| {
+        let all = headers.get_all(header::CONNECTION).iter().filter_map(|value| value.to_str().ok());
+        all.flat_map(|value| value.split(',')).any(|part| part.trim().eq_ignore_ascii_case(word))
+    };
+    if version == Version::HTTP_11 {
+        !says("close")
+    } else {
+        says("keep-alive")
+    }
+}
+
+/// Whether the connection may be used again after this message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Persistent(pub bool);
+
+/// Reads requests, as a server does; several may come on one connection, also ahead of their answers.
+pub struct RequestReader(Reader<Request<()>>);
+
+impl RequestReader {
+    pub fn new(limits: Limits) -> Self {
+        RequestReader(Reader::new(limits))
+    }
+
+    /// The next whole request. An error ends the connection; its status is to be answered first.
+    pub fn next(&mut self, input: &mut BytesMut, now: Nanos) -> Result<Option<Request<Bytes>>, Wrong> {
+        if let Stage::Head = self.0.stage {
+            if let Some(bytes) = self.0.head_bytes(input)? {
+                let (head, stage) = request_head(&bytes)?;
+                self.0.begin(head, stage)?;
+            }
+        }
+        let whole = self.0.body(input)?;
+        self.0.note(input, now);
+        Ok(whole.map(|(head, body)| head.map(|()| body)))
+    }
+
+    /// How long a message that is not whole yet has been coming in.
+    pub fn partial_for(&self, now: Nanos) -> Nanos {
+        self.0.since.map_or(Nanos(0), |since| now - since)
+    }
+
+    /// Whether the connection stays open after the answer to this request.
+    pub fn persistent<B>(request: &Request<B>) -> bool {
+        request.extensions().get::<Persistent>().is_none_or(|persistent| persistent.0)
+    }
+}
+
+fn request_head(bytes: &[u8]) -> Result<(Request<()>, Stage), Wrong> {
+    let mut space = [httparse::EMPTY_HEADER; HEADERS];
+    let mut parsed = httparse::Request::new(&mut space);
+    match parsed.parse(bytes) {
+        Ok(httparse::Status::Complete(_)) => {}
+        Ok(httparse::Status::Partial) => return Err(Wrong::CutShort),
+        Err(httparse::Error::TooManyHeaders) => return Err(Wrong::HeadTooLarge),
+        Err(cause) => return Err(malformed(cause)),
+    }
+    let method = Method::from_bytes(parsed.method.unwrap_or_default().as_bytes()).map_err(malformed)?;
+    let version = if parsed.version == Some(1) { Version::HTTP_11 } else { Version::HTTP_10 };
+    let mut request = Request::new(());
+    *request.method_mut() = method;
+    *request.uri_mut() = parsed.path.unwrap_or_default().parse().map_err(malformed)?;
+    *request.version_mut() = version;
+    *request.headers_mut() = headers(parsed.headers)?;
+    let persistent = persistent(version, request.headers());
+    request.extensions_mut().insert(Persistent(persistent));
+    let stage = framing(request.headers())?.unwrap_or(Stage::Length(0));
+    Ok((request, stage))
+}
+
+/// Reads responses, as a client does, in the order of the requests.
+pub struct ResponseReader(Reader<Response<()>>);
+
+impl ResponseReader {
+    pub fn new(limits: Limits) -> Self {
+        ResponseReader(Reader::new(limits))
+    }
+
+    /// The next whole response; `ended`: no more bytes will come.
+    pub fn next(
+        &mut self,
+        input: &mut BytesMut,
+        ended: bool,
+        now: Nanos,
+    ) -> Result<Option<Response<Bytes>>, Wrong> {
+        if let Stage::Head = self.0.stage {
+            if let Some(bytes) = self.0.head_bytes(input)? {
+                let (head, stage) = response_head(&bytes)?;
+                self.0.begin(head, stage)?;
+            }
+        }
+        let mut whole = self.0.body(input)?;
+        if ended && whole.is_none() {
+            whole = match self.0.stage {
+                Stage::UntilEnd => self.0.whole(),
+                Stage::Head if input.is_empty() => None,
+                _ => return Err(Wrong::CutShort),
+            };
+        }
+        self.0.note(input, now);
+        Ok(whole.map(|(head, body)| head.map(|()| body)))
+    }
+
+    /// How long a message that is not whole yet has been coming in.
+    pub fn partial_for(&self, now: Nanos) -> Nanos {
+        self.0.since.map_or(Nanos(0), |since| now - since)
+    }
+
+    pub fn persistent<B>(response: &Response<B>) -> bool {
+        response.extensions().get::<Persistent>().is_none_or(|persistent| persistent.0)
+    }
+}
+
+fn response_head(bytes: &[u8]) -> Result<(Response<()>, Stage), Wrong> {
+    let mut space = [httparse::EMPTY_HEADER; HEADERS];
+    let mut parsed = httparse::Response::new(&mut space);
+    match parsed.parse(bytes) {
+        Ok(httparse::Status::Complete(_)) => {}
+        Ok(httparse::Status::Partial) => return Err(Wrong::CutShort),
+        Err(httparse::Error::TooManyHeaders) => return Err(Wrong::HeadTooLarge),
+        Err(cause) => return Err(malformed(cause)),
+    }
+    let status = StatusCode::from_u16(parsed.code.unwrap_or_default()).map_err(malformed)?;
+    let version = if parsed.version == Some(1) { Version::HTTP_11 } else { Version::HTTP_10 };
+    let mut response = Response::new(());
+    *response.status_mut() = status;
+    *response.version_mut() = version;
+    *response.headers_mut() = headers(parsed.headers)?;
+    let bare =
+        status.is_informational() || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    let stage = match framing(response.headers())? {
+        _ if bare => Stage::Length(0),
+        Some(stage) => stage,
+        None => Stage::UntilEnd,
+    };
+    let persistent = persistent(version, response.headers()) && !matches!(stage, Stage::UntilEnd);
+    response.extensions_mut().insert(Persistent(persistent));
+    Ok((response, stage))
+}
--- /dev/null
+++ b/crates/craneknot-reactor/src/clock.rs
@@ -0,0 +1,65 @@
+//! Clocks. All moments are nanoseconds since the Unix epoch.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use craneknot::interface::Nanos;
+
+pub trait Clock: Send + Sync {
+    fn now(&self) -> Nanos;
+
+    /// True: time passes only when a test says so, and nothing ever waits for it.
+    fn is_driven(&self) -> bool {
+        false
+    }
+}
+
+/// The machine's date at its making, from then on the steady clock: a date that is set anew moves nothing.
+pub struct SteadyClock {
+    start: Instant,
+    date: Duration,
+}
+
+impl SteadyClock {
+    pub fn new() -> Self {
+        let date = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        SteadyClock { start: Instant::now(), date }
+    }
+}
+
+impl Default for SteadyClock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Clock for SteadyClock {
+    fn now(&self) -> Nanos {
+        let since = self.date + self.start.elapsed();
+        Nanos(u64::try_from(since.as_nanos()).unwrap_or(u64::MAX))
+    }
+}
+
+/// A clock that stands until a test moves it.
+#[derive(Default)]
+pub struct DrivenClock(AtomicU64);
+
+impl DrivenClock {
+    pub fn at(now: Nanos) -> Self {
+        DrivenClock(AtomicU64::new(now.0))
+    }
+
+    pub fn advance(&self, span: Nanos) {
+        self.0.fetch_add(span.0, Ordering::SeqCst);
+    }
+}
+
+impl Clock for DrivenClock {
+    fn now(&self) -> Nanos {
+        Nanos(self.0.load(Ordering::SeqCst))
+    }
+
+    fn is_driven(&self) -> bool {
+        true
+    }
+}
--- /dev/null
+++ b/crates/craneknot-reactor/src/lib.rs
@@ -0,0 +1,13 @@
+//! One event loop on the `polling` crate: sockets, one timer queue in whole nanoseconds, signals and watched
+//! folders, with bounded buffers and back pressure. No thread and no async runtime; the owner asks
+//! [`Reactor::poll`] for what has happened and acts on it.
+
+mod clock;
+mod reactor;
+mod timers;
+mod watch;
+
+pub use clock::{Clock, DrivenClock, SteadyClock};
+pub use reactor::{CloseCause, ConnId, Happened, Limits, ListenerId, Reactor, SendError};
+pub use timers::{TimerId, Timers};
+pub use watch::FolderWatch;
--- /dev/null
+++ b/crates/craneknot-rehearsal/src/auditor.rs
@@ -0,0 +1,576 @@
+//! The judge of the rules. It knows the rules' figures and the record of what crossed the sockets, and nothing of
+//! how the coordinator, the agents or the stand-ins work.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+use craneknot::interface::Nanos;
+use serde::Serialize;
+
+use crate::record::{EndedAs, OpId, Record, What};
+
+/// What the auditor must know of the fleet.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub bare_limit: Nanos,
+    pub drain_grace: Nanos,
+    pub cold_share: f64,
+    pub warm_after: Nanos,
+    pub fall_multiple: f64,
+    pub fall_window: Nanos,
+    pub lines_limit: f64,
+    pub classes: Vec<ClassTerms>,
+    pub servers: Vec<ServerTerms>,
+    pub proxies: usize,
+}
+
+#[derive(Clone, Debug)]
+pub struct ClassTerms {
+    pub name: String,
+    pub importance: f64,
+    pub repeats: craneknot::interface::Repeats,
+    /// Servers where it may run.
+    pub allowed: BTreeSet<usize>,
+}
+
+#[derive(Clone, Debug)]
+pub struct ServerTerms {
+    /// Work a second when warm, s.
+    pub capacity: f64,
+    pub cell: i64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Rule {
+    NobodyBare,
+    NoEffectTwice,
+    DrainsKept,
+    NoColdPushedOver,
+    ShortQueue,
+    Placement,
+    NoTornRead,
+}
+
+impl Rule {
+    pub const ALL: [Rule; 7] = [
+        Rule::NobodyBare,
+        Rule::NoEffectTwice,
+        Rule::DrainsKept,
+        Rule::NoColdPushedOver,
+        Rule::ShortQueue,
+        Rule::Placement,
+        Rule::NoTornRead,
+    ];
+
+    pub fn title(self) -> &'static str {
+        match self {
+            Rule::NobodyBare => "nobody left without a server",
+            Rule::NoEffectTwice => "no effect twice",
+            Rule::DrainsKept => "drains kept within the grace",
+            Rule::NoColdPushedOver => "no cold server pushed over",
+            Rule::ShortQueue => "the queue stays short",
+            Rule::Placement => "only where allowed",
+            Rule::NoTornRead => "no torn table read",
+        }
+    }
+}
+
+/// How often a rule was looked at, how often it was broken, and the first break.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Verdict {
+    pub checks: u64,
+    pub breaks: u64,
+    pub first: Option<String>,
+    /// How near it came to a break: 1 is the limit. Nothing where that has no measure.
+    pub nearest: Option<f64>,
+}
+
+impl Verdict {
+    fn check(&mut self) {
+        self.checks += 1;
+    }
+
+    fn near(&mut self, part: f64) {
+        self.nearest = Some(self.nearest.map_or(part, |nearest| nearest.max(part)));
+    }
+
+    fn broken(&mut self, evidence: impl FnOnce() -> String) {
+        self.breaks += 1;
+        if self.first.is_none() {
+            self.first = Some(evidence());
+        }
+    }
+}
+
+/// What was asked and what came of it.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Service {
+    pub asked: u64,
+    pub in_goal: u64,
+    pub late: u64,
+    pub refused: u64,
+    pub failed: u64,
+    pub given_up: u64,
+    /// Importance answered within the goal over importance asked for.
+    pub service: f64,
+    /// The same in the worst ten seconds.
+    pub worst_window: f64,
+    pub by_class: BTreeMap<String, f64>,
+    pub latency_p50_ms: f64,
+    pub latency_p99_ms: f64,
+    pub torn_reads: u64,
+    pub swaps: u64,
+    pub never_twice_run_twice: u64,
+}
+
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Judgement {
+    pub rules: BTreeMap<Rule, Verdict>,
+    pub service: Service,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Told {
+    /// Not to be sent to, since then.
+    lost: Option<Nanos>,
+    /// The start that the list shows, and since when it does.
+    started: Option<(Nanos, Nanos)>,
+    listed: bool,
+}
+
+#[derive(Default)]
+struct Proxy {
+    up: bool,
+    joined: Option<(usize, Nanos)>,
+    lines: BTreeMap<usize, Vec<usize>>,
+    swapped: Nanos,
+    bare_since: BTreeMap<usize, Nanos>,
+}
+
+#[derive(Default)]
+struct Coordinator {
+    up: bool,
+    stalled: bool,
+    told: Vec<Told>,
+}
+
+#[derive(Default)]
+struct Cold {
+    since: Option<Nanos>,
+    /// When, how much work, and whether its sender knew of the start.
+    recent: VecDeque<(Nanos, f64, bool)>,
+    pushed: bool,
+}
+
+const SERVERS_KNOW: f64 = 2.0 / 3.0; // share of the work, from senders that knew, that makes a fall a break
+const WINDOW: Nanos = Nanos::from_millis(10_000); // ms; the span of the worst window
+
+struct Audit<'a> {
+    terms: &'a Terms,
+    judgement: Judgement,
+    list: Vec<Told>,
+    list_gone: bool,
+    proxies: Vec<Proxy>,
+    coordinators: BTreeMap<usize, Coordinator>,
+    cold: Vec<Cold>,
+    ran: HashMap<(OpId, u32), (usize, u32)>,
+    /// Runs of an operation, whatever the client's attempt.
+    ran_ever: HashMap<OpId, u32>,
+    windows: BTreeMap<u64, (f64, f64)>,
+    asked_at: HashMap<OpId, Nanos>,
+    latencies: Vec<u64>,
+    classes: BTreeMap<usize, (f64, f64)>,
+    now: Nanos,
+    begin: Nanos,
+}
+
+/// Judges a record in the order of time.
+pub fn judge(terms: &Terms, records: &[Record]) -> Judgement {
+    let mut audit = Audit {
+        terms,
+        judgement: Judgement::default(),
+        list: vec![Told::default(); terms.servers.len()],
+        list_gone: false,
+        proxies: (0..terms.proxies).map(|_| Proxy::default()).collect(),
+        coordinators: BTreeMap::new(),
+        cold: terms.servers.iter().map(|_| Cold::default()).collect(),
+        ran: HashMap::new(),
+        ran_ever: HashMap::new(),
+        windows: BTreeMap::new(),
+        asked_at: HashMap::new(),
+        latencies: Vec::new(),
+        classes: BTreeMap::new(),
+        now: Nanos(0),
+        begin: records.first().map_or(Nanos(0), |record| record.at),
+    };
+    Rule::ALL.into_iter().for_each(|rule| {
+        audit.judgement.rules.insert(rule, Verdict::default());
+    });
+    for record in records {
+        audit.now = record.at;
+        audit.take(&record.what);
+    }
+    audit.look_for_bare();
+    audit.close()
+}
+
+impl Audit<'_> {
+    fn rule(&mut self, rule: Rule) -> &mut Verdict {
+        self.judgement.rules.entry(rule).or_default()
+    }
+
+    fn moment(&self) -> String {
+        format!("at {:.3} s", (self.now - self.begin).secs())
+    }
+
+    fn take(&mut self, what: &What) {
+        match what {
+            What::Rostered { servers } => {
+                self.look_for_bare();
+                self.list_gone = false;
+                let mut list = vec![Told::default(); self.terms.servers.len()];
+                for listed in servers {
+                    let told = &mut list[listed.server];
+                    told.listed = true;
+                    told.started = listed.started.map(|started| (started, self.now));
+                    told.lost = listed.draining.then_some(self.now);
+                }
+                list.iter_mut().filter(|told| !told.listed).for_each(|told| told.lost = Some(self.now));
+                self.list = list;
+                self.tell_all();
+                self.look_for_bare();
+            }
+            What::RosterGone => self.list_gone = true,
+            What::Coordinator { coordinator, up } => {
+                let held = self.coordinators.entry(*coordinator).or_default();
+                (held.up, held.stalled) = (*up, false);
+                if !up {
+                    held.told.clear();
+                }
+                self.tell_all();
+            }
+            What::Stalled { coordinator, on } => {
+                self.coordinators.entry(*coordinator).or_default().stalled = *on;
+                self.tell_all();
+            }
+            What::Joined { proxy, coordinator } => {
+                self.look_for_bare();
+                self.proxies[*proxy].joined = Some((*coordinator, self.now));
+                self.look_for_bare();
+            }
+            What::Left { proxy, coordinator } => {
+                self.look_for_bare();
+                let held = &mut self.proxies[*proxy];
+                if held.joined.is_some_and(|(of, _)| of == *coordinator) {
+                    held.joined = None;
+                }
+                self.look_for_bare();
+            }
+            What::Queue { coordinator, lines, most } => {
+                let limit = self.terms.lines_limit;
+                let (moment, worst) = (self.moment(), lines.max(*most));
+                let verdict = self.rule(Rule::ShortQueue);
+                verdict.check();
+                verdict.near(worst / limit);
+                if worst > limit {
+                    verdict.broken(|| {
+                        format!("coordinator {coordinator} held {worst} lines of {limit}, seen {moment}")
+                    });
+                }
+            }
+            What::Swapped { proxy, lines } => {
+                self.judgement.service.swaps += 1;
+                self.look_for_bare();
+                let held = &mut self.proxies[*proxy];
+                held.lines.clone_from(lines);
+                held.swapped = self.now;
+                self.look_for_bare();
+                self.rule(Rule::NoTornRead).check();
+                self.check_lines(*proxy);
+            }
+            What::Torn { proxy, cause } => {
+                self.judgement.service.torn_reads += 1;
+                let moment = self.moment();
+                let verdict = self.rule(Rule::NoTornRead);
+                verdict.check();
+                verdict.broken(|| format!("proxy {proxy} read a torn file {moment}: {cause}"));
+            }
+            What::Proxy { proxy, up } => {
+                self.look_for_bare();
+                self.proxies[*proxy].up = *up;
+                self.look_for_bare();
+            }
+            What::Sent { proxy, server, op, class, .. } => self.sent(*proxy, *server, *op, *class),
+            What::Arrived { server, proxy, op, class, work, .. } => {
+                let allowed = self.terms.classes[*class].allowed.contains(server);
+                let moment = self.moment();
+                let name = &self.terms.classes[*class].name;
+                let verdict = self.rule(Rule::Placement);
+                verdict.check();
+                if !allowed {
+                    verdict
+                        .broken(|| format!("operation {} of {name} came to server {server} {moment}", op.0));
+                }
+                self.push(*server, *proxy, work.secs());
+            }
+            What::Ran { server, op, attempt, class } => self.ran(*server, *op, *attempt, *class),
+            What::Started { server } => {
+                self.cold[*server] = Cold { since: Some(self.now), ..Cold::default() };
+                self.rule(Rule::NoColdPushedOver).check();
+            }
+            What::Stopped { server } => self.cold[*server] = Cold::default(),
+            // The machine's own word; the work that came is weighed here anew.
+            What::Fell { .. } => {}
+            What::Asked { op, class } => {
+                self.judgement.service.asked += 1;
+                self.asked_at.insert(*op, self.now);
+                let importance = self.terms.classes[*class].importance;
+                self.window(self.now).0 += importance;
+                self.classes.entry(*class).or_default().0 += importance;
+            }
+            What::Ended { op, class, how, took } => self.ended(*op, *class, *how, *took),
+        }
+    }
+
+    /// What the list says reaches each coordinator that runs; one that is stopped learns of it when it goes on.
+    fn tell_all(&mut self) {
+        if self.list_gone {
+            return;
+        }
+        for held in self.coordinators.values_mut().filter(|held| held.up && !held.stalled) {
+            held.told.resize(self.list.len(), Told::default());
+            for (told, news) in held.told.iter_mut().zip(&self.list) {
+                let lost = news.lost.map(|_| told.lost.unwrap_or(self.now));
+                let same =
+                    |(started, _): &(Nanos, Nanos)| news.started.is_some_and(|(news, _)| news == *started);
+                let started =
+                    told.started.filter(same).or(news.started.map(|(started, _)| (started, self.now)));
+                *told = Told { lost, started, listed: news.listed };
+            }
+        }
+    }
+
+    fn told(&self, proxy: usize, server: usize) -> Option<(Told, Nanos)> {
+        let (coordinator, since) = self.proxies[proxy].joined?;
+        let told = self.coordinators.get(&coordinator)?.told.get(server)?;
+        Some((*told, since))
+    }
+
+    fn sent(&mut self, proxy: usize, server: usize, op: OpId, class: usize) {
+        let grace = self.terms.drain_grace;
+        let moment = self.moment();
+        let told = self.told(proxy, server);
+        let now = self.now;
+        let name = &self.terms.classes[class].name;
+        let verdict = self.rule(Rule::DrainsKept);
+        verdict.check();
+        let Some((Told { lost: Some(lost), .. }, joined)) = told else { return };
+        let late = now - lost.max(joined);
+        verdict.near(late.secs() / grace.secs());
+        if late > grace {
+            verdict.broken(|| {
+                let late = late.secs();
+                format!("operation {} of {name} sent by proxy {proxy} to server {server} {moment}, {late:.3} s after", op.0)
+            });
+        }
+    }
+
+    fn ran(&mut self, server: usize, op: OpId, attempt: u32, class: usize) {
+        use craneknot::interface::Repeats;
+        let (cell, repeats) = (self.terms.servers[server].cell, self.terms.classes[class].repeats);
+        let moment = self.moment();
+        let name = &self.terms.classes[class].name;
+        let first = self.ran.entry((op, attempt)).or_insert((server, 0));
+        first.1 += 1;
+        let (first_server, times) = *first;
+        let other_cell = self.terms.servers[first_server].cell != cell;
+        let runs = self.ran_ever.entry(op).or_insert(0);
+        *runs += 1;
+        let again_ever = repeats == Repeats::Never && *runs > 1;
+        let verdict = self.judgement.rules.entry(Rule::NoEffectTwice).or_default();
+        verdict.check();
+        let broken = match repeats {
+            Repeats::Safe => false,
+            Repeats::Guarded => times > 1 && other_cell,
+            Repeats::Never => times > 1,
+        };
+        if again_ever {
+            self.judgement.service.never_twice_run_twice += 1;
+        }
+        if broken {
+            verdict.broken(|| {
+                format!(
+                    "operation {} of {name} ran at server {first_server} and again at {server} {moment}",
+                    op.0
+                )
+            });
+        }
+    }
+
+    /// Work comes to a server that may be cold: it is weighed against what the server can bear in a window.
+    fn push(&mut self, server: usize, proxy: usize, work: f64) {
+        let Some(since) = self.cold[server].since else { return };
+        let age = self.now - since;
+        if age >= self.terms.warm_after {
+            self.cold[server].since = None;
+            return;
+        }
+        let knows = (proxy < self.proxies.len()) && {
+            let swapped = self.proxies[proxy].swapped;
+            self.told(proxy, server)
+                .and_then(|(told, _)| told.started)
+                .is_some_and(|(_, told)| swapped >= told || self.now - told >= self.terms.drain_grace)
+        };
+        let window = self.terms.fall_window;
+        let warmth = self.terms.cold_share
+            + (1.0 - self.terms.cold_share) * (age.secs() / self.terms.warm_after.secs()).min(1.0);
+        let budget = self.terms.fall_multiple * self.terms.servers[server].capacity * warmth * window.secs();
+        let (now, moment) = (self.now, self.moment());
+        let cold = &mut self.cold[server];
+        cold.recent.push_back((now, work, knows));
+        while cold.recent.front().is_some_and(|(at, ..)| now - *at > window) {
+            cold.recent.pop_front();
+        }
+        let all: f64 = cold.recent.iter().map(|(_, work, _)| work).sum();
+        let known: f64 = cold.recent.iter().filter(|(.., knows)| *knows).map(|(_, work, _)| work).sum();
+        let pushed = all > budget && known >= SERVERS_KNOW * all;
+        let first = pushed && !cold.pushed;
+        cold.pushed |= pushed;
+        let verdict = self.rule(Rule::NoColdPushedOver);
+        verdict.check();
+        verdict.near(known / budget);
+        if first {
+            verdict.broken(|| {
+                format!(
+                    "server {server}, cold for {:.1} s, was sent {all:.2} s of work for {budget:.2} {moment}",
+                    age.secs()
+                )
+            });
+        }
+    }
+
+    /// For each joined proxy and class: how long it has had no line though an open warm server was listed.
+    fn look_for_bare(&mut self) {
+        let now = self.now;
+        let (warm, limit) = (self.terms.warm_after, self.terms.bare_limit);
+        let is_open = |told: &Told| {
+            told.listed
+                && told.lost.is_none()
+                && told.started.is_none_or(|(started, _)| now - started >= warm)
+        };
+        let open: BTreeSet<usize> = self
+            .list
+            .iter()
+            .enumerate()
+            .filter(|(_, told)| is_open(told))
+            .map(|(server, _)| server)
+            .collect();
+        let classes = self.terms.classes.iter().enumerate();
+        let served: Vec<usize> =
+            classes.filter(|(_, c)| !c.allowed.is_disjoint(&open)).map(|(k, _)| k).collect();
+        let begin = self.begin;
+        let verdict = self.judgement.rules.entry(Rule::NobodyBare).or_default();
+        for (place, proxy) in self.proxies.iter_mut().enumerate() {
+            for class in 0..self.terms.classes.len() {
+                let lines = proxy.lines.get(&class).is_some_and(|lines| !lines.is_empty());
+                let bare = proxy.up && proxy.joined.is_some() && served.contains(&class) && !lines;
+                verdict.check();
+                match (bare, proxy.bare_since.get(&class).copied()) {
+                    (true, None) => {
+                        proxy.bare_since.insert(class, now);
+                    }
+                    (true, Some(since)) => verdict.near((now - since).secs() / limit.secs()),
+                    (false, Some(since)) => {
+                        proxy.bare_since.remove(&class);
+                        verdict.near((now - since).secs() / limit.secs());
+                    }
+                    (false, None) => {}
+                }
+                let since = proxy.bare_since.get(&class).copied();
+                if since.is_some_and(|since| now - since > limit) {
+                    let name = &self.terms.classes[class].name;
+                    let since = since.unwrap_or(now);
+                    verdict.broken(|| {
+                        let (from, to) = ((since - begin).secs(), (now - begin).secs());
+                        format!("proxy {place} had no server for {name} from {from:.3} s to {to:.3} s")
+                    });
+                    // Counted once for each span of the limit.
+                    proxy.bare_since.insert(class, now);
+                }
+            }
+        }
+    }
+
+    /// After a swap: what the proxy now holds must itself keep the rules on placement and drains.
+    fn check_lines(&mut self, proxy: usize) {
+        let moment = self.moment();
+        let lines = self.proxies[proxy].lines.clone();
+        for (class, servers) in lines {
+            for server in servers {
+                let allowed = self.terms.classes[class].allowed.contains(&server);
+                let name = self.terms.classes[class].name.clone();
+                let verdict = self.rule(Rule::Placement);
+                verdict.check();
+                if !allowed {
+                    verdict.broken(|| format!("proxy {proxy} was given server {server} for {name} {moment}"));
+                }
+                let told = self.told(proxy, server);
+                let (now, grace) = (self.now, self.terms.drain_grace);
+                let verdict = self.rule(Rule::DrainsKept);
+                verdict.check();
+                if let Some((Told { lost: Some(lost), .. }, joined)) = told {
+                    if now - lost.max(joined) > grace {
+                        verdict.broken(|| {
+                            format!("proxy {proxy} was given server {server} {moment}, lost long before")
+                        });
+                    }
+                }
+            }
+        }
+    }
+
+    fn window(&mut self, at: Nanos) -> &mut (f64, f64) {
+        self.windows.entry((at - self.begin).0 / WINDOW.0).or_default()
+    }
+
+    fn ended(&mut self, op: OpId, class: usize, how: EndedAs, took: Nanos) {
+        let service = &mut self.judgement.service;
+        match how {
+            EndedAs::InGoal => service.in_goal += 1,
+            EndedAs::Late => service.late += 1,
+            EndedAs::Refused => service.refused += 1,
+            EndedAs::Failed => service.failed += 1,
+            EndedAs::GivenUp => service.given_up += 1,
+        }
+        if matches!(how, EndedAs::InGoal | EndedAs::Late) {
+            self.latencies.push(took.0);
+        }
+        let importance = self.terms.classes[class].importance;
+        if let (EndedAs::InGoal, Some(asked)) = (how, self.asked_at.remove(&op)) {
+            self.window(asked).1 += importance;
+            self.classes.entry(class).or_default().1 += importance;
+        }
+    }
+
+    fn close(mut self) -> Judgement {
+        let ratio = |(asked, served): (f64, f64)| if asked > 0.0 { served / asked } else { 1.0 };
+        let add = |sum: (f64, f64), part: &(f64, f64)| (sum.0 + part.0, sum.1 + part.1);
+        let whole = self.classes.values().fold((0.0, 0.0), add);
+        // The last window may hold a moment only.
+        let full = self.windows.values().filter(|(asked, _)| *asked > whole.0 / 100.0);
+        let service = &mut self.judgement.service;
+        service.service = ratio(whole);
+        service.worst_window = full.map(|window| ratio(*window)).fold(1.0, f64::min);
+        let name = |class: usize| self.terms.classes[class].name.clone();
+        service.by_class = self.classes.iter().map(|(class, sums)| (name(*class), ratio(*sums))).collect();
+        self.latencies.sort_unstable();
+        let at = |part: f64| {
+            let place = (self.latencies.len() as f64 * part) as usize;
+            self.latencies
+                .get(place.min(self.latencies.len().saturating_sub(1)))
+                .map_or(0.0, |nanos| *nanos as f64 / 1e6)
+        };
+        (service.latency_p50_ms, service.latency_p99_ms) = (at(0.5), at(0.99));
+        self.judgement
+    }
+}
--- /dev/null
+++ b/crates/craneknot-rehearsal/src/conduct.rs
@@ -0,0 +1,525 @@
+//! Raises a whole fleet on this machine, plays the plan, and has the record judged.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::fs;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use craneknot::interface::Nanos;
+use craneknot_coordinator::roster::{Entry, Roster, ServerState};
+use craneknot_http::{request, Limits as HttpLimits, ResponseReader};
+use craneknot_reactor::{Clock, ConnId, Happened, Limits, Reactor, SteadyClock};
+use craneknot_settings::{
+    AgentSettings, CoordinatorSettings, NodeSettings, ProbeSettings, RosterSettings, Span, StreamSettings,
+};
+use craneknot_store::{replace, RealDisk};
+use http::Method;
+use rustix::process::{kill_process, Pid, Signal};
+use tracing::{info, warn};
+
+use crate::auditor::{self, ClassTerms, ServerTerms, Terms};
+use crate::plan::{FleetAct, Plan, Shows};
+use crate::proxies::{self, agent_ready, proxy_folder, proxy_name, ready_address};
+use crate::record::{merge, Listed, Log, What};
+use crate::relay::Relays;
+use crate::report::Report;
+use crate::script::{Plant, Script};
+use crate::servers;
+
+const ROSTER: &str = "servers.json";
+const DISK: RealDisk = RealDisk { sync: false };
+const READY_WITHIN: Duration = Duration::from_secs(20); // until a process must listen
+const FIRST_TABLES: Nanos = Nanos::from_millis(1_500); // ms; from the agents' start to the first operation
+const SETTLE: Nanos = Nanos::from_millis(2_500); // ms; after the last operation, for what is under way
+const STATUS_EVERY: Nanos = Nanos::from_millis(200); // ms; between two looks at a coordinator's queue
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+/// A process of the program under rehearsal; it is killed when dropped.
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    /// Starts the program, its log in a file of its own beside the settings.
+    pub fn start(program: &Path, sub_command: &str, settings: &Path) -> io::Result<Self> {
+        let log = fs::OpenOptions::new().create(true).append(true).open(settings.with_extension("log"))?;
+        let mut command = Command::new(program);
+        command.arg("--level").arg(std::env::var("CRANEKNOT_REHEARSAL_LEVEL").unwrap_or("info".to_owned()));
+        command.arg(sub_command).arg(settings).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        Ok(Process { child: command.spawn()? })
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        if let Some(pid) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Killed as by the system, without a word.
+    pub fn kill(mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Asked to end, and killed if it does not.
+    pub fn end(mut self) -> bool {
+        self.signal(Signal::TERM);
+        let until = Instant::now() + Duration::from_secs(3);
+        while Instant::now() < until {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.success();
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        self.kill();
+        false
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if let Ok(None) = self.child.try_wait() {
+            let _ = self.child.kill();
+            let _ = self.child.wait();
+        }
+    }
+}
+
+/// Waits until a process has written where it listens.
+pub fn await_ready(path: &Path) -> io::Result<SocketAddr> {
+    let until = Instant::now() + READY_WITHIN;
+    loop {
+        if let Some(address) = ready_address(path) {
+            return Ok(address);
+        }
+        if Instant::now() >= until {
+            return Err(io::Error::new(io::ErrorKind::TimedOut, format!("{} never came", path.display())));
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+enum Due {
+    Act(usize),
+    Status,
+    /// Look whether a coordinator that was started listens.
+    Ready(usize),
+    End,
+}
+
+struct Stage<'a> {
+    script: &'a Script,
+    program: &'a Path,
+    folder: &'a Path,
+    plan: Plan,
+    reactor: Reactor<Due>,
+    relays: Relays,
+    log: Log,
+    servers: Vec<SocketAddr>,
+    shows: Vec<Shows>,
+    version: u64,
+    roster_out: bool,
+    coordinators: BTreeMap<usize, Process>,
+    agents: BTreeMap<usize, Process>,
+    addresses: BTreeMap<usize, SocketAddr>,
+    asking: HashMap<ConnId, (usize, ResponseReader)>,
+    status: BTreeMap<usize, serde_json::Value>,
+    begin: Nanos,
+}
+
+/// Settings of a coordinator of the script.
+fn coordinator_settings(script: &Script, coordinator: usize) -> CoordinatorSettings {
+    let mut channel = script.channel.clone();
+    if script.plants.contains(&Plant::LongQueue) {
+        channel.lines_limit *= 1_000.0;
+        channel.lines_per_second /= 100.0;
+    }
+    CoordinatorSettings {
+        name: format!("coordinator-{coordinator}"),
+        listen: loopback(),
+        ready_file: Some(PathBuf::from(format!("coordinator-{coordinator}.ready.json"))),
+        seed: Some(script.seed.wrapping_add(coordinator as u64)),
+        fleet: script.fleet(),
+        rules: script.rules.clone(),
+        channel,
+        roster: RosterSettings {
+            file: PathBuf::from(ROSTER),
+            remembered: Some(PathBuf::from(format!("coordinator-{coordinator}.servers.json"))),
+        },
+        report_period: script.report_period,
+        probes: ProbeSettings { enabled: true, path: "/healthz".to_owned(), time_out: script.probe_time_out },
+        streams: StreamSettings::default(),
+    }
+}
+
+/// Writes settings as a user would.
+pub fn write_settings(path: &Path, settings: &impl serde::Serialize) -> io::Result<()> {
+    fs::write(path, serde_json::to_string_pretty(settings).map_err(io::Error::other)?)
+}
+
+/// What the auditor is told of the fleet.
+fn terms(script: &Script, plan: &Plan) -> Terms {
+    let class = |class: &craneknot_settings::ClassSettings| {
+        let fits = |place: &usize| {
+            let group = &plan.servers[*place].group;
+            (class.only_zones.is_empty() || class.only_zones.contains(&group.zone))
+                && (class.only_kinds.is_empty() || class.only_kinds.contains(&group.kind))
+        };
+        ClassTerms {
+            name: class.name.clone(),
+            importance: class.importance,
+            repeats: class.repeats.into(),
+            allowed: (0..plan.servers.len()).filter(fits).collect(),
+        }
+    };
+    let server = |server: &crate::plan::ServerPlan| ServerTerms {
+        capacity: f64::from(server.group.cores) * server.group.speed,
+        cell: server.cell,
+    };
+    Terms {
+        bare_limit: script.rules.bare_limit.0,
+        drain_grace: script.rules.drain_grace.0,
+        cold_share: script.rules.cold_share,
+        warm_after: script.rules.warm_after.0,
+        fall_multiple: script.rules.fall_multiple,
+        fall_window: script.rules.fall_window.0,
+        lines_limit: script.channel.lines_limit,
+        classes: script.classes.iter().map(class).collect(),
+        servers: plan.servers.iter().map(server).collect(),
+        proxies: plan.proxy_zones.len(),
+    }
+}
+
+/// Plays a script. `program` is the program under rehearsal; `folder` keeps what is written, else it is removed.
+pub fn rehearse(script: &Script, program: &Path, folder: Option<&Path>) -> io::Result<Report> {
+    let temporary = tempfile::tempdir()?;
+    let folder = match folder {
+        Some(folder) => {
+            fs::create_dir_all(folder)?;
+            folder.canonicalize()?
+        }
+        None => temporary.path().to_owned(),
+    };
+    let clock: Arc<dyn Clock> = Arc::new(SteadyClock::new());
+    let plan = Plan::draw(script);
+    let terms = terms(script, &plan);
+    let server_host = servers::Host::new(script, &plan, clock.clone())?;
+    let addresses = server_host.addresses();
+    let proxy_host = proxies::Host::new(script, &plan, addresses.clone(), &folder, clock.clone())?;
+    let mut stage = Stage::raise(script, program, &folder, plan, addresses, clock.clone())?;
+    let begin = clock.now() + FIRST_TABLES;
+    let stop = begin + script.length.0;
+    let end = stop + SETTLE;
+    info!(script = script.name, seed = script.seed, folder = %folder.display(), "the fleet stands");
+    let (logs, status) = thread::scope(|scope| {
+        let servers = scope.spawn(move || server_host.run(begin, end));
+        let folder = &folder;
+        let proxies = scope.spawn(move || proxy_host.run(folder, begin, stop, end));
+        let played = stage.play(begin, end);
+        let lost = |_| io::Error::other("a stand-in's thread failed");
+        let servers = servers.join().map_err(lost)??;
+        let proxies = proxies.join().map_err(lost)??;
+        played?;
+        let (log, status) = stage.finish();
+        Ok::<_, io::Error>((vec![log, servers, proxies], status))
+    })?;
+    let records = merge(logs);
+    let judgement = auditor::judge(&terms, &records);
+    Ok(Report::new(script, script.length.0.secs(), judgement, status))
+}
+
+impl<'a> Stage<'a> {
+    /// Starts the coordinators, and the agents with relays in between.
+    fn raise(
+        script: &'a Script,
+        program: &'a Path,
+        folder: &'a Path,
+        plan: Plan,
+        servers: Vec<SocketAddr>,
+        clock: Arc<dyn Clock>,
+    ) -> io::Result<Self> {
+        let reactor = Reactor::new(clock, Limits::default())?;
+        let shows = plan.servers.iter().map(|s| if s.from_start { Shows::Up(None) } else { Shows::Nothing });
+        let mut stage = Stage {
+            script,
+            program,
+            folder,
+            shows: shows.collect(),
+            plan,
+            reactor,
+            relays: Relays::default(),
+            log: Log::default(),
+            servers,
+            version: 0,
+            roster_out: false,
+            coordinators: BTreeMap::new(),
+            agents: BTreeMap::new(),
+            addresses: BTreeMap::new(),
+            asking: HashMap::new(),
+            status: BTreeMap::new(),
+            begin: Nanos(0),
+        };
+        stage.write_roster()?;
+        for coordinator in 0..script.coordinators as usize {
+            let settings = coordinator_settings(script, coordinator);
+            write_settings(&stage.coordinator_file(coordinator), &settings)?;
+            stage.start_coordinator(coordinator)?;
+        }
+        for coordinator in 0..script.coordinators as usize {
+            let address = await_ready(&stage.coordinator_file(coordinator).with_extension("ready.json"))?;
+            stage.coordinator_listens(coordinator, address);
+        }
+        for proxy in 0..stage.plan.proxy_zones.len() {
+            stage.write_agent(proxy)?;
+            stage.start_agent(proxy)?;
+        }
+        Ok(stage)
+    }
+
+    fn coordinator_file(&self, coordinator: usize) -> PathBuf {
+        self.folder.join(format!("coordinator-{coordinator}.json"))
+    }
+
+    fn agent_file(&self, proxy: usize) -> PathBuf {
+        self.folder.join(format!("agent-{proxy}.json"))
+    }
+
+    fn start_coordinator(&mut self, coordinator: usize) -> io::Result<()> {
+        let file = self.coordinator_file(coordinator);
+        let _ = fs::remove_file(file.with_extension("ready.json"));
+        self.coordinators.insert(coordinator, Process::start(self.program, "run", &file)?);
+        self.log.add(self.reactor.now(), What::Coordinator { coordinator, up: true });
+        Ok(())
+    }
+
+    fn coordinator_listens(&mut self, coordinator: usize, address: SocketAddr) {
+        self.addresses.insert(coordinator, address);
+        self.relays.set(coordinator, Some(address));
+    }
+
+    /// The coordinators of an agent: those of its own zone first, else dealt in turn.
+    fn write_agent(&mut self, proxy: usize) -> io::Result<()> {
+        let zone = self.plan.proxy_zones[proxy].clone();
+        let count = self.script.coordinators as usize;
+        let mut order: Vec<usize> = (0..count).map(|k| (k + proxy) % count).collect();
+        order.sort_by_key(|coordinator| self.plan.coordinator_zones[*coordinator] != zone);
+        let relays = order.into_iter().map(|c| self.relays.add(&mut self.reactor, proxy, c));
+        let settings = AgentSettings {
+            nodes: vec![NodeSettings {
+                id: proxy_name(proxy),
+                zone,
+                usual_rate: self.script.clients.rate / self.plan.proxy_zones.len() as f64,
+                folder: proxy_folder(self.folder, proxy),
+            }],
+            coordinators: relays.collect::<io::Result<_>>()?,
+            listen: loopback(),
+            ready_file: Some(agent_ready(self.folder, proxy)),
+            redial_least: Span::millis(150),
+            redial_most: Span::millis(1_500),
+            silent_after: Span::millis(2_000),
+            sync: true,
+            seed: Some(self.script.seed.wrapping_add(1_000 + proxy as u64)),
+        };
+        write_settings(&self.agent_file(proxy), &settings)
+    }
+
+    fn start_agent(&mut self, proxy: usize) -> io::Result<()> {
+        self.agents.insert(proxy, Process::start(self.program, "agent", &self.agent_file(proxy))?);
+        Ok(())
+    }
+
+    fn write_roster(&mut self) -> io::Result<()> {
+        self.version += 1;
+        let (mut servers, mut listed) = (Vec::new(), Vec::new());
+        for (server, shows) in self.shows.iter().enumerate() {
+            let (state, started) = match shows {
+                Shows::Nothing => continue,
+                Shows::Up(started) => (ServerState::Up, started.map(|started| self.begin + started)),
+                Shows::Draining => (ServerState::Draining, None),
+            };
+            let planned = &self.plan.servers[server];
+            servers.push(Entry {
+                address: self.servers[server].to_string(),
+                zone: planned.group.zone.clone(),
+                kind: planned.group.kind.clone(),
+                cell: planned.cell,
+                weight: Some(f64::from(planned.group.cores) * planned.group.speed),
+                started: started.map(Nanos::secs),
+                state,
+            });
+            listed.push(Listed { server, draining: state == ServerState::Draining, started });
+        }
+        if !self.roster_out {
+            let text =
+                serde_json::to_vec(&Roster { version: self.version, servers }).map_err(io::Error::other)?;
+            self.log.add(self.reactor.now(), What::Rostered { servers: listed });
+            replace(&DISK, &self.folder.join(ROSTER), &text)?;
+        }
+        Ok(())
+    }
+
+    /// Plays the plan from `begin` to `end`.
+    fn play(&mut self, begin: Nanos, end: Nanos) -> io::Result<()> {
+        self.begin = begin;
+        for place in 0..self.plan.fleet_acts.len() {
+            self.reactor.set_timer(begin + self.plan.fleet_acts[place].0, Due::Act(place));
+        }
+        self.reactor.set_timer(self.reactor.now(), Due::Status);
+        self.reactor.set_timer(end, Due::End);
+        loop {
+            self.reactor.poll(None)?;
+            while let Some(happened) = self.reactor.happened() {
+                match happened {
+                    Happened::Accepted { listener, conn, .. } => {
+                        self.relays.accept(&mut self.reactor, listener, conn);
+                    }
+                    Happened::Came { conn } if self.relays.has(conn) => {
+                        self.relays.came(&mut self.reactor, &mut self.log, conn);
+                    }
+                    Happened::Came { conn } => self.read_status(conn),
+                    Happened::Closed { conn, .. } => {
+                        self.asking.remove(&conn);
+                        self.relays.closed(&mut self.reactor, &mut self.log, conn);
+                    }
+                    Happened::Timer(Due::End) => return Ok(()),
+                    Happened::Timer(Due::Status) => self.ask_status(),
+                    Happened::Timer(Due::Act(place)) => self.act(place)?,
+                    Happened::Timer(Due::Ready(coordinator)) => self.look_for(coordinator),
+                    Happened::Connected { .. }
+                    | Happened::Flushed { .. }
+                    | Happened::Ready(_)
+                    | Happened::Signal(_) => {}
+                }
+            }
+        }
+    }
+
+    fn look_for(&mut self, coordinator: usize) {
+        let file = self.coordinator_file(coordinator).with_extension("ready.json");
+        match ready_address(&file).filter(|_| self.coordinators.contains_key(&coordinator)) {
+            Some(address) => self.coordinator_listens(coordinator, address),
+            None => {
+                let at = self.reactor.now() + Nanos::from_millis(5);
+                self.reactor.set_timer(at, Due::Ready(coordinator));
+            }
+        }
+    }
+
+    fn act(&mut self, place: usize) -> io::Result<()> {
+        let now = self.reactor.now();
+        match self.plan.fleet_acts[place].1.clone() {
+            FleetAct::List { server, shows } => {
+                self.shows[server] = shows;
+                self.write_roster()?;
+            }
+            FleetAct::RosterOut(true) => {
+                self.roster_out = true;
+                let path = self.folder.join(ROSTER);
+                fs::rename(&path, path.with_extension("away"))?;
+                self.log.add(now, What::RosterGone);
+            }
+            FleetAct::RosterOut(false) => {
+                self.roster_out = false;
+                self.write_roster()?;
+            }
+            FleetAct::BreakStreams(proxies) => {
+                self.relays.break_streams(&mut self.reactor, &mut self.log, &proxies);
+            }
+            FleetAct::Unreach { proxies, coordinators, on } => {
+                self.relays.unreach(&mut self.reactor, &mut self.log, &proxies, &coordinators, on);
+            }
+            FleetAct::KillCoordinator(coordinator) => {
+                if let Some(process) = self.coordinators.remove(&coordinator) {
+                    process.kill();
+                    self.relays.set(coordinator, None);
+                    self.addresses.remove(&coordinator);
+                    self.log.add(self.reactor.now(), What::Coordinator { coordinator, up: false });
+                }
+            }
+            FleetAct::StartCoordinator(coordinator) => {
+                self.start_coordinator(coordinator)?;
+                self.look_for(coordinator);
+            }
+            FleetAct::StallCoordinator(coordinator, on) => {
+                if let Some(process) = self.coordinators.get(&coordinator) {
+                    process.signal(if on { Signal::STOP } else { Signal::CONT });
+                    self.log.add(now, What::Stalled { coordinator, on });
+                }
+            }
+            FleetAct::KillAgent(proxy) => {
+                if let Some(process) = self.agents.remove(&proxy) {
+                    process.kill();
+                }
+            }
+            FleetAct::StartAgent(proxy) => self.start_agent(proxy)?,
+        }
+        Ok(())
+    }
+
+    fn ask_status(&mut self) {
+        let now = self.reactor.now();
+        self.reactor.set_timer(now + STATUS_EVERY, Due::Status);
+        let under_way: BTreeSet<usize> = self.asking.values().map(|(coordinator, _)| *coordinator).collect();
+        for (coordinator, address) in self.addresses.clone() {
+            if under_way.contains(&coordinator) {
+                continue;
+            }
+            let Ok(conn) = self.reactor.connect(address) else { continue };
+            let close = [(http::header::CONNECTION, "close")];
+            let _ = self.reactor.send(conn, [request(&Method::GET, "/status", "coordinator", &close, b"")]);
+            let reader = ResponseReader::new(HttpLimits { body: 1024 * 1024, ..HttpLimits::default() });
+            self.asking.insert(conn, (coordinator, reader));
+        }
+    }
+
+    fn read_status(&mut self, conn: ConnId) {
+        let now = self.reactor.now();
+        let (Some((coordinator, reader)), Some(input)) =
+            (self.asking.get_mut(&conn), self.reactor.input(conn))
+        else {
+            return;
+        };
+        let coordinator = *coordinator;
+        match reader.next(input, false, now) {
+            Ok(None) => return,
+            Ok(Some(answer)) => match serde_json::from_slice::<serde_json::Value>(answer.body()) {
+                Ok(status) => {
+                    let figure =
+                        |name: &str| status.get(name).and_then(|value| value.as_f64()).unwrap_or(0.0);
+                    let (lines, most) = (figure("channel_lines"), figure("channel_most"));
+                    self.log.add(now, What::Queue { coordinator, lines, most });
+                    self.status.insert(coordinator, status);
+                }
+                Err(cause) => warn!(coordinator, %cause, "its status cannot be read"),
+            },
+            Err(wrong) => warn!(coordinator, %wrong, "its status cannot be read"),
+        }
+        self.asking.remove(&conn);
+        self.reactor.close(conn);
+    }
+
+    /// Ends all processes, and gives the record and the last status of each coordinator.
+    fn finish(&mut self) -> (Log, Vec<serde_json::Value>) {
+        for (_, process) in std::mem::take(&mut self.agents) {
+            process.end();
+        }
+        for (coordinator, process) in std::mem::take(&mut self.coordinators) {
+            if !process.end() {
+                warn!(coordinator, "did not end when asked");
+            }
+        }
+        (std::mem::take(&mut self.log), self.status.values().cloned().collect())
+    }
+}
--- /dev/null
+++ b/crates/craneknot-rehearsal/src/report.rs
@@ -0,0 +1,86 @@
+//! What a rehearsal came to.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use serde::Serialize;
+
+use crate::auditor::{Judgement, Rule, Service, Verdict};
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    pub script: String,
+    pub seed: u64,
+    pub version: String,
+    pub seconds: f64,
+    pub servers: usize,
+    pub proxies: usize,
+    pub coordinators: u32,
+    /// Operations asked for a second.
+    pub rate: f64,
+    pub rules: BTreeMap<Rule, Verdict>,
+    pub service: Service,
+    /// The last status of each coordinator.
+    pub status: Vec<serde_json::Value>,
+}
+
+impl Report {
+    pub fn new(
+        script: &crate::Script,
+        seconds: f64,
+        judgement: Judgement,
+        status: Vec<serde_json::Value>,
+    ) -> Self {
+        Report {
+            script: script.name.clone(),
+            seed: script.seed,
+            version: env!("CARGO_PKG_VERSION").to_owned(),
+            seconds,
+            servers: script.server_count(),
+            proxies: script.proxy_count(),
+            coordinators: script.coordinators,
+            rate: judgement.service.asked as f64 / seconds.max(1e-9),
+            rules: judgement.rules,
+            service: judgement.service,
+            status,
+        }
+    }
+
+    pub fn passed(&self) -> bool {
+        self.rules.values().all(|verdict| verdict.breaks == 0)
+    }
+
+    /// A line a rule, and what the service was.
+    pub fn lines(&self) -> String {
+        let mut text = String::new();
+        for rule in Rule::ALL {
+            let Some(verdict) = self.rules.get(&rule) else { continue };
+            let word = if verdict.breaks == 0 { "pass" } else { "FAIL" };
+            let near =
+                verdict.nearest.map_or(String::new(), |near| format!(", nearest {near:.2} of the limit"));
+            let _ = write!(
+                text,
+                "{word}  {:<30} {} checks, {} breaks{near}",
+                rule.title(),
+                verdict.checks,
+                verdict.breaks
+            );
+            if let Some(first) = &verdict.first {
+                let _ = write!(text, "; first: {first}");
+            }
+            text.push('\n');
+        }
+        let s = &self.service;
+        let _ = writeln!(
+            text,
+            "{} operations asked in {:.0} s ({:.0} a second), {} in goal, {} late, {} refused, {} failed, {} given up",
+            s.asked, self.seconds, self.rate, s.in_goal, s.late, s.refused, s.failed, s.given_up
+        );
+        let _ = writeln!(
+            text,
+            "service {:.3} by importance, worst 10 s {:.3}; answers p50 {:.0} ms, p99 {:.0} ms; {} table swaps, {} torn reads, {} run twice",
+            s.service, s.worst_window, s.latency_p50_ms, s.latency_p99_ms, s.swaps, s.torn_reads, s.never_twice_run_twice
+        );
+        text
+    }
+}
--- /dev/null
+++ b/crates/craneknot-settings/src/coordinator.rs
@@ -0,0 +1,404 @@
+//! What a coordinator is started with.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use craneknot::interface::{self, KindId, Nanos, ZoneId};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::check::{Check, Problem};
+use crate::span::Span;
+
+/// What happens when an operation of a class runs twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Repeats {
+    /// Nothing.
+    Safe,
+    /// Some servers drop the repeat for a while.
+    Guarded,
+    /// It takes effect twice.
+    Never,
+}
+
+/// The unit of a level.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum LevelUnit {
+    Share,
+    /// Operations a second at each proxy.
+    Rate,
+    /// Proxies follow no levels.
+    Ignored,
+}
+
+/// One class of operations.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct ClassSettings {
+    /// Its name, and the first part of its operations' path.
+    #[schemars(length(min = 1, max = 64))]
+    pub name: String,
+    /// Answers within it are worth the whole importance.
+    pub latency_goal: Span,
+    /// Clients wait no longer.
+    pub hard_stop: Span,
+    #[schemars(range(min = 0.0))]
+    pub importance: f64,
+    pub repeats: Repeats,
+    /// The only zones it may run in; left out: any.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub only_zones: Vec<String>,
+    /// The only kinds of server it may run on; left out: any.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub only_kinds: Vec<String>,
+    /// It runs in the proxy's own zone alone.
+    #[serde(default)]
+    pub home_only: bool,
+}
+
+/// The figures of the rules.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct RuleSettings {
+    /// Nothing is sent to a draining or gone server this long after the coordinator was told.
+    pub drain_grace: Span,
+    /// A server starts at this share of its capacity or more.
+    #[schemars(range(min = 0.001, max = 1.0))]
+    pub cold_share: f64,
+    /// It is warm no later than this after its start.
+    pub warm_after: Span,
+    /// Sent more than this multiple of what it can do at the moment ...
+    #[schemars(range(min = 1.0))]
+    pub fall_multiple: f64,
+    /// ... for this long, a cold server falls over.
+    pub fall_window: Span,
+    /// The longest that a joined proxy may lack a line.
+    pub bare_limit: Span,
+}
+
+/// The channel by which orders leave.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct ChannelSettings {
+    #[schemars(range(min = 1.0))]
+    pub lines_per_second: f64,
+    /// Lines that may wait, those of message heads included.
+    #[schemars(range(min = 1.0))]
+    pub lines_limit: f64,
+    /// Lines that a message costs on top of its own.
+    #[schemars(range(min = 0.0))]
+    #[serde(default)]
+    pub lines_per_message: f64,
+    /// Messages to one proxy within `message_span`; 0: no limit.
+    #[serde(default)]
+    pub message_limit: u32,
+    #[serde(default = "ten_seconds")]
+    pub message_span: Span,
+}
+
+fn ten_seconds() -> Span {
+    Span::millis(10_000)
+}
+
+/// The list of servers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct RosterSettings {
+    /// A JSON file, replaced by a rename. Relative to the settings' folder.
+    pub file: PathBuf,
+    /// Where the last list taken is kept for the next start; left out: it is not kept.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub remembered: Option<PathBuf>,
+}
+
+/// Probes of servers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct ProbeSettings {
+    pub enabled: bool,
+    /// What is asked of a server, by GET.
+    #[serde(default = "probe_path")]
+    pub path: String,
+    pub time_out: Span,
+}
+
+fn probe_path() -> String {
+    "/healthz".to_owned()
+}
+
+/// The fleet as every coordinator is told of it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct FleetSettings {
+    #[schemars(length(min = 1))]
+    pub zones: Vec<String>,
+    #[serde(default)]
+    pub kinds: Vec<String>,
+    #[schemars(length(min = 1, max = 32))]
+    pub classes: Vec<ClassSettings>,
+    /// Coordinators in all.
+    #[schemars(range(min = 1))]
+    pub coordinators: u32,
+    /// Proxies in all, of all coordinators.
+    #[schemars(range(min = 1, max = 65536))]
+    pub proxies: u32,
+    /// The unit of levels.
+    pub levels: LevelUnit,
+    /// How proxies pick a line, as the published `lb_policy` names it.
+    #[serde(default = "random")]
+    pub lb_policy: String,
+}
+
+fn random() -> String {
+    "RANDOM".to_owned()
+}
+
+/// What peers may ask of the coordinator's sockets.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct StreamSettings {
+    /// Connections at once.
+    pub connections: usize,
+    /// Bytes of one request.
+    pub request_bytes: usize,
+    /// A request must be whole this long after its first byte.
+    pub request_within: Span,
+    /// A stream whose bytes do not leave for so long is broken.
+    pub stuck_after: Span,
+}
+
+impl Default for StreamSettings {
+    fn default() -> Self {
+        StreamSettings {
+            connections: 16_000,
+            request_bytes: 4 * 1024 * 1024,
+            request_within: Span::millis(5_000),
+            stuck_after: Span::millis(10_000),
+        }
+    }
+}
+
+/// A coordinator.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct CoordinatorSettings {
+    /// Tells it from others in versions and logs.
+    #[schemars(length(min = 1, max = 64))]
+    pub name: String,
+    /// Where agents dial; port 0: any free one.
+    #[schemars(with = "String")]
+    pub listen: SocketAddr,
+    /// Written once it listens: a JSON object with its address. Relative to the settings' folder.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ready_file: Option<PathBuf>,
+    /// Of its random numbers; left out: from the clock.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub seed: Option<u64>,
+    pub fleet: FleetSettings,
+    pub rules: RuleSettings,
+    pub channel: ChannelSettings,
+    pub roster: RosterSettings,
+    /// How often proxies report.
+    pub report_period: Span,
+    pub probes: ProbeSettings,
+    #[serde(default)]
+    pub streams: StreamSettings,
+}
+
+/// Zones, kinds and classes by their names.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    pub classes: Vec<String>,
+}
+
+fn place_of(list: &mut Vec<String>, name: &str) -> u16 {
+    let found = list.iter().position(|known| known == name);
+    let place = found.unwrap_or_else(|| {
+        list.push(name.to_owned());
+        list.len() - 1
+    });
+    u16::try_from(place).unwrap_or(u16::MAX)
+}
+
+impl Names {
+    /// The zone of a name; one not met before gets the next place.
+    pub fn zone(&mut self, name: &str) -> ZoneId {
+        ZoneId(place_of(&mut self.zones, name))
+    }
+
+    pub fn kind(&mut self, name: &str) -> KindId {
+        KindId(place_of(&mut self.kinds, name))
+    }
+
+    pub fn zone_name(&self, zone: ZoneId) -> &str {
+        self.zones.get(usize::from(zone.0)).map_or("", String::as_str)
+    }
+
+    pub fn class(&self, name: &str) -> Option<usize> {
+        self.classes.iter().position(|known| known == name)
+    }
+}
+
+impl From<Repeats> for interface::Repeats {
+    fn from(repeats: Repeats) -> Self {
+        match repeats {
+            Repeats::Safe => interface::Repeats::Safe,
+            Repeats::Guarded => interface::Repeats::Guarded,
+            Repeats::Never => interface::Repeats::Never,
+        }
+    }
+}
+
+impl From<LevelUnit> for interface::LevelUnit {
+    fn from(unit: LevelUnit) -> Self {
+        match unit {
+            LevelUnit::Share => interface::LevelUnit::Share,
+            LevelUnit::Rate => interface::LevelUnit::Rate,
+            LevelUnit::Ignored => interface::LevelUnit::Ignored,
+        }
+    }
+}
+
+impl CoordinatorSettings {
+    /// The names, and what the decisions are started with.
+    pub fn decisions(&self) -> (Names, interface::Settings) {
+        let fleet = &self.fleet;
+        let mut names = Names {
+            zones: fleet.zones.clone(),
+            kinds: fleet.kinds.clone(),
+            classes: fleet.classes.iter().map(|class| class.name.clone()).collect(),
+        };
+        let mut class = |class: &ClassSettings| interface::ClassSettings {
+            latency_goal: class.latency_goal.0,
+            hard_stop: class.hard_stop.0,
+            importance: class.importance,
+            repeats: class.repeats.into(),
+            only_zones: class.only_zones.iter().map(|zone| names.zone(zone)).collect(),
+            only_kinds: class.only_kinds.iter().map(|kind| names.kind(kind)).collect(),
+            home_only: class.home_only,
+        };
+        let classes = fleet.classes.iter().map(&mut class).collect();
+        let settings = interface::Settings {
+            classes,
+            controllers: fleet.coordinators,
+            proxies: fleet.proxies,
+            list_on_request: false,
+            ask_within: Nanos(u64::MAX),
+            drain_grace: self.rules.drain_grace.0,
+            cold_share: self.rules.cold_share,
+            warm_after: self.rules.warm_after.0,
+            fall_multiple: self.rules.fall_multiple,
+            fall_window: self.rules.fall_window.0,
+            bare_limit: self.rules.bare_limit.0,
+            level_unit: fleet.levels.into(),
+            channel_lines_per_second: self.channel.lines_per_second,
+            channel_lines_limit: self.channel.lines_limit,
+            lines_per_message: self.channel.lines_per_message,
+            message_limit: self.channel.message_limit,
+            message_span: self.channel.message_span.0,
+            report_period: self.report_period.0,
+            probes: self.probes.enabled,
+            slices: 0,
+        };
+        (names, settings)
+    }
+}
+
+fn doubles<'a>(place: &str, names: impl Iterator<Item = &'a str>) -> Vec<Problem> {
+    let mut seen = BTreeSet::new();
+    let again = names.enumerate().filter(|(_, name)| !seen.insert(*name));
+    again
+        .map(|(k, name)| {
+            Problem::new(format!("{place}/{k}"), format!("{name:?} is listed twice"), "remove one")
+        })
+        .collect()
+}
+
+fn positive(place: &str, span: Span) -> Option<Problem> {
+    (span.0 == Nanos(0)).then(|| Problem::new(place, "is nothing", "give a span above 0"))
+}
+
+impl Check for FleetSettings {
+    fn check(&self) -> Vec<Problem> {
+        let mut found = doubles("/fleet/zones", self.zones.iter().map(String::as_str));
+        found.extend(doubles("/fleet/kinds", self.kinds.iter().map(String::as_str)));
+        found.extend(doubles("/fleet/classes", self.classes.iter().map(|class| class.name.as_str())));
+        for (k, class) in self.classes.iter().enumerate() {
+            let at = |field: &str| format!("/fleet/classes/{k}/{field}");
+            if !class.name.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte)) {
+                let mend = "use letters, digits, '-', '_' and '.': it is part of a path";
+                found.push(Problem::new(at("name"), format!("{:?} does not fit a path", class.name), mend));
+            }
+            if class.hard_stop < class.latency_goal {
+                let what = format!("{} is under the latency goal of {}", class.hard_stop, class.latency_goal);
+                found.push(Problem::new(at("hard_stop"), what, "give the latency goal or more"));
+            }
+            found.extend(positive(&at("latency_goal"), class.latency_goal));
+            for (z, zone) in
+                class.only_zones.iter().enumerate().filter(|(_, zone)| !self.zones.contains(zone))
+            {
+                let what = format!("zone {zone:?} is not among /fleet/zones");
+                found.push(Problem::new(
+                    format!("{}/{z}", at("only_zones")),
+                    what,
+                    "name one of those, or add it there",
+                ));
+            }
+            for (z, kind) in
+                class.only_kinds.iter().enumerate().filter(|(_, kind)| !self.kinds.contains(kind))
+            {
+                let what = format!("kind {kind:?} is not among /fleet/kinds");
+                found.push(Problem::new(
+                    format!("{}/{z}", at("only_kinds")),
+                    what,
+                    "name one of those, or add it there",
+                ));
+            }
+        }
+        found
+    }
+}
+
+impl Check for CoordinatorSettings {
+    fn check(&self) -> Vec<Problem> {
+        let mut found = self.fleet.check();
+        if self.name.contains('/') || self.name.chars().any(char::is_control) {
+            found.push(Problem::new("/name", "holds a '/' or a control sign", "use letters and digits"));
+        }
+        found.extend(positive("/rules/drain_grace", self.rules.drain_grace));
+        found.extend(positive("/rules/fall_window", self.rules.fall_window));
+        found.extend(positive("/rules/bare_limit", self.rules.bare_limit));
+        found.extend(positive("/report_period", self.report_period));
+        found.extend(positive("/probes/time_out", self.probes.time_out));
+        found.extend(positive("/streams/request_within", self.streams.request_within));
+        found.extend(positive("/streams/stuck_after", self.streams.stuck_after));
+        // What cannot be put off: a binding for each class of each proxy of one coordinator, with its head.
+        let proxies = f64::from(self.fleet.proxies) / f64::from(self.fleet.coordinators);
+        let least = proxies * (self.channel.lines_per_message + self.fleet.classes.len() as f64);
+        if self.channel.lines_limit < least {
+            let what =
+                format!("{} lines do not hold one binding a class for every proxy", self.channel.lines_limit);
+            found.push(Problem::new("/channel/lines_limit", what, format!("give {} or more", least.ceil())));
+        }
+        if self.channel.message_limit > 0 && self.channel.message_span.0 == Nanos(0) {
+            found.push(Problem::new(
+                "/channel/message_span",
+                "is nothing",
+                "give the span that message_limit is for",
+            ));
+        }
+        if !self.probes.path.starts_with('/') {
+            found.push(Problem::new(
+                "/probes/path",
+                "does not begin with '/'",
+                "give a path such as /healthz",
+            ));
+        }
+        found
+    }
+}
--- /dev/null
+++ b/crates/craneknot-settings/src/lib.rs
@@ -0,0 +1,15 @@
+//! Settings as JSON. The schema is made from the types; [`load`] checks a file against it and then against what a
+//! schema cannot say, and every error names the file, the place (a JSON pointer, or line and column) and the mend.
+
+mod agent;
+mod check;
+mod coordinator;
+mod span;
+
+pub use agent::{AgentSettings, NodeSettings};
+pub use check::{load, parse, schema_text, Check, Problem, Problems};
+pub use coordinator::{
+    ChannelSettings, ClassSettings, CoordinatorSettings, FleetSettings, LevelUnit, Names, ProbeSettings,
+    Repeats, RosterSettings, RuleSettings, StreamSettings,
+};
+pub use span::Span;
--- /dev/null
+++ b/crates/craneknot-xds/src/discovery.rs
@@ -0,0 +1,249 @@
+//! `envoy.service.discovery.v3`: requests and responses, as the REST-JSON variant carries them and as files hold
+//! them.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The kinds of resource that are spoken of here, in the order in which they are to be applied: what a binding
+/// points to comes before it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Kind {
+    /// Tables: `ClusterLoadAssignment`.
+    Endpoints,
+    /// Levels and further tries: `RouteConfiguration`.
+    Routes,
+    /// Bindings: `Cluster`.
+    Clusters,
+}
+
+impl Kind {
+    pub const ALL: [Kind; 3] = [Kind::Endpoints, Kind::Routes, Kind::Clusters];
+
+    pub fn type_url(self) -> &'static str {
+        match self {
+            Kind::Endpoints => "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment",
+            Kind::Routes => "type.googleapis.com/envoy.config.route.v3.RouteConfiguration",
+            Kind::Clusters => "type.googleapis.com/envoy.config.cluster.v3.Cluster",
+        }
+    }
+
+    /// The path of the REST-JSON variant.
+    pub fn path(self) -> &'static str {
+        match self {
+            Kind::Endpoints => "/v3/discovery:endpoints",
+            Kind::Routes => "/v3/discovery:routes",
+            Kind::Clusters => "/v3/discovery:clusters",
+        }
+    }
+
+    /// The file that a proxy follows.
+    pub fn file(self) -> &'static str {
+        match self {
+            Kind::Endpoints => "endpoints.json",
+            Kind::Routes => "routes.json",
+            Kind::Clusters => "clusters.json",
+        }
+    }
+
+    pub fn of_path(path: &str) -> Option<Kind> {
+        Kind::ALL.into_iter().find(|kind| kind.path() == path)
+    }
+
+    pub fn of_type(type_url: &str) -> Option<Kind> {
+        Kind::ALL.into_iter().find(|kind| kind.type_url() == type_url)
+    }
+}
+
+/// `envoy.config.core.v3.Locality`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Locality {
+    #[serde(skip_serializing_if = "String::is_empty")]
+    pub region: String,
+    pub zone: String,
+    #[serde(alias = "subZone", skip_serializing_if = "String::is_empty")]
+    pub sub_zone: String,
+}
+
+impl Locality {
+    pub fn zone(zone: &str) -> Self {
+        Locality { zone: zone.to_owned(), ..Locality::default() }
+    }
+}
+
+/// `envoy.config.core.v3.Node`: who asks.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Node {
+    pub id: String,
+    #[serde(skip_serializing_if = "String::is_empty")]
+    pub cluster: String,
+    pub locality: Locality,
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub metadata: BTreeMap<String, serde_json::Value>,
+}
+
+/// `google.rpc.Status`: why a response was refused.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Status {
+    pub code: i32,
+    pub message: String,
+}
+
+impl Status {
+    /// `INVALID_ARGUMENT`.
+    pub fn invalid(message: impl Into<String>) -> Self {
+        Status { code: 3, message: message.into() }
+    }
+
+    /// `RESOURCE_EXHAUSTED`: a disk that is full.
+    pub fn exhausted(message: impl Into<String>) -> Self {
+        Status { code: 8, message: message.into() }
+    }
+}
+
+/// What a node has of one kind, and that it waits for more.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct DiscoveryRequest {
+    /// The last version accepted; empty: none yet.
+    #[serde(alias = "versionInfo")]
+    pub version_info: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub node: Option<Node>,
+    #[serde(alias = "resourceNames", skip_serializing_if = "Vec::is_empty")]
+    pub resource_names: Vec<String>,
+    #[serde(alias = "typeUrl")]
+    pub type_url: String,
+    /// The nonce of the response that this accepts or refuses; empty: the first request of a stream.
+    #[serde(alias = "responseNonce")]
+    pub response_nonce: String,
+    /// Present: the response of that nonce was refused.
+    #[serde(alias = "errorDetail", skip_serializing_if = "Option::is_none")]
+    pub error_detail: Option<Status>,
+}
+
+/// Resources of one kind. What a resource holds is kept as the text that came.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct DiscoveryResponse {
+    #[serde(alias = "versionInfo")]
+    pub version_info: String,
+    pub resources: Vec<Box<RawValue>>,
+    #[serde(alias = "typeUrl")]
+    pub type_url: String,
+    #[serde(skip_serializing_if = "String::is_empty")]
+    pub nonce: String,
+}
+
+/// The version of a file: who ordered it, its number, and a checksum of what it holds, so that a reader can tell
+/// a torn file from a whole one whatever its text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FileVersion {
+    pub source: String,
+    pub number: u64,
+    pub checksum: u64,
+}
+
+impl fmt::Display for FileVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}/{:016x}", self.source, self.number, self.checksum)
+    }
+}
+
+impl FileVersion {
+    pub fn read(text: &str) -> Option<Self> {
+        let mut parts = text.rsplitn(3, '/');
+        let checksum = u64::from_str_radix(parts.next()?, 16).ok()?;
+        let number = parts.next()?.parse().ok()?;
+        Some(FileVersion { source: parts.next()?.to_owned(), number, checksum })
+    }
+}
+
+/// The checksum (XXH3) of resources as they stand in a file.
+pub fn checksum<'a>(resources: impl Iterator<Item = &'a str>) -> u64 {
+    let mut text = String::new();
+    for resource in resources {
+        text.push_str(resource);
+        text.push('\n');
+    }
+    xxh3_64(text.as_bytes())
+}
+
+/// The text of a file that a proxy follows.
+pub fn file_text(kind: Kind, source: &str, number: u64, resources: &[&str]) -> String {
+    let checksum = checksum(resources.iter().copied());
+    let version = FileVersion { source: source.to_owned(), number, checksum };
+    let quoted = serde_json::Value::from(version.to_string());
+    let body = resources.join(",\n");
+    format!("{{\"version_info\":{quoted},\"type_url\":\"{}\",\"resources\":[\n{body}\n]}}\n", kind.type_url())
+}
+
+/// Why a file is not what an agent wrote.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FileFault {
+    /// Not a whole discovery response.
+    Text(String),
+    /// Of another kind than the file's name says.
+    OtherKind(String),
+    /// Its resources are not those of its version: torn, or written by another hand.
+    Torn,
+}
+
+impl fmt::Display for FileFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            FileFault::Text(cause) => write!(f, "not a whole discovery response: {cause}"),
+            FileFault::OtherKind(type_url) => write!(f, "holds {type_url}"),
+            FileFault::Torn => write!(f, "its resources are not those of its version"),
+        }
+    }
+}
+
+/// Reads such a file, and checks that it is whole.
+pub fn read_file(kind: Kind, text: &[u8]) -> Result<(FileVersion, DiscoveryResponse), FileFault> {
+    let response: DiscoveryResponse =
+        serde_json::from_slice(text).map_err(|cause| FileFault::Text(cause.to_string()))?;
+    if response.type_url != kind.type_url() {
+        return Err(FileFault::OtherKind(response.type_url));
+    }
+    let version = FileVersion::read(&response.version_info).ok_or(FileFault::Torn)?;
+    match checksum(response.resources.iter().map(|resource| resource.get())) == version.checksum {
+        true => Ok((version, response)),
+        false => Err(FileFault::Torn),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_file_cut_or_mixed_is_told_from_a_whole_one() {
+        let text = file_text(
+            Kind::Endpoints,
+            "a-17",
+            3,
+            &["{\"cluster_name\":\"t1\"}", "{\"cluster_name\":\"t2\"}"],
+        );
+        let (version, response) = read_file(Kind::Endpoints, text.as_bytes()).unwrap();
+        assert_eq!((version.source.as_str(), version.number, response.resources.len()), ("a-17", 3, 2));
+        for end in 0..text.trim_end().len() {
+            assert!(read_file(Kind::Endpoints, &text.as_bytes()[..end]).is_err(), "cut at {end}");
+        }
+        let other = file_text(
+            Kind::Endpoints,
+            "a-17",
+            4,
+            &["{\"cluster_name\":\"t1\"}", "{\"cluster_name\":\"t3\"}"],
+        );
+        let mixed = format!("{}{}", &text[..text.len() / 2], &other[text.len() / 2..]);
+        assert_eq!(read_file(Kind::Endpoints, mixed.as_bytes()).unwrap_err(), FileFault::Torn);
+        assert!(matches!(read_file(Kind::Routes, text.as_bytes()), Err(FileFault::OtherKind(_))));
+    }
+}
--- /dev/null
+++ b/crates/craneknot-xds/src/meaning.rs
@@ -0,0 +1,237 @@
+//! How a table, a binding and a level read as resources, and back. Nothing is decided here: what cannot be said
+//! exactly is rounded, and what cannot be understood is an error that names the place.
+
+use std::collections::BTreeMap;
+
+use craneknot::interface::{FurtherTries, LevelUnit};
+
+use crate::discovery::{Kind, Locality};
+use crate::load::Seconds;
+use crate::resources::*;
+
+/// Weights are whole numbers on the wire: so many to a unit.
+pub const WEIGHT_UNIT: f64 = 10_000.0;
+
+/// The status of an operation that a level refuses.
+pub const REFUSED: u32 = 503;
+
+const MILLION: f64 = 1e6;
+const RATE_FILTER: &str = "envoy.filters.http.local_ratelimit";
+const SHARE_FILTER: &str = "envoy.filters.http.fault";
+
+/// A level and further tries of one class.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Admission {
+    /// Operations a second at each proxy, or a share; nothing: all.
+    pub level: Option<f64>,
+    pub unit: LevelUnit,
+    pub tries: FurtherTries,
+}
+
+impl Admission {
+    pub fn all(unit: LevelUnit) -> Self {
+        Admission { level: None, unit, tries: FurtherTries::Never }
+    }
+}
+
+/// One line of a table, for encoding.
+pub struct Line<'a> {
+    pub server: &'a str,
+    pub zone: &'a str,
+    pub weight: f64,
+    pub health: HealthStatus,
+}
+
+/// The resource of a table. A line without an `address:port` or a weight that rounds to nothing keeps weight 1:
+/// the least that can be said, so that a server that shall get something is never lost in rounding.
+pub fn table(name: &str, lines: &[Line<'_>]) -> ClusterLoadAssignment {
+    let mut zones: BTreeMap<&str, Vec<LbEndpoint>> = BTreeMap::new();
+    for line in lines {
+        let Some(socket_address) = SocketAddress::read(line.server) else { continue };
+        let load_balancing_weight = (line.weight * WEIGHT_UNIT).round().clamp(1.0, 4e6) as u32;
+        let endpoint = Endpoint { address: Address { socket_address } };
+        let health_status = line.health;
+        zones.entry(line.zone).or_default().push(LbEndpoint {
+            endpoint,
+            health_status,
+            load_balancing_weight,
+        });
+    }
+    let zone = |(zone, lb_endpoints)| LocalityLbEndpoints { locality: Locality::zone(zone), lb_endpoints };
+    ClusterLoadAssignment {
+        kind: Kind::Endpoints.type_url().to_owned(),
+        cluster_name: name.to_owned(),
+        endpoints: zones.into_iter().map(zone).collect(),
+    }
+}
+
+/// The lines of a table that may be picked, by server.
+pub fn lines(table: &ClusterLoadAssignment) -> Vec<(String, f64)> {
+    let endpoints = table.endpoints.iter().flat_map(|zone| &zone.lb_endpoints);
+    let open = endpoints.filter(|endpoint| match endpoint.health_status {
+        HealthStatus::Unknown | HealthStatus::Healthy | HealthStatus::Degraded => true,
+        HealthStatus::Unhealthy | HealthStatus::Draining | HealthStatus::Timeout => false,
+    });
+    let line = |endpoint: &LbEndpoint| {
+        let server = endpoint.endpoint.address.socket_address.text();
+        (server, f64::from(endpoint.load_balancing_weight) / WEIGHT_UNIT)
+    };
+    open.map(line).filter(|(_, weight)| *weight > 0.0).collect()
+}
+
+/// The resource of a class bound to a table.
+pub fn cluster(class: &str, table: &str, lb_policy: &str) -> Cluster {
+    Cluster {
+        kind: Kind::Clusters.type_url().to_owned(),
+        name: class.to_owned(),
+        discovery: "EDS".to_owned(),
+        eds_cluster_config: EdsClusterConfig {
+            eds_config: ConfigSource {
+                path_config_source: PathConfigSource { path: Kind::Endpoints.file().to_owned() },
+                resource_api_version: "V3".to_owned(),
+            },
+            service_name: table.to_owned(),
+        },
+        lb_policy: lb_policy.to_owned(),
+    }
+}
+
+fn retry_policy(tries: FurtherTries) -> Option<RetryPolicy> {
+    let (retry_on, num_retries) = match tries {
+        FurtherTries::Never => return None,
+        // Conditions under which the server surely never began.
+        FurtherTries::Unrun => ("connect-failure,refused-stream", 1),
+        FurtherTries::Once => ("5xx,reset,connect-failure,refused-stream", 1),
+        FurtherTries::Twice => ("5xx,reset,connect-failure,refused-stream", 2),
+    };
+    let retry_host_predicate = vec![Named { name: "envoy.retry_host_predicates.previous_hosts".to_owned() }];
+    Some(RetryPolicy { retry_on: retry_on.to_owned(), num_retries, retry_host_predicate })
+}
+
+/// The tokens of a rate: as many thousandths of an operation as a whole number of them can say.
+fn token_bucket(rate: f64) -> TokenBucket {
+    // One token a fill keeps any rate exact; the bucket holds what a second brings, one at the least.
+    let rate = rate.clamp(1e-3, MILLION);
+    let whole = rate.ceil();
+    let fill_interval = Seconds(whole / rate).text();
+    TokenBucket { max_tokens: whole as u32, tokens_per_fill: whole as u32, fill_interval }
+}
+
+/// The resource of a table's levels.
+pub fn routes<'a>(name: &str, classes: impl Iterator<Item = (&'a str, Admission)>) -> RouteConfiguration {
+    let route = |(class, admission): (&str, Admission)| {
+        let mut filters = BTreeMap::new();
+        match (admission.level, admission.unit) {
+            (Some(rate), LevelUnit::Rate) => {
+                let stat_prefix = class.to_owned();
+                let status = HttpStatus { code: "ServiceUnavailable".to_owned() };
+                let limit =
+                    FilterConfig::LocalRateLimit { stat_prefix, token_bucket: token_bucket(rate), status };
+                filters.insert(RATE_FILTER.to_owned(), limit);
+            }
+            (Some(share), LevelUnit::Share) if share < 1.0 => {
+                let numerator = ((1.0 - share.max(0.0)) * MILLION).round() as u32;
+                let percentage = FractionalPercent { numerator, denominator: "MILLION".to_owned() };
+                let abort = FaultAbort { http_status: REFUSED, percentage };
+                filters.insert(SHARE_FILTER.to_owned(), FilterConfig::HttpFault { abort });
+            }
+            (Some(_) | None, LevelUnit::Rate | LevelUnit::Share | LevelUnit::Ignored) => {}
+        }
+        Route {
+            matches: RouteMatch { prefix: format!("/{class}") },
+            route: RouteAction { cluster: class.to_owned(), retry_policy: retry_policy(admission.tries) },
+            typed_per_filter_config: filters,
+        }
+    };
+    let host = VirtualHost {
+        name: name.to_owned(),
+        domains: vec!["*".to_owned()],
+        routes: classes.map(route).collect(),
+    };
+    RouteConfiguration {
+        kind: Kind::Routes.type_url().to_owned(),
+        name: name.to_owned(),
+        virtual_hosts: vec![host],
+    }
+}
+
+/// What a route says of its class.
+pub fn admission(route: &Route) -> Result<Admission, String> {
+    let class = &route.route.cluster;
+    let mut admission = Admission::all(LevelUnit::Ignored);
+    for filter in route.typed_per_filter_config.values() {
+        match filter {
+            FilterConfig::LocalRateLimit { token_bucket, .. } => {
+                let interval = Seconds::read(&token_bucket.fill_interval).filter(|span| span.0 > 0.0);
+                let interval =
+                    interval.ok_or_else(|| format!("class {class}: fill_interval is not a duration"))?;
+                admission.unit = LevelUnit::Rate;
+                admission.level = Some(f64::from(token_bucket.tokens_per_fill) / interval.0);
+            }
+            FilterConfig::HttpFault { abort } => {
+                let whole = match abort.percentage.denominator.as_str() {
+                    "HUNDRED" | "" => 100.0,
+                    "TEN_THOUSAND" => 10_000.0,
+                    "MILLION" => MILLION,
+                    other => return Err(format!("class {class}: unknown denominator {other}")),
+                };
+                admission.unit = LevelUnit::Share;
+                admission.level = Some((1.0 - f64::from(abort.percentage.numerator) / whole).clamp(0.0, 1.0));
+            }
+        }
+    }
+    let Some(policy) = &route.route.retry_policy else { return Ok(admission) };
+    let conditions = || policy.retry_on.split(',').map(str::trim).filter(|condition| !condition.is_empty());
+    let unrun = |condition: &str| matches!(condition, "connect-failure" | "refused-stream");
+    admission.tries = match policy.num_retries {
+        0 => FurtherTries::Never,
+        _ if conditions().next().is_none() => FurtherTries::Never,
+        _ if conditions().all(unrun) => FurtherTries::Unrun,
+        1 => FurtherTries::Once,
+        _ => FurtherTries::Twice,
+    };
+    Ok(admission)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_said_is_understood_again() {
+        let lines_in = [
+            Line { server: "127.0.0.1:81", zone: "north", weight: 1.5, health: HealthStatus::Healthy },
+            Line { server: "[::1]:82", zone: "south", weight: 0.00001, health: HealthStatus::Healthy },
+            Line { server: "127.0.0.1:83", zone: "north", weight: 1.0, health: HealthStatus::Draining },
+        ];
+        let text = serde_json::to_string(&table("t1", &lines_in)).unwrap();
+        let back: ClusterLoadAssignment = serde_json::from_str(&text).unwrap();
+        assert_eq!(lines(&back), [("127.0.0.1:81".to_owned(), 1.5), ("[::1]:82".to_owned(), 0.0001)]);
+        use FurtherTries::*;
+        for (level, unit) in
+            [(Some(0.25), LevelUnit::Share), (Some(7.5), LevelUnit::Rate), (Some(0.4), LevelUnit::Rate)]
+        {
+            for tries in [Never, Unrun, Once, Twice] {
+                let said = Admission { level, unit, tries };
+                let text = serde_json::to_string(&routes("t1", [("read", said)].into_iter())).unwrap();
+                let back: RouteConfiguration = serde_json::from_str(&text).unwrap();
+                let understood = admission(&back.virtual_hosts[0].routes[0]).unwrap();
+                assert_eq!((understood.unit, understood.tries), (unit, tries));
+                assert!((understood.level.unwrap() - level.unwrap()).abs() < 1e-6, "{understood:?}");
+            }
+        }
+    }
+
+    /// A share of one is no level at all, and the decisions' "lets all in" stays within 32 bits.
+    #[test]
+    fn extremes_of_levels_are_borne() {
+        let read = |level, unit| {
+            let said = Admission { level: Some(level), unit, tries: FurtherTries::Never };
+            admission(&routes("t", [("read", said)].into_iter()).virtual_hosts[0].routes[0]).unwrap().level
+        };
+        assert_eq!(read(1.0, LevelUnit::Share), None);
+        assert_eq!(read(0.0, LevelUnit::Share), Some(0.0));
+        assert_eq!(read(1e6, LevelUnit::Rate), Some(1e6));
+        assert!(read(0.0, LevelUnit::Rate).unwrap() < 0.01);
+    }
+}
--- /dev/null
+++ b/crates/craneknot-xds/src/orca.rs
@@ -0,0 +1,70 @@
+//! Open Request Cost Aggregation (`xds.data.orca.v3.OrcaLoadReport`): a server's word on its load, in a header of
+//! its answers, as `TEXT key=value, ...` or `JSON {...}`.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+pub const HEADER: &str = "endpoint-load-metrics";
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct LoadReport {
+    /// Busy share of its cores.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub cpu_utilization: Option<f64>,
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub named_metrics: BTreeMap<String, f64>,
+}
+
+impl LoadReport {
+    pub fn header(&self) -> String {
+        format!("JSON {}", serde_json::to_string(self).unwrap_or_default())
+    }
+
+    /// Nothing where the header is not one of both forms; values that are no finite numbers are left out.
+    pub fn read(header: &str) -> Option<Self> {
+        let header = header.trim();
+        let mut report = match header.split_once(' ') {
+            Some(("JSON", text)) => serde_json::from_str(text).ok()?,
+            Some(("TEXT", text)) => {
+                let mut report = LoadReport::default();
+                for pair in text.split(',') {
+                    let (key, value) = pair.split_once('=')?;
+                    let value: f64 = value.trim().parse().ok()?;
+                    match key.trim() {
+                        "cpu_utilization" => report.cpu_utilization = Some(value),
+                        key => {
+                            let name = key.strip_prefix("named_metrics.").unwrap_or(key);
+                            report.named_metrics.insert(name.to_owned(), value);
+                        }
+                    }
+                }
+                report
+            }
+            Some(_) | None => return None,
+        };
+        report.cpu_utilization = report.cpu_utilization.filter(|value| value.is_finite() && *value >= 0.0);
+        report.named_metrics.retain(|_, value| value.is_finite() && *value >= 0.0);
+        Some(report)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn both_forms_are_read_and_nonsense_is_nothing() {
+        let report = LoadReport {
+            cpu_utilization: Some(0.5),
+            named_metrics: BTreeMap::from([("inflight".to_owned(), 7.0)]),
+        };
+        assert_eq!(LoadReport::read(&report.header()), Some(report.clone()));
+        assert_eq!(LoadReport::read("TEXT cpu_utilization=0.5, named_metrics.inflight=7"), Some(report));
+        assert_eq!(LoadReport::read("TEXT cpu_utilization=NaN").unwrap().cpu_utilization, None);
+        for nonsense in ["", "JSON", "JSON {", "TEXT a", "BIN aGk=", "TEXT a=b"] {
+            assert_eq!(LoadReport::read(nonsense), None, "{nonsense}");
+        }
+    }
+}
