--- /dev/null
+++ b/crates/craneknot-cli/tests/fleet/mod.rs
@@ -0,0 +1,98 @@
+//! A coordinator in a thread of its own, for tests that speak to it by hand.
+
+use std::fs;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use craneknot_coordinator::shell::Shell;
+use craneknot_reactor::SteadyClock;
+use craneknot_settings::{parse, CoordinatorSettings};
+use craneknot_store::{replace, RealDisk};
+use serde_json::{json, Value};
+
+pub struct Coordinator {
+    pub address: SocketAddr,
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+fn settings() -> CoordinatorSettings {
+    let text = json!({
+        "name": "tested", "listen": "127.0.0.1:0", "ready_file": "ready.json", "seed": 1,
+        "fleet": {
+            "zones": ["north"], "coordinators": 1, "proxies": 4, "levels": "rate",
+            "classes": [
+                {"name": "read", "latency_goal": "1s", "hard_stop": "3s", "importance": 1, "repeats": "safe"},
+                {"name": "issue", "latency_goal": "1s", "hard_stop": "3s", "importance": 3, "repeats": "never"}
+            ]
+        },
+        "rules": {
+            "drain_grace": "2s", "cold_share": 0.2, "warm_after": "10s", "fall_multiple": 3, "fall_window": "2s",
+            "bare_limit": "2s"
+        },
+        "channel": {"lines_per_second": 10000, "lines_limit": 20000, "lines_per_message": 3},
+        "roster": {"file": "servers.json", "remembered": "kept.json"},
+        "report_period": "100ms",
+        "probes": {"enabled": false, "time_out": "300ms"},
+        "streams": {"request_within": "400ms", "stuck_after": "600ms", "connections": 200}
+    });
+    parse(Path::new("test"), text.to_string().as_bytes()).unwrap()
+}
+
+/// Writes a list of servers by their ports, swapped in.
+pub fn list(folder: &Path, version: u64, ports: &[u16]) {
+    let server = |port: &u16| json!({"address": format!("127.0.0.1:{port}"), "zone": "north", "state": "up"});
+    let text = json!({"version": version, "servers": ports.iter().map(server).collect::<Vec<Value>>()});
+    replace(&RealDisk { sync: false }, &folder.join("servers.json"), text.to_string().as_bytes()).unwrap();
+}
+
+impl Coordinator {
+    pub fn start(folder: &Path) -> Self {
+        let mut shell = Shell::new(settings(), folder, Arc::new(SteadyClock::new())).unwrap();
+        let ready: Value = serde_json::from_slice(&fs::read(folder.join("ready.json")).unwrap()).unwrap();
+        let address = ready["address"].as_str().unwrap().parse().unwrap();
+        let stop = Arc::new(AtomicBool::new(false));
+        let told = stop.clone();
+        let thread = std::thread::spawn(move || {
+            while !told.load(Ordering::SeqCst) {
+                shell.round().unwrap();
+            }
+        });
+        Coordinator { address, stop, thread: Some(thread) }
+    }
+
+    pub fn dial(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.address).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+        stream
+    }
+
+    pub fn status(&self) -> Value {
+        let answer = talk(self.dial(), b"GET /status HTTP/1.1\r\nconnection: close\r\n\r\n");
+        serde_json::from_str(answer.split_once("\r\n\r\n").unwrap().1).unwrap()
+    }
+}
+
+/// Sends, and reads until the coordinator closes.
+pub fn talk(mut stream: TcpStream, bytes: &[u8]) -> String {
+    // The coordinator may close before all is written: its answer is what counts.
+    let _ = stream.write_all(bytes);
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+impl Drop for Coordinator {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::SeqCst);
+        let ended = self.thread.take().unwrap().join();
+        if !std::thread::panicking() {
+            ended.unwrap();
+        }
+    }
+}
--- a/crates/craneknot-coordinator/src/desk.rs
+++ b/crates/craneknot-coordinator/src/desk.rs
@@ -95,7 +95,10 @@
     pub held_lines: f64,
     pub messages: u64,
     pub lines: f64,
+    /// Texts of tables and levels made, their bytes, and the bytes sent of all resources.
     pub texts: u64,
+    pub bytes_made: u64,
+    pub bytes_sent: u64,
     pub steps: u64,
     pub refusals: u64,
     pub reports_repeated: u64,
@@ -128,6 +131,7 @@
     messages: u64,
     lines: f64,
     refusals: u64,
+    bytes_sent: u64,
 }
 
 impl Desk {
@@ -167,6 +171,7 @@
             messages: 0,
             lines: 0.0,
             refusals: 0,
+            bytes_sent: 0,
         }
     }
 
@@ -368,12 +373,12 @@
                 self.stirred.insert(id);
             }
             let version = format!("{}/{}", self.source, self.moment);
-            let answers = answers.into_iter();
-            self.outputs.extend(answers.map(|answer| Output::Answer {
-                stream: id,
-                answer,
-                version: version.clone(),
-            }));
+            for answer in answers {
+                if let Answer::Resources { resources, .. } = &answer {
+                    self.bytes_sent += resources.iter().map(|text| text.len() as u64).sum::<u64>();
+                }
+                self.outputs.push(Output::Answer { stream: id, answer, version: version.clone() });
+            }
         }
     }
 
@@ -402,8 +407,13 @@
         self.settings.report_period
     }
 
+    /// Begins the spans from decision to swap anew.
+    pub fn forget_spans(&mut self) {
+        self.spans.clear();
+    }
+
     pub fn status(&self) -> Status {
-        let (tables, _, texts) = self.book.counts();
+        let (tables, texts, bytes_made) = self.book.counts();
         let sessions = || self.streams.values().map(|stream| &stream.session);
         let count = |state| sessions().filter(|session| session.state() == state).count();
         let (reports_repeated, reports_left_out) = self.intake.unheard();
@@ -427,6 +437,8 @@
             messages: self.messages,
             lines: self.lines,
             texts,
+            bytes_made,
+            bytes_sent: self.bytes_sent,
             steps: self.moment,
             refusals: self.refusals,
             reports_repeated,
--- a/crates/craneknot-coordinator/src/shell.rs
+++ b/crates/craneknot-coordinator/src/shell.rs
@@ -312,6 +312,9 @@
             self.load_report(conn, now, message.body());
         } else if path == "/status" && method == Method::GET {
             let body = serde_json::to_vec(&self.desk.status()).unwrap_or_default();
+            if message.uri().query() == Some("spans=anew") {
+                self.desk.forget_spans();
+            }
             self.reply(conn, StatusCode::OK, &body);
         } else if path == "/healthz" && method == Method::GET {
             self.reply(conn, StatusCode::OK, b"{\"ok\":true}");
--- a/crates/craneknot-rehearsal/src/conduct.rs
+++ b/crates/craneknot-rehearsal/src/conduct.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fs;
-use std::io;
+use std::io::{self, Write};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -25,7 +25,7 @@
 use crate::auditor::{self, ClassTerms, ServerTerms, Terms};
 use crate::plan::{FleetAct, Plan, Shows};
 use crate::proxies::{self, agent_ready, proxy_folder, proxy_name, ready_address};
-use crate::record::{merge, Listed, Log, What};
+use crate::record::{merge, Listed, Log, Record, What};
 use crate::relay::Relays;
 use crate::report::Report;
 use crate::script::{Plant, Script};
@@ -205,6 +205,7 @@
 /// Plays a script. `program` is the program under rehearsal; `folder` keeps what is written, else it is removed.
 pub fn rehearse(script: &Script, program: &Path, folder: Option<&Path>) -> io::Result<Report> {
     let temporary = tempfile::tempdir()?;
+    let keep = folder.is_some();
     let folder = match folder {
         Some(folder) => {
             fs::create_dir_all(folder)?;
@@ -236,10 +237,22 @@
         Ok::<_, io::Error>((vec![log, servers, proxies], status))
     })?;
     let records = merge(logs);
+    if keep {
+        write_record(&folder.join("record.txt"), begin, &records)?;
+    }
     let judgement = auditor::judge(&terms, &records);
     Ok(Report::new(script, script.length.0.secs(), judgement, status))
 }
 
+/// The record as text, a line each, with seconds since the first operation.
+fn write_record(path: &Path, begin: Nanos, records: &[Record]) -> io::Result<()> {
+    let mut file = io::BufWriter::new(fs::File::create(path)?);
+    for Record { at, what } in records {
+        writeln!(file, "{:9.4} {what:?}", at.secs() - begin.secs())?;
+    }
+    file.flush()
+}
+
 impl<'a> Stage<'a> {
     /// Starts the coordinators, and the agents with relays in between.
     fn raise(
--- a/crates/craneknot-rehearsal/src/servers.rs
+++ b/crates/craneknot-rehearsal/src/servers.rs
@@ -337,7 +337,8 @@
                 let (listener, _) = self.reactor.listen(held.address)?;
                 held.listener = Some(listener);
                 self.by_listener.insert(listener, server);
-                self.log.add(now, What::Started { server });
+                // After the record of its end, which has a moment of its own.
+                self.log.add(self.reactor.now(), What::Started { server });
             }
             ServerAct::Die => self.stop(server)?,
             ServerAct::Silence => self.servers[server].silent = true,
