--- a/crates/craneknot-coordinator/src/session.rs
+++ b/crates/craneknot-coordinator/src/session.rs
@@ -16,7 +16,7 @@
 use crate::book::{Message, Parts};
 
 const AGAIN_FIRST: Nanos = Nanos::from_millis(500); // ms; wait before what was refused is offered again, whole
-const AGAIN_MOST: Nanos = Nanos::from_millis(16_000); // ms; the longest such wait: a full disk stays full a while
+const AGAIN_MOST: Nanos = Nanos::from_millis(2_000); // ms; the longest such wait: it may hold up a drain
 const SILENT: Nanos = Nanos::from_millis(3_000); // ms; at the least, until a stream that says nothing is broken
 const SILENT_PERIODS: u64 = 6; // report periods that may pass without a word: two lost and two late are borne
 
@@ -242,8 +242,9 @@
             return Vec::new();
         }
         if std::mem::take(&mut self.renew) {
-            self.due = all();
-            let due = std::mem::take(&mut self.due);
+            // What was needed before may be no part of what it shall hold now: it would be waited for in vain.
+            let due = all();
+            self.needs.clear();
             self.note_needs(&due);
             self.due = due;
         }
