--- a/crates/craneknot-cli/src/main.rs
+++ b/crates/craneknot-cli/src/main.rs
@@ -13,6 +13,7 @@
 use tracing::error;
 use tracing_subscriber::EnvFilter;
 
+const SIGHUP: i32 = 1;
 const SIGINT: i32 = 2;
 const SIGTERM: i32 = 15;
 
@@ -152,7 +153,7 @@
             let read: CoordinatorSettings = load(&settings).map_err(wrong)?;
             let clock = Arc::new(SteadyClock::new());
             let mut shell = Shell::new(read, folder_of(&settings), clock).map_err(system)?;
-            shell.end_on(&[SIGINT, SIGTERM]).map_err(system)?;
+            shell.end_on(&[SIGHUP, SIGINT, SIGTERM]).map_err(system)?;
             match shell.run() {
                 Ended::Asked => Ok(()),
                 Ended::Failed(cause) => Err(system(cause)),
--- a/crates/craneknot-cli/tests/simulation.rs
+++ b/crates/craneknot-cli/tests/simulation.rs
@@ -78,7 +78,7 @@
 }
 
 fn zone(port: u16) -> &'static str {
-    if port % 2 == 0 {
+    if port.is_multiple_of(2) {
         "north"
     } else {
         "south"
@@ -180,6 +180,11 @@
                 self.next_port += 1;
                 self.roster();
             }
+            // The machine was suspended: time jumps, and everyone else's with it.
+            32 if self.rng.random_range(0..40) == 0 => {
+                self.now = self.now + Nanos::from_millis(30_000);
+                self.agents.iter_mut().for_each(|agent| agent.hampered = self.now);
+            }
             _ => {}
         }
     }
@@ -207,7 +212,7 @@
                 agent.joined = now;
             }
             let id = format!("proxy-{place}");
-            let locality = Locality::zone(if place % 2 == 0 { "north" } else { "south" });
+            let locality = Locality::zone(if place.is_multiple_of(2) { "north" } else { "south" });
             let asked = DiscoveryRequest {
                 version_info: agent.holding.version(kind).text(),
                 node: Some(Node { id, locality, ..Node::default() }),
--- a/crates/craneknot-coordinator/src/lib.rs
+++ b/crates/craneknot-coordinator/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod roster;
 pub mod session;
 pub mod shell;
+pub mod source;
--- a/crates/craneknot-coordinator/src/shell.rs
+++ b/crates/craneknot-coordinator/src/shell.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::fs;
-use std::io::{self, Read};
+use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -26,10 +26,11 @@
 use crate::probes::{self, Probes};
 use crate::roster::Refusal;
 use crate::session::{Answer, Outcome};
+use crate::source::{FileRoster, RosterSource};
 
 const JSON: (HeaderName, &str) = (header::CONTENT_TYPE, "application/json");
-const LARGEST_ROSTER: u64 = 16 * 1024 * 1024; // bytes of a list of servers
 const ROSTER: usize = 1; // the number under which the roster's folder is watched
+const HANG_UP: i32 = 1; // SIGHUP
 const PIPELINE: usize = 16; // requests taken ahead of their answers: three kinds, twice over, and some room
 
 /// What ends the program.
@@ -72,6 +73,7 @@
     probes: Probes<ConnId>,
     probe_readers: BTreeMap<ConnId, ResponseReader>,
     watch: FolderWatch,
+    source: Box<dyn RosterSource>,
     next_stream: u64,
     turn_at: Option<Nanos>,
     read_roster: bool,
@@ -124,6 +126,7 @@
             conns: BTreeMap::new(),
             probe_readers: BTreeMap::new(),
             watch,
+            source: Box::new(FileRoster::new(roster)),
             next_stream: 0,
             turn_at: None,
             read_roster: true,
@@ -181,6 +184,10 @@
                     self.watch.changes()?;
                     self.read_roster = true;
                 }
+                Happened::Signal(HANG_UP) => {
+                    info!("reading the list of servers anew");
+                    self.read_roster = true;
+                }
                 Happened::Signal(signal) => {
                     info!(signal, "ending");
                     return Ok(false);
@@ -218,14 +225,14 @@
     }
 
     fn take_roster(&mut self, now: Nanos) {
-        let path = self.folder.join(&self.settings.roster.file);
-        let mut text = Vec::new();
-        let read = fs::File::open(&path).and_then(|file| file.take(LARGEST_ROSTER).read_to_end(&mut text));
-        if let Err(cause) = read {
-            warn!(file = %path.display(), %cause, "the list of servers cannot be read");
-            self.desk.roster_failed(now);
-            return;
-        }
+        let text = match self.source.read() {
+            Ok(text) => text,
+            Err(cause) => {
+                warn!(source = self.source.name(), %cause, "the list of servers cannot be read");
+                self.desk.roster_failed(now);
+                return;
+            }
+        };
         match self.desk.roster(now, &text) {
             Ok((0, _)) => {}
             Ok((changed, notes)) => {
--- /dev/null
+++ b/crates/craneknot-coordinator/src/source.rs
@@ -0,0 +1,40 @@
+//! Where lists of servers come from.
+
+use std::fs;
+use std::io::{self, Read};
+use std::path::PathBuf;
+
+const LARGEST: u64 = 16 * 1024 * 1024; // bytes of a list of servers
+
+/// Gives the newest list that a source has, as the roster's text. What it is worth is judged elsewhere.
+pub trait RosterSource: Send {
+    /// For logs.
+    fn name(&self) -> &str;
+
+    fn read(&mut self) -> io::Result<Vec<u8>>;
+}
+
+/// A file, replaced by a rename.
+pub struct FileRoster {
+    path: PathBuf,
+    name: String,
+}
+
+impl FileRoster {
+    pub fn new(path: PathBuf) -> Self {
+        let name = path.display().to_string();
+        FileRoster { path, name }
+    }
+}
+
+impl RosterSource for FileRoster {
+    fn name(&self) -> &str {
+        &self.name
+    }
+
+    fn read(&mut self) -> io::Result<Vec<u8>> {
+        let mut text = Vec::new();
+        fs::File::open(&self.path)?.take(LARGEST).read_to_end(&mut text)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/crates/craneknot-reactor/tests/sockets.rs
@@ -0,0 +1,199 @@
+//! The loop on real sockets: thousands of connections, back pressure, limits, ends, and a clock that a test drives.
+
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use craneknot::interface::Nanos;
+use craneknot_reactor::{
+    CloseCause, DrivenClock, FolderWatch, Happened, Limits, Reactor, SendError, SteadyClock,
+};
+
+fn any() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+fn reactor(limits: Limits) -> Reactor<u32> {
+    Reactor::new(Arc::new(SteadyClock::new()), limits).unwrap()
+}
+
+/// Polls until `done` says so; bounded by the number of rounds, each of which waits for something to happen.
+fn until(reactor: &mut Reactor<u32>, mut done: impl FnMut(&mut Reactor<u32>, Happened<u32>) -> bool) {
+    for _ in 0..100_000 {
+        reactor.poll(Some(Duration::from_secs(5))).unwrap();
+        while let Some(happened) = reactor.happened() {
+            if done(reactor, happened) {
+                return;
+            }
+        }
+    }
+    panic!("it never came");
+}
+
+#[test]
+fn two_thousand_connections_are_served_by_one_loop() {
+    const COUNT: usize = 2_000;
+    let mut reactor = reactor(Limits::default());
+    let (_, address) = reactor.listen(any()).unwrap();
+    let mut dialled = BTreeMap::new();
+    for number in 0..COUNT {
+        dialled.insert(reactor.connect(address).unwrap(), number);
+    }
+    let mut answered = 0;
+    until(&mut reactor, |reactor, happened| {
+        match happened {
+            Happened::Connected { conn } => {
+                reactor.send(conn, [Bytes::from(format!("{:04}", dialled[&conn]))]).unwrap();
+            }
+            Happened::Came { conn } => {
+                let input = reactor.input(conn).unwrap();
+                if input.len() < 4 {
+                    return false;
+                }
+                let bytes = input.split().freeze();
+                match dialled.get(&conn) {
+                    Some(number) => {
+                        assert_eq!(bytes, format!("{number:04}"));
+                        answered += 1;
+                    }
+                    None => reactor.send(conn, [bytes]).unwrap(),
+                }
+            }
+            _ => {}
+        }
+        answered == COUNT
+    });
+    assert_eq!(reactor.connections(), 2 * COUNT);
+}
+
+#[test]
+fn a_peer_that_does_not_read_fills_its_own_buffer_alone() {
+    let limits = Limits { output: 256 * 1024, ..Limits::default() };
+    let mut reactor = reactor(limits);
+    let (_, address) = reactor.listen(any()).unwrap();
+    let mut peer = TcpStream::connect(address).unwrap();
+    let mut accepted = None;
+    until(&mut reactor, |_, happened| {
+        if let Happened::Accepted { conn, .. } = happened {
+            accepted = Some(conn);
+        }
+        accepted.is_some()
+    });
+    let conn = accepted.unwrap();
+    let chunk = Bytes::from(vec![7; 64 * 1024]);
+    let mut sent = 0;
+    let full = loop {
+        match reactor.send(conn, [chunk.clone()]) {
+            Ok(()) => sent += chunk.len(),
+            Err(full) => break full,
+        }
+        assert!(sent < 1 << 30, "bytes wait without bound");
+    };
+    assert!(matches!(full, SendError::Full) && reactor.waiting(conn) <= limits.output);
+    // Once it reads, all that was taken arrives, in order.
+    let reader = std::thread::spawn(move || {
+        let mut bytes = vec![0; sent];
+        peer.read_exact(&mut bytes).unwrap();
+        bytes.iter().all(|byte| *byte == 7)
+    });
+    until(&mut reactor, |_, happened| matches!(happened, Happened::Flushed { .. }));
+    assert!(reader.join().unwrap());
+    assert_eq!(reactor.stuck(conn), Nanos(0));
+}
+
+#[test]
+fn reading_stops_where_nothing_is_taken_and_goes_on_after() {
+    let mut reactor = reactor(Limits { input: 4_096, ..Limits::default() });
+    let (_, address) = reactor.listen(any()).unwrap();
+    let writer = std::thread::spawn(move || {
+        let mut peer = TcpStream::connect(address).unwrap();
+        peer.write_all(&[1; 1 << 20]).unwrap();
+    });
+    let (mut taken, mut ended) = (0, false);
+    until(&mut reactor, |reactor, happened| {
+        match happened {
+            Happened::Came { conn } => {
+                let input = reactor.input(conn).unwrap();
+                assert!(input.len() <= 4_096);
+                taken += input.len();
+                input.clear();
+                reactor.taken(conn);
+            }
+            Happened::Closed { cause, .. } => {
+                assert!(matches!(cause, CloseCause::PeerClosed));
+                ended = true;
+            }
+            _ => {}
+        }
+        ended
+    });
+    writer.join().unwrap();
+    assert_eq!(taken, 1 << 20);
+}
+
+#[test]
+fn connections_beyond_the_limit_are_closed_on_arrival() {
+    let mut reactor = reactor(Limits { connections: 2, ..Limits::default() });
+    let (_, address) = reactor.listen(any()).unwrap();
+    let mut peers: Vec<TcpStream> = (0..3).map(|_| TcpStream::connect(address).unwrap()).collect();
+    let mut accepted = 0;
+    until(&mut reactor, |reactor, happened| {
+        accepted += usize::from(matches!(happened, Happened::Accepted { .. }));
+        accepted == 2 && reactor.turned_away() == 1
+    });
+    let mut last = peers.pop().unwrap();
+    last.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    assert!(matches!(last.read(&mut [0; 1]), Ok(0) | Err(_)));
+}
+
+#[test]
+fn a_dial_to_nobody_fails_and_its_id_is_void() {
+    let mut reactor = reactor(Limits::default());
+    let (listener, address) = reactor.listen(any()).unwrap();
+    reactor.unlisten(listener);
+    let conn = reactor.connect(address).unwrap();
+    until(&mut reactor, |_, happened| {
+        matches!(happened, Happened::Closed { cause: CloseCause::ConnectFailed(_), .. })
+    });
+    assert!(reactor.input(conn).is_none());
+    assert!(matches!(reactor.send(conn, [Bytes::from_static(b"x")]), Err(SendError::Gone)));
+}
+
+#[test]
+fn a_driven_clock_never_waits() {
+    let clock = Arc::new(DrivenClock::at(Nanos(5)));
+    let mut reactor: Reactor<u32> = Reactor::new(clock.clone(), Limits::default()).unwrap();
+    reactor.set_timer(Nanos::from_millis(3_600_000), 7);
+    reactor.poll(None).unwrap();
+    assert!(reactor.happened().is_none());
+    clock.advance(Nanos::from_millis(3_600_000));
+    reactor.poll(None).unwrap();
+    assert!(matches!(reactor.happened(), Some(Happened::Timer(7))));
+}
+
+#[test]
+fn files_renamed_into_place_are_told_in_order() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut watch = FolderWatch::new().unwrap();
+    watch.add(folder.path()).unwrap();
+    let mut reactor = reactor(Limits::default());
+    reactor.watch(&watch, 3).unwrap();
+    std::fs::write(folder.path().join("a.fresh"), "1").unwrap();
+    for name in ["a", "b"] {
+        std::fs::copy(folder.path().join("a.fresh"), folder.path().join("x")).unwrap();
+        std::fs::rename(folder.path().join("x"), folder.path().join(name)).unwrap();
+    }
+    let mut named = Vec::new();
+    until(&mut reactor, |_, happened| {
+        if let Happened::Ready(3) = happened {
+            let changes = watch.changes().unwrap();
+            named.extend(changes.into_iter().filter_map(|(_, name)| name?.into_string().ok()));
+        }
+        named.iter().any(|name| name == "b")
+    });
+    let place = |wanted: &str| named.iter().position(|name| name == wanted).unwrap();
+    assert!(place("a") < place("b"));
+}
--- a/crates/craneknot-rehearsal/src/measure.rs
+++ b/crates/craneknot-rehearsal/src/measure.rs
@@ -136,7 +136,7 @@
         let now = self.clock.now();
         let entry = |server: &u16| Entry {
             address: format!("127.0.0.1:{server}"),
-            zone: if server % 2 == 0 { "north" } else { "south" }.to_owned(),
+            zone: if server.is_multiple_of(2) { "north" } else { "south" }.to_owned(),
             kind: "one".to_owned(),
             cell: i64::from(server / 4),
             weight: Some(1.0),
