--- a/crates/craneknot-reactor/src/lib.rs
+++ b/crates/craneknot-reactor/src/lib.rs
@@ -8,6 +8,6 @@
 mod watch;
 
 pub use clock::{Clock, DrivenClock, SteadyClock};
-pub use reactor::{CloseCause, ConnId, Happened, Limits, ListenerId, Reactor, SendError};
+pub use reactor::{reserve, CloseCause, ConnId, Happened, Limits, ListenerId, Reactor, SendError};
 pub use timers::{TimerId, Timers};
 pub use watch::FolderWatch;
--- a/crates/craneknot-reactor/src/reactor.rs
+++ b/crates/craneknot-reactor/src/reactor.rs
@@ -164,8 +164,18 @@
     }
 
     pub fn listen(&mut self, address: SocketAddr) -> io::Result<(ListenerId, SocketAddr)> {
+        self.listen_as(address, false)
+    }
+
+    /// Listens at an address that another socket of ours keeps: see [`reserve`].
+    pub fn listen_reserved(&mut self, address: SocketAddr) -> io::Result<ListenerId> {
+        self.listen_as(address, true).map(|(listener, _)| listener)
+    }
+
+    fn listen_as(&mut self, address: SocketAddr, shared: bool) -> io::Result<(ListenerId, SocketAddr)> {
         let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_reuse_address(true)?;
+        socket.set_reuse_port(shared)?;
         socket.set_nonblocking(true)?;
         socket.bind(&address.into())?;
         socket.listen(4096)?;
@@ -538,6 +548,16 @@
     }
 }
 
+/// Keeps an address without listening, so that no dial of the system takes its port while nothing listens there.
+pub fn reserve(address: SocketAddr) -> io::Result<(Socket, SocketAddr)> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(true)?;
+    socket.bind(&address.into())?;
+    let kept = socket.local_addr()?.as_socket().ok_or(ErrorKind::AddrNotAvailable)?;
+    Ok((socket, kept))
+}
+
 fn read_some(conn: &mut Conn, limit: usize) -> Option<CloseCause> {
     let mut buffer = [0; 16 * 1024];
     for _ in 0..READS {
--- a/crates/craneknot-rehearsal/src/proxies.rs
+++ b/crates/craneknot-rehearsal/src/proxies.rs
@@ -10,7 +10,9 @@
 use bytes::Bytes;
 use craneknot::interface::Nanos;
 use craneknot_http::{request, response, Limits as HttpLimits, RequestReader, ResponseReader};
-use craneknot_reactor::{Clock, ConnId, FolderWatch, Happened, Limits, ListenerId, Reactor, TimerId};
+use craneknot_reactor::{
+    reserve, Clock, ConnId, FolderWatch, Happened, Limits, ListenerId, Reactor, TimerId,
+};
 use craneknot_settings::Repeats;
 use craneknot_xds::discovery::{Kind, Locality, Node};
 use craneknot_xds::load::{self, *};
@@ -20,6 +22,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
+use socket2::Socket;
 
 use crate::caller::{Answer, Caller, Next, Operation};
 use crate::chooser::{Chooser, Refusal, Tried};
@@ -117,6 +120,8 @@
     zone: usize,
     folder: PathBuf,
     address: SocketAddr,
+    /// Keeps the address while the proxy is dead.
+    _reserve: Socket,
     listener: Option<ListenerId>,
     chooser: Chooser,
     up: bool,
@@ -192,7 +197,8 @@
         let (mut proxies, mut by_listener, mut by_folder) = (Vec::new(), BTreeMap::new(), BTreeMap::new());
         let classes: Vec<String> = script.classes.iter().map(|class| class.name.clone()).collect();
         for (place, zone) in plan.proxy_zones.iter().enumerate() {
-            let (listener, address) = reactor.listen(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+            let (reserve, address) = reserve(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+            let listener = reactor.listen_reserved(address)?;
             by_listener.insert(listener, place);
             let name = proxy_name(place);
             let home = proxy_folder(folder, place);
@@ -205,6 +211,7 @@
                 zone: script.zones.iter().position(|other| other == zone).unwrap_or(0),
                 folder: home,
                 address,
+                _reserve: reserve,
                 listener: Some(listener),
                 chooser: Chooser::new(classes.clone(), script.habits.ejects, script.habits.keep_away.0, seed),
                 up: true,
@@ -849,7 +856,7 @@
             }
             ProxyAct::Start => {
                 let address = self.proxies[proxy].address;
-                if let Ok((listener, _)) = self.reactor.listen(address) {
+                if let Ok(listener) = self.reactor.listen_reserved(address) {
                     self.by_listener.insert(listener, proxy);
                     self.proxies[proxy].listener = Some(listener);
                 }
--- a/crates/craneknot-rehearsal/src/servers.rs
+++ b/crates/craneknot-rehearsal/src/servers.rs
@@ -8,12 +8,12 @@
 use bytes::Bytes;
 use craneknot::interface::Nanos;
 use craneknot_http::{response, Limits as HttpLimits, RequestReader};
-use craneknot_reactor::{Clock, ConnId, Happened, Limits, ListenerId, Reactor};
+use craneknot_reactor::{reserve, Clock, ConnId, Happened, Limits, ListenerId, Reactor};
 use craneknot_xds::orca;
 use http::{HeaderMap, HeaderName, Request, StatusCode};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
-use socket2::{Domain, Socket, Type};
+use socket2::Socket;
 
 use crate::machine::{Arrival, Job, Machine, Make};
 use crate::plan::{Plan, ServerAct};
@@ -55,7 +55,7 @@
     connections: u32,
     address: SocketAddr,
     /// Keeps the address while nothing listens there.
-    reserve: Option<Socket>,
+    _reserve: Socket,
     listener: Option<ListenerId>,
     machine: Machine,
     life: u64,
@@ -84,13 +84,6 @@
     log: Log,
 }
 
-fn reserve(address: SocketAddr) -> io::Result<Socket> {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
-    socket.set_reuse_address(true)?;
-    socket.bind(&address.into())?;
-    Ok(socket)
-}
-
 impl Host {
     /// Takes an address for every server of the plan; those that stand from the start listen.
     pub fn new(script: &Script, plan: &Plan, clock: Arc<dyn Clock>) -> io::Result<Self> {
@@ -107,22 +100,17 @@
                 fall_multiple: script.rules.fall_multiple,
                 fall_window: script.rules.fall_window.0,
             };
-            let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-            let (listener, held, address) = if planned.from_start {
-                let (listener, address) = reactor.listen(free)?;
+            let (reserve, address) = reserve(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+            let listener = planned.from_start.then(|| reactor.listen_reserved(address)).transpose()?;
+            listener.into_iter().for_each(|listener| {
                 by_listener.insert(listener, place);
-                (Some(listener), None, address)
-            } else {
-                let socket = reserve(free)?;
-                let address = socket.local_addr()?.as_socket().ok_or(io::ErrorKind::AddrNotAvailable)?;
-                (None, Some(socket), address)
-            };
+            });
             servers.push(Server {
                 machine: Machine::new(make, None),
                 make,
                 connections: planned.group.connections,
                 address,
-                reserve: held,
+                _reserve: reserve,
                 listener,
                 life: 0,
                 errors: 0.0,
@@ -277,7 +265,7 @@
             Arrival::Full => self.answer(server, conn, StatusCode::SERVICE_UNAVAILABLE, true),
             Arrival::Falls => {
                 self.log.add(now, What::Fell { server });
-                let _ = self.stop(server);
+                self.stop(server);
             }
         }
     }
@@ -307,7 +295,7 @@
     }
 
     /// The process ends: its connections are reset, and none is accepted.
-    fn stop(&mut self, server: usize) -> io::Result<()> {
+    fn stop(&mut self, server: usize) {
         let held = &mut self.servers[server];
         held.life += 1;
         held.jobs.clear();
@@ -318,10 +306,8 @@
         if let Some(listener) = held.listener.take() {
             self.reactor.unlisten(listener);
             self.by_listener.remove(&listener);
-            held.reserve = Some(reserve(held.address)?);
         }
         self.log.add(self.reactor.now(), What::Stopped { server });
-        Ok(())
     }
 
     fn act(&mut self, place: usize) -> io::Result<()> {
@@ -329,18 +315,17 @@
         let now = self.reactor.now();
         match act {
             ServerAct::Start => {
-                self.stop(server)?;
+                self.stop(server);
                 let held = &mut self.servers[server];
                 held.machine = Machine::new(held.make, Some(now));
                 (held.errors, held.hangs, held.loses, held.silent) = (0.0, false, 0.0, false);
-                held.reserve = None;
-                let (listener, _) = self.reactor.listen(held.address)?;
+                let listener = self.reactor.listen_reserved(held.address)?;
                 held.listener = Some(listener);
                 self.by_listener.insert(listener, server);
                 // After the record of its end, which has a moment of its own.
                 self.log.add(self.reactor.now(), What::Started { server });
             }
-            ServerAct::Die => self.stop(server)?,
+            ServerAct::Die => self.stop(server),
             ServerAct::Silence => self.servers[server].silent = true,
             ServerAct::Errors(share) => self.servers[server].errors = share,
             ServerAct::Hang(on) => self.servers[server].hangs = on,
