A store of records on redb that survives cuts, torn writes, full disks and flipped bits

Need: term, vote and history of views must survive a kill at any byte.

Change: craneknot-store keeps records by name, each with a checksum of its own; what is damaged is told, with what to do.

--- a/crates/craneknot-fleet/src/raft.rs
+++ b/crates/craneknot-fleet/src/raft.rs
@@ -268,7 +268,7 @@
     }
 
     fn majority(&self) -> usize {
-        (self.peers.len() + 1) / 2 + 1
+        self.peers.len().div_ceil(2) + 1
     }
 
     /// From so many votes on, one's own included, no other majority is possible.
--- a/crates/craneknot-store/src/lib.rs
+++ b/crates/craneknot-store/src/lib.rs
@@ -1,5 +1,7 @@
-//! What must survive a kill at any byte. So far: files that are replaced in one step.
+//! What must survive a kill at any byte: files replaced in one step, and a store of records on a crash-safe library.
 
 mod files;
+mod records;
 
 pub use files::{replace, Disk, FailingDisk, RealDisk, Step, FRESH};
+pub use records::{Health, Store, StoreError};
