--- a/crates/craneknot-agent/src/dial.rs
+++ b/crates/craneknot-agent/src/dial.rs
@@ -26,6 +26,8 @@
     Heard,
     /// The connection failed, broke or fell silent.
     Lost,
+    /// It says that another one is in charge.
+    Sent,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,6 +42,8 @@
     Again,
     /// Wait twice as long, then the next coordinator.
     Next,
+    /// At once to the one that was named.
+    Go,
 }
 
 /// State, sign, next state, effect.
@@ -50,8 +54,12 @@
     (State::Dialling, Sign::Lost, State::Resting, Effect::Next),
     (State::Asking, Sign::Lost, State::Resting, Effect::Next),
     (State::Following, Sign::Lost, State::Resting, Effect::Again),
+    (State::Asking, Sign::Sent, State::Resting, Effect::Go),
+    (State::Following, Sign::Sent, State::Resting, Effect::Go),
 ];
 
+const SENT_MOST: u32 = 4; // times sent on without an answer: two that send us to one another know no better
+
 pub struct Dial {
     state: State,
     coordinators: usize,
@@ -59,6 +67,7 @@
     least: Nanos,
     most: Nanos,
     failures: u32,
+    sent: u32,
     until: Nanos,
     rng: Pcg32,
 }
@@ -68,8 +77,17 @@
     pub fn new(coordinators: usize, least: Nanos, most: Nanos, seed: u64, now: Nanos) -> Self {
         let rng = Pcg32::seed_from_u64(seed);
         let (state, at, failures) = (State::Resting, 0, 0);
-        let mut dial =
-            Dial { state, coordinators: coordinators.max(1), at, least, most, failures, until: now, rng };
+        let mut dial = Dial {
+            state,
+            coordinators: coordinators.max(1),
+            at,
+            least,
+            most,
+            failures,
+            sent: 0,
+            until: now,
+            rng,
+        };
         dial.rest(now, least);
         dial
     }
@@ -93,6 +111,17 @@
         self.until = now + Nanos((longest.0 as f64 * self.rng.random::<f64>()) as u64);
     }
 
+    /// Another coordinator is named as the one in charge.
+    pub fn send_to(&mut self, now: Nanos, coordinator: usize) {
+        self.sent += 1;
+        if self.sent > SENT_MOST || coordinator >= self.coordinators {
+            self.sent = 0;
+            self.sign(now, Sign::Lost);
+        } else if self.sign(now, Sign::Sent) == Effect::Go {
+            self.at = coordinator;
+        }
+    }
+
     pub fn sign(&mut self, now: Nanos, sign: Sign) -> Effect {
         if sign == Sign::Due && now < self.until {
             return Effect::Nothing;
@@ -102,7 +131,8 @@
         self.state = *next;
         match effect {
             Effect::Nothing | Effect::Dial | Effect::Ask => {}
-            Effect::Calm => self.failures = 0,
+            Effect::Calm => (self.failures, self.sent) = (0, 0),
+            Effect::Go => self.until = now,
             Effect::Again => {
                 self.failures = 1;
                 self.rest(now, self.least);
--- a/crates/craneknot-agent/src/hold.rs
+++ b/crates/craneknot-agent/src/hold.rs
@@ -86,6 +86,17 @@
         self.versions.get(&kind).cloned().unwrap_or_default()
     }
 
+    /// The latest epoch that was followed, of all that stands on the disk.
+    pub fn epoch(&self) -> u64 {
+        self.versions.values().map(|version| discovery::epoch_of(&version.source)).max().unwrap_or(0)
+    }
+
+    /// The table that each class is bound to.
+    pub fn bound(&self) -> BTreeMap<String, String> {
+        let clusters = self.contents.get(&Kind::Clusters).into_iter().flatten();
+        clusters.map(|(class, held)| (class.clone(), held.table.clone())).collect()
+    }
+
     fn of(&self, kind: Kind) -> Contents {
         self.contents.get(&kind).cloned().unwrap_or_default()
     }
@@ -127,6 +138,13 @@
         let version = Version::read(&response.version_info).ok_or_else(|| {
             Status::invalid(format!("version {:?} is not source/number", response.version_info))
         })?;
+        // A former coordinator's order, however late it comes, is never followed after one of a later epoch.
+        let (epoch, followed) = (discovery::epoch_of(&version.source), self.epoch());
+        if epoch < followed {
+            return Err(Status::outdated(format!(
+                "epoch {epoch} is older than {followed}, which was followed"
+            )));
+        }
         let news = self.read(kind, response)?;
         let contents = match kind {
             // Tables and levels come as they change; bindings always come whole.
--- a/crates/craneknot-agent/src/shell.rs
+++ b/crates/craneknot-agent/src/shell.rs
@@ -254,7 +254,7 @@
     }
 
     fn dial(&mut self, place: usize, now: Nanos) {
-        let coordinator = self.settings.coordinators[self.followers[place].dial.coordinator()];
+        let coordinator = self.settings.coordinators[self.followers[place].dial.coordinator()].address();
         match self.reactor.connect(coordinator) {
             Ok(conn) => {
                 self.followers[place].stream = Some(conn);
@@ -267,17 +267,9 @@
 
     /// The stream is gone; the files stand, and another one is dialled.
     fn lost(&mut self, place: usize, cause: &str) {
+        self.end_stream(place);
         let now = self.reactor.now();
         let follower = &mut self.followers[place];
-        for conn in [follower.stream.take(), follower.reports.take()].into_iter().flatten() {
-            self.uses.remove(&conn);
-            self.reactor.close(conn);
-        }
-        follower.asked.clear();
-        follower.nonces.clear();
-        follower.warming = None;
-        follower.holding.give_up_warming();
-        follower.reports_since = None;
         let followed = follower.dial.state() == State::Following;
         let before = follower.dial.coordinator();
         follower.dial.sign(now, Sign::Lost);
@@ -294,6 +286,42 @@
         }
     }
 
+    fn end_stream(&mut self, place: usize) {
+        let follower = &mut self.followers[place];
+        for conn in [follower.stream.take(), follower.reports.take()].into_iter().flatten() {
+            self.uses.remove(&conn);
+            self.reactor.close(conn);
+        }
+        follower.asked.clear();
+        follower.nonces.clear();
+        follower.warming = None;
+        follower.holding.give_up_warming();
+        follower.reports_since = None;
+    }
+
+    /// Another coordinator is in charge, and named as the host of a location.
+    fn sent_on(&mut self, place: usize, answer: &Response<Bytes>) {
+        let location = answer.headers().get(header::LOCATION).and_then(|value| value.to_str().ok());
+        let host = location
+            .and_then(|text| text.parse::<http::Uri>().ok())
+            .and_then(|uri| uri.host().map(str::to_owned));
+        let named = |name: &String| self.settings.coordinators.iter().position(|c| c.name() == Some(name));
+        match host.as_ref().and_then(named) {
+            Some(coordinator) => {
+                debug!(proxy = %self.followers[place].node.id, coordinator = host, "sent on to the one in charge");
+                self.end_stream(place);
+                let now = self.reactor.now();
+                let follower = &mut self.followers[place];
+                follower.sums.forget_under_way();
+                follower.dial.send_to(now, coordinator);
+                if let Some(at) = follower.dial.next_at() {
+                    self.reactor.set_timer(at, Due::Dial(place));
+                }
+            }
+            None => self.lost(place, "sent on to a coordinator that the settings do not name"),
+        }
+    }
+
     fn stream_connected(&mut self, place: usize, conn: ConnId) {
         let now = self.reactor.now();
         let follower = &mut self.followers[place];
@@ -312,7 +340,11 @@
             id: node.id.clone(),
             cluster: "craneknot".to_owned(),
             locality: Locality::zone(&node.zone),
-            metadata: BTreeMap::from([("usual_rate".to_owned(), node.usual_rate.into())]),
+            metadata: BTreeMap::from([
+                ("usual_rate".to_owned(), node.usual_rate.into()),
+                // What it follows now: one that takes over need not move it.
+                ("bound".to_owned(), serde_json::json!(self.followers[place].holding.bound())),
+            ]),
         }
     }
 
@@ -367,6 +399,7 @@
                 self.followers[place].dial.sign(now, Sign::Heard);
                 return self.ask(place, kind, None);
             }
+            StatusCode::TEMPORARY_REDIRECT => return self.sent_on(place, answer),
             // One that turns us down is as good as lost: the next one is dialled, later each time.
             status => {
                 let cause = String::from_utf8_lossy(answer.body()).chars().take(200).collect::<String>();
@@ -437,7 +470,7 @@
             self.reactor.set_timer(now + self.period, Due::Report(place));
             return;
         }
-        let coordinator = self.settings.coordinators[follower.dial.coordinator()];
+        let coordinator = self.settings.coordinators[follower.dial.coordinator()].address();
         let conn = match follower.reports {
             Some(conn) => conn,
             None => match self.reactor.connect(coordinator) {
--- a/crates/craneknot-cli/src/main.rs
+++ b/crates/craneknot-cli/src/main.rs
@@ -1,6 +1,9 @@
 //! The `craneknot` program.
 
+mod status;
+
 use std::fs;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -93,6 +96,15 @@
         #[arg(long)]
         folder: Option<PathBuf>,
     },
+    /// Asks coordinators how they are: streams, what waits, and in a shared fleet members, leases and epochs.
+    Status {
+        /// Where they listen.
+        #[arg(required = true)]
+        coordinators: Vec<SocketAddr>,
+        /// As JSON, an object for each.
+        #[arg(long)]
+        json: bool,
+    },
     /// Measures one coordinator with many agents: from decision to swapped file, cost and recovery.
     Measure {
         /// Agents in all.
@@ -207,6 +219,24 @@
                 Err(Failed::Rule)
             }
         }
+        Command::Status { coordinators, json } => {
+            let mut failed = false;
+            for address in coordinators {
+                match status::ask(address) {
+                    Ok(status) if json => println!("{status}"),
+                    Ok(status) => print!("{}", status::text(address, &status)),
+                    Err(cause) => {
+                        eprintln!("{address}: {cause}");
+                        failed = true;
+                    }
+                }
+            }
+            if failed {
+                Err(Failed::System)
+            } else {
+                Ok(())
+            }
+        }
         Command::Measure { agents, servers, seconds, sync, report } => {
             let program = std::env::current_exe().map_err(system)?;
             let asked = craneknot_rehearsal::measure::Asked { agents, servers, seconds, sync };
--- a/crates/craneknot-cli/tests/simulation.rs
+++ b/crates/craneknot-cli/tests/simulation.rs
@@ -282,11 +282,14 @@
             }
             Output::Probe { .. } => panic!("probes are off"),
             Output::ReadRoster => self.roster(),
+            Output::SendOn { .. } | Output::Save(_) | Output::Datagram { .. } => {
+                panic!("the fleet is not shared")
+            }
         }
     }
 
     fn check(&mut self) {
-        let status = self.desk.status();
+        let status = self.desk.status(self.now);
         assert!(status.channel_lines <= status.channel_limit, "{} lines wait", status.channel_lines);
         let now = self.now;
         let warm = |started: Option<f64>| started.is_none_or(|started| now.secs() - started >= 10.0);
--- a/crates/craneknot-coordinator/src/desk.rs
+++ b/crates/craneknot-coordinator/src/desk.rs
@@ -7,8 +7,13 @@
 use bytes::Bytes;
 use craneknot::interface::*;
 use craneknot::Controller;
+use craneknot_fleet::member::{self, Charge, Member};
+use craneknot_fleet::raft::Saved;
+use craneknot_fleet::view::Epoch;
+use craneknot_fleet::wire::Datagram;
+use craneknot_fleet::MemberId;
 use craneknot_settings::{CoordinatorSettings, Names};
-use craneknot_xds::discovery::{DiscoveryRequest, Kind, Node};
+use craneknot_xds::discovery::{epoch_of, source_in, DiscoveryRequest, Kind, Node};
 use craneknot_xds::load::LoadStatsRequest;
 use serde::Serialize;
 
@@ -21,6 +26,7 @@
 
 const NAMES_MOST: usize = 1_024; // resources one request may name: more than any proxy follows
 const RATE_MOST: f64 = 1e6; // operations a second that a proxy may say it usually gets
+const UNSURE: Nanos = Nanos::from_millis(1_000); // ms; a stream no one knows to be in our charge ends after it: elsewhere it may be served
 const SPANS_KEPT: usize = 65_536; // spans from decision to swap kept for the figures
 
 /// A stream, by the owner's number.
@@ -45,6 +51,18 @@
     },
     /// Read the roster again.
     ReadRoster,
+    /// End the stream: that coordinator is in charge of its proxy.
+    SendOn {
+        stream: StreamId,
+        to: String,
+    },
+    /// To be on the disk before what follows is sent.
+    Save(Saved),
+    /// To a fellow coordinator, by its name.
+    Datagram {
+        to: String,
+        text: Vec<u8>,
+    },
 }
 
 /// Why a request is not taken.
@@ -56,6 +74,10 @@
     TooManyNames(usize),
     NoNumberLeft,
     OtherKind(String),
+    /// That coordinator is in charge of the proxy.
+    Elsewhere(String),
+    /// No one is known to be in charge of the proxy now.
+    NoCharge,
 }
 
 impl std::fmt::Display for Refused {
@@ -65,6 +87,8 @@
             Refused::UnknownZone(zone) => write!(f, "zone {zone:?} is not one of the fleet's"),
             Refused::TooManyNames(count) => write!(f, "{count} resource names; {NAMES_MOST} at most"),
             Refused::NoNumberLeft => write!(f, "no more proxies can be told apart"),
+            Refused::Elsewhere(to) => write!(f, "{to} is in charge of this proxy"),
+            Refused::NoCharge => write!(f, "no coordinator is known to be in charge of this proxy now"),
             Refused::OtherKind(kind) => write!(f, "type {kind:?} does not belong to this path"),
         }
     }
@@ -74,6 +98,8 @@
     proxy: ProxyId,
     zone: ZoneId,
     session: Session,
+    /// Since when it is not known to be in our charge.
+    unsure: Option<Nanos>,
 }
 
 /// Figures for `status`.
@@ -105,6 +131,25 @@
     pub reports_left_out: u64,
     /// From decision to accepted answer, ms: half of them, 99 of 100, and the longest.
     pub decided_to_swapped_ms: Option<(f64, f64, f64)>,
+    /// Where the fleet is shared.
+    pub shared: Option<Shared>,
+}
+
+/// This coordinator's part in a shared fleet.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Shared {
+    pub role: String,
+    pub term: u64,
+    pub leader: Option<String>,
+    /// The newest view that is certain, and who shares the proxies in it.
+    pub epoch: u64,
+    pub members: Vec<String>,
+    pub alive: Vec<String>,
+    /// The epoch acted on, whether all of it is settled, and how long the lease lasts, ms.
+    pub lease: Option<(u64, bool, f64)>,
+    pub datagrams_sent: u64,
+    pub saves: u64,
+    pub sent_on: u64,
 }
 
 pub struct Desk {
@@ -132,6 +177,10 @@
     lines: f64,
     refusals: u64,
     bytes_sent: u64,
+    fleet: Option<Member>,
+    datagrams: u64,
+    saves: u64,
+    sent_on: u64,
 }
 
 impl Desk {
@@ -172,6 +221,78 @@
             lines: 0.0,
             refusals: 0,
             bytes_sent: 0,
+            fleet: None,
+            datagrams: 0,
+            saves: 0,
+            sent_on: 0,
+        }
+    }
+
+    /// From now on the fleet is shared with others; `saved` is what an earlier life saved.
+    pub fn share(&mut self, settings: &CoordinatorSettings, saved: Saved, seed: u64, now: Nanos) {
+        let Some(shared) = &settings.shared else { return };
+        let members = shared.members.iter().map(|member| MemberId::new(&member.name)).collect();
+        let timing = member::Timing::of_lease(shared.lease.0, shared.drift);
+        // The date in milliseconds: later than that of any earlier life, and refuted where it is not.
+        let incarnation = now.0 / 1_000_000;
+        let me = MemberId::new(&settings.name);
+        self.fleet = Some(Member::new(me, &members, timing, saved, incarnation, seed, now));
+    }
+
+    /// A datagram of a fellow coordinator came.
+    pub fn datagram(&mut self, now: Nanos, text: &[u8]) -> Result<(), String> {
+        let datagram = Datagram::read(text)?;
+        let outputs = self.fleet.as_mut().map(|fleet| fleet.take(now, datagram));
+        self.carry(outputs.unwrap_or_default());
+        Ok(())
+    }
+
+    fn carry(&mut self, outputs: Vec<member::Output>) {
+        for output in outputs {
+            match output {
+                member::Output::Save(saved) => {
+                    self.saves += 1;
+                    self.outputs.push(Output::Save(saved));
+                }
+                member::Output::Send(to, datagram) => {
+                    self.datagrams += 1;
+                    self.outputs.push(Output::Datagram { to: to.to_string(), text: datagram.text() });
+                }
+                // What may be sent has changed.
+                member::Output::Changed => self.stirred.extend(self.streams.keys()),
+            }
+        }
+    }
+
+    /// The epoch in which a proxy may be ordered now.
+    fn charge(&self, now: Nanos, proxy: &str) -> Charge {
+        self.fleet.as_ref().map_or(Charge::Mine(Epoch(0)), |fleet| fleet.charge(now, proxy))
+    }
+
+    /// Streams of proxies that are another one's charge are sent on; those of which no one is known to be end.
+    fn look_after_charges(&mut self, now: Nanos) {
+        let Some(fleet) = &mut self.fleet else { return };
+        let steps = fleet.tick(now);
+        self.carry(steps);
+        for id in self.streams.keys().copied().collect::<Vec<StreamId>>() {
+            let charge = self.charge(now, self.proxy_name(id));
+            let Some(stream) = self.streams.get_mut(&id) else { continue };
+            match charge {
+                Charge::Mine(_) => stream.unsure = None,
+                Charge::Elsewhere(to) => {
+                    self.sent_on += 1;
+                    self.outputs.push(Output::SendOn { stream: id, to: to.to_string() });
+                    self.leave(now, id);
+                }
+                Charge::Unknown => {
+                    let since = *stream.unsure.get_or_insert(now);
+                    if now - since >= UNSURE {
+                        let cause = "no one is known to be in charge of its proxy".to_owned();
+                        self.outputs.push(Output::Break { stream: id, cause });
+                        self.leave(now, id);
+                    }
+                }
+            }
         }
     }
 
@@ -231,6 +352,9 @@
         if !request.type_url.is_empty() && Kind::of_type(&request.type_url) != Some(kind) {
             return Err(Refused::OtherKind(request.type_url));
         }
+        if let Some(fleet) = &mut self.fleet {
+            fleet.note_epoch(Epoch(epoch_of(&request.version_info)));
+        }
         if !self.streams.contains_key(&id) {
             let node = request.node.as_ref().filter(|node| !node.id.is_empty()).ok_or(Refused::NoNode)?;
             self.join(now, id, node)?;
@@ -261,6 +385,14 @@
         if !self.names_zone(&node.locality.zone) {
             return Err(Refused::UnknownZone(node.locality.zone.clone()));
         }
+        match self.charge(now, &node.id) {
+            Charge::Mine(_) => {}
+            Charge::Elsewhere(to) => {
+                self.sent_on += 1;
+                return Err(Refused::Elsewhere(to.to_string()));
+            }
+            Charge::Unknown => return Err(Refused::NoCharge),
+        }
         let zone = self.names.zone(&node.locality.zone);
         let proxy = self.ids.join(&node.id).ok_or(Refused::NoNumberLeft)?;
         if let Some(old) = self.of_proxy.get(&proxy).copied() {
@@ -270,9 +402,18 @@
         let rate = node.metadata.get("usual_rate").and_then(|value| value.as_f64());
         let usual_rate = rate.filter(|rate| rate.is_finite()).unwrap_or(1.0).clamp(0.0, RATE_MOST);
         self.book.join(proxy);
-        self.streams.insert(id, Stream { proxy, zone, session: Session::new(now) });
+        self.streams.insert(id, Stream { proxy, zone, session: Session::new(now), unsure: None });
         self.of_proxy.insert(proxy, id);
         self.events.push(Event::ProxyJoined { proxy, zone, usual_rate });
+        // Tables of a former coordinator of this fleet are numbered as ours are: its bindings can stand.
+        let bound = node.metadata.get("bound").and_then(|bound| bound.as_object()).into_iter().flatten();
+        for (class, table) in bound.filter(|_| self.fleet.is_some()) {
+            let class = self.names.class(class).map(|class| ClassId(class as u8));
+            let table = table.as_str().and_then(table_of).map(TableId);
+            if let (Some(class), Some(table)) = (class, table) {
+                self.events.push(Event::ProxyHolds { proxy, class, table });
+            }
+        }
         Ok(())
     }
 
@@ -317,6 +458,7 @@
     /// Lets the decisions act on what has come, carries out what they order, and gives what the owner is to do.
     pub fn turn(&mut self, now: Nanos) -> Vec<Output> {
         self.break_silent(now);
+        self.look_after_charges(now);
         if now >= self.flush_at {
             self.flush_at = now + self.settings.report_period;
             self.events.extend(self.intake.flush());
@@ -367,12 +509,19 @@
             if !self.book.is_complete(stream.proxy) {
                 continue;
             }
+            let charge = self.fleet.as_ref().map(|fleet| fleet.charge(now, self.ids.name(stream.proxy)));
+            let epoch = match charge {
+                None => 0,
+                Some(Charge::Mine(epoch)) => epoch.0,
+                // It waits; a change of what may be done stirs all streams.
+                Some(Charge::Elsewhere(_) | Charge::Unknown) => continue,
+            };
             let (book, proxy) = (&mut self.book, stream.proxy);
             let answers = stream.session.answers(now, || book.all_of(proxy));
             if stream.session.next_at().is_some() {
                 self.stirred.insert(id);
             }
-            let version = format!("{}/{}", self.source, self.moment);
+            let version = format!("{}/{}", source_in(epoch, &self.source), self.moment);
             for answer in answers {
                 if let Answer::Resources { resources, .. } = &answer {
                     self.bytes_sent += resources.iter().map(|text| text.len() as u64).sum::<u64>();
@@ -394,7 +543,8 @@
     /// When the next turn is due though nothing comes in.
     pub fn next_at(&self) -> Nanos {
         let streams = self.stirred.iter().filter_map(|id| self.streams.get(id)?.session.next_at());
-        let times = [self.wake_at, self.channel.next_at(), self.judge.next_at(), Some(self.flush_at)];
+        let fleet = self.fleet.as_ref().map(Member::next_at);
+        let times = [fleet, self.wake_at, self.channel.next_at(), self.judge.next_at(), Some(self.flush_at)];
         times.into_iter().flatten().chain(streams).min().unwrap_or(self.flush_at)
     }
 
@@ -412,7 +562,7 @@
         self.spans.clear();
     }
 
-    pub fn status(&self) -> Status {
+    pub fn status(&self, now: Nanos) -> Status {
         let (tables, texts, bytes_made) = self.book.counts();
         let sessions = || self.streams.values().map(|stream| &stream.session);
         let count = |state| sessions().filter(|session| session.state() == state).count();
@@ -443,6 +593,20 @@
             refusals: self.refusals,
             reports_repeated,
             reports_left_out,
+            shared: self.fleet.as_ref().map(|fleet| Shared {
+                role: format!("{:?}", fleet.role()).to_lowercase(),
+                term: fleet.term(),
+                leader: fleet.leader().map(MemberId::to_string),
+                epoch: fleet.view().epoch.0,
+                members: fleet.view().members.iter().map(MemberId::to_string).collect(),
+                alive: fleet.alive().iter().map(MemberId::to_string).collect(),
+                lease: fleet
+                    .lease()
+                    .map(|(epoch, settled, until)| (epoch.0, settled, (until - now).secs() * 1e3)),
+                datagrams_sent: self.datagrams,
+                saves: self.saves,
+                sent_on: self.sent_on,
+            }),
             decided_to_swapped_ms: at(0.5)
                 .zip(at(0.99))
                 .zip(at(1.0))
@@ -467,3 +631,8 @@
     chunks.push(Bytes::from_static(b"]}"));
     chunks
 }
+
+/// The number of a table, by its name at the proxies.
+fn table_of(name: &str) -> Option<u16> {
+    name.rsplit_once("/table-")?.1.parse().ok()
+}
--- a/crates/craneknot-coordinator/src/shell.rs
+++ b/crates/craneknot-coordinator/src/shell.rs
@@ -3,25 +3,27 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::fs;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
 use bytes::Bytes;
 use craneknot::interface::{Nanos, ProbeOutcome, ServerId};
+use craneknot_fleet::raft::Saved;
+use craneknot_fleet::wire;
 use craneknot_http::{
     request, response, response_chunks, Limits as HttpLimits, RequestReader, ResponseReader,
 };
 use craneknot_reactor::{Clock, ConnId, FolderWatch, Happened, Limits, ListenerId, Reactor};
-use craneknot_settings::CoordinatorSettings;
-use craneknot_store::{replace, RealDisk};
+use craneknot_settings::{CoordinatorSettings, SharedSettings};
+use craneknot_store::{replace, RealDisk, Store, StoreError};
 use craneknot_xds::discovery::{DiscoveryRequest, Kind};
 use craneknot_xds::load::{self, LoadStatsRequest, LoadStatsResponse, Seconds};
 use craneknot_xds::orca;
 use http::{header, HeaderName, Method, Request, StatusCode};
-use tracing::{debug, info, warn};
+use tracing::{debug, error, info, warn};
 
-use crate::desk::{self, Desk, Output, StreamId};
+use crate::desk::{self, Desk, Output, Refused, StreamId};
 use crate::intake::Unheard;
 use crate::probes::{self, Probes};
 use crate::roster::Refusal;
@@ -29,6 +31,10 @@
 use crate::source::{FileRoster, RosterSource};
 
 const JSON: (HeaderName, &str) = (header::CONTENT_TYPE, "application/json");
+const SAVED: &str = "fleet/saved"; // the store's record of term, vote and history
+const LIST: &str = "roster"; // the store's record of the last list of servers
+const DATAGRAMS: usize = 2; // the number under which the socket for datagrams is watched
+const DATAGRAMS_A_TURN: usize = 256;
 const ROSTER: usize = 1; // the number under which the roster's folder is watched
 const HANG_UP: i32 = 1; // SIGHUP
 const PIPELINE: usize = 16; // requests taken ahead of their answers: three kinds, twice over, and some room
@@ -77,10 +83,47 @@
     next_stream: u64,
     turn_at: Option<Nanos>,
     read_roster: bool,
+    shared: Option<SharedEnd>,
+}
+
+/// What a shared fleet needs: the store, and a socket for datagrams.
+struct SharedEnd {
+    store: Store,
+    socket: UdpSocket,
+    members: BTreeMap<String, SocketAddr>,
 }
 
 const DISK: RealDisk = RealDisk { sync: true };
 
+impl SharedEnd {
+    fn open(settings: &SharedSettings, folder: &Path) -> io::Result<Self> {
+        let store = Store::open(&folder.join(&settings.store)).map_err(io::Error::other)?;
+        let socket = UdpSocket::bind(settings.datagrams)?;
+        socket.set_nonblocking(true)?;
+        let members = settings.members.iter().map(|member| (member.name.clone(), member.datagrams)).collect();
+        Ok(SharedEnd { store, socket, members })
+    }
+
+    fn saved(&self) -> io::Result<Saved> {
+        match self.store.get(SAVED) {
+            Some(text) => serde_json::from_slice(text).map_err(io::Error::other),
+            None => Ok(Saved::default()),
+        }
+    }
+
+    fn save(&mut self, saved: &Saved) -> Result<(), StoreError> {
+        let text = serde_json::to_vec(saved).unwrap_or_default();
+        self.store.put(&[(SAVED, Some(&text))])
+    }
+
+    fn send(&self, to: &str, text: &[u8]) {
+        if let Some(address) = self.members.get(to) {
+            // A datagram that does not leave is as good as lost, which the protocol bears.
+            let _ = self.socket.send_to(text, address);
+        }
+    }
+}
+
 impl Shell {
     /// Listens, and takes the list kept from an earlier start. `folder` is where relative paths begin.
     pub fn new(settings: CoordinatorSettings, folder: &Path, clock: Arc<dyn Clock>) -> io::Result<Self> {
@@ -108,9 +151,21 @@
                 Err(cause) => debug!(file = %path.display(), %cause, "no list is kept"),
             }
         }
+        let shared = settings.shared.as_ref().map(|shared| SharedEnd::open(shared, folder)).transpose()?;
+        let mut datagrams = None;
+        if let Some(shared) = &shared {
+            let saved = shared.saved()?;
+            desk.share(&settings, saved, seed, now);
+            if let Some(Err(refusal)) = shared.store.get(LIST).map(|list| desk.remember(now, list)) {
+                warn!(cause = %refusal, "the list in the store is of no use");
+            }
+            reactor.watch(&shared.socket, DATAGRAMS)?;
+            datagrams = Some(shared.socket.local_addr()?.to_string());
+        }
         let (listener, address) = reactor.listen(settings.listen)?;
         if let Some(path) = &settings.ready_file {
-            let text = serde_json::json!({"address": address.to_string(), "pid": std::process::id()});
+            let (address, pid) = (address.to_string(), std::process::id());
+            let text = serde_json::json!({"address": address, "datagrams": datagrams, "pid": pid});
             replace(&DISK, &folder.join(path), text.to_string().as_bytes())?;
         }
         info!(coordinator = %settings.name, %address, "listening");
@@ -130,6 +185,7 @@
             next_stream: 0,
             turn_at: None,
             read_roster: true,
+            shared,
         })
     }
 
@@ -180,6 +236,7 @@
                 }
                 Happened::Timer(Due::Turn) => self.turn_at = None,
                 Happened::Timer(Due::Sweep) => self.sweep(),
+                Happened::Ready(DATAGRAMS) => self.read_datagrams(),
                 Happened::Ready(_) => {
                     self.watch.changes()?;
                     self.read_roster = true;
@@ -203,6 +260,7 @@
         if std::mem::take(&mut self.read_roster) || self.desk.roster_due(now) {
             self.take_roster(now);
         }
+        let mut unsaved = false;
         for output in self.desk.turn(now) {
             match output {
                 Output::Answer { stream, answer, version } => self.answer(stream, answer, &version),
@@ -215,6 +273,20 @@
                 }
                 Output::Probe { server } => self.begin_probe(now, server),
                 Output::ReadRoster => self.read_roster = true,
+                Output::SendOn { stream, to } => self.send_on(stream, &to),
+                Output::Save(saved) => {
+                    let Some(shared) = &mut self.shared else { continue };
+                    if let Err(cause) = shared.save(&saved) {
+                        // What rests on it must not be sent: the others take this one for silent, and so it is.
+                        error!(%cause, "cannot save; this turn's datagrams are not sent");
+                        unsaved = true;
+                    }
+                }
+                Output::Datagram { to, text } => {
+                    if let Some(shared) = self.shared.as_ref().filter(|_| !unsaved) {
+                        shared.send(&to, &text);
+                    }
+                }
             }
         }
         let at = if self.read_roster { now } else { self.desk.next_at() };
@@ -238,6 +310,11 @@
             Ok((changed, notes)) => {
                 info!(changed, "took a list of servers");
                 notes.iter().for_each(|note| warn!(note, "set right in the list of servers"));
+                if let Some(shared) = &mut self.shared {
+                    if let Err(cause) = shared.store.put(&[(LIST, Some(&text))]) {
+                        warn!(%cause, "the list cannot be kept in the store");
+                    }
+                }
                 if let Some(kept) = &self.settings.roster.remembered {
                     if let Err(cause) = replace(&DISK, &self.folder.join(kept), &text) {
                         warn!(file = %kept.display(), %cause, "the list cannot be kept for the next start");
@@ -318,7 +395,14 @@
         } else if path == load::PATH && method == Method::POST {
             self.load_report(conn, now, message.body());
         } else if path == "/status" && method == Method::GET {
-            let body = serde_json::to_vec(&self.desk.status()).unwrap_or_default();
+            let mut status = serde_json::to_value(self.desk.status(now)).unwrap_or_default();
+            if let Some(shared) = &self.shared {
+                let health = shared.store.health();
+                status["store"] = serde_json::json!({
+                    "records": health.records, "bytes": health.bytes, "writes": health.writes, "failed": health.failed
+                });
+            }
+            let body = serde_json::to_vec(&status).unwrap_or_default();
             if message.uri().query() == Some("spans=anew") {
                 self.desk.forget_spans();
             }
@@ -385,10 +469,56 @@
                     None => {}
                 }
             }
+            Err(Refused::Elsewhere(to)) => self.point_to(conn, &to),
+            Err(refused @ Refused::NoCharge) => {
+                let again = [(header::RETRY_AFTER, "1"), (header::CONNECTION, "close")];
+                let text = refused.to_string();
+                let _ = self
+                    .reactor
+                    .send(conn, [response(StatusCode::SERVICE_UNAVAILABLE, &again, text.as_bytes())]);
+                self.gone(conn, &text);
+                self.reactor.finish(conn);
+            }
             Err(refused) => self.turn_down(conn, StatusCode::BAD_REQUEST, &refused.to_string()),
         }
     }
 
+    /// Answers what is asked with the place of the coordinator in charge, by its name, and ends the connection.
+    fn point_to(&mut self, conn: ConnId, to: &str) {
+        let place = format!("http://{to}{}", Kind::Endpoints.path());
+        let headers = [(header::LOCATION, place.as_str()), (header::CONNECTION, "close")];
+        let _ = self.reactor.send(conn, [response(StatusCode::TEMPORARY_REDIRECT, &headers, b"")]);
+        self.gone(conn, "another coordinator is in charge");
+        self.reactor.finish(conn);
+    }
+
+    fn send_on(&mut self, stream: StreamId, to: &str) {
+        let Some(conn) = self.conns.remove(&stream) else { return };
+        debug!(stream = stream.0, to, "sending on to the one in charge");
+        if let Some(peer) = self.peers.get_mut(&conn) {
+            peer.joined = false;
+        }
+        self.point_to(conn, to);
+    }
+
+    fn read_datagrams(&mut self) {
+        let now = self.reactor.now();
+        let Some(shared) = &self.shared else { return };
+        let mut buffer = vec![0; wire::LARGEST + 1];
+        for _ in 0..DATAGRAMS_A_TURN {
+            match shared.socket.recv_from(&mut buffer) {
+                Ok((length, from)) => {
+                    if let Err(cause) = self.desk.datagram(now, &buffer[..length]) {
+                        warn!(%from, cause, "a datagram that is none of ours");
+                    }
+                }
+                Err(cause) if cause.kind() == io::ErrorKind::WouldBlock => return,
+                // A fellow that does not run answers with an error on the next read.
+                Err(_) => {}
+            }
+        }
+    }
+
     fn load_report(&mut self, conn: ConnId, now: Nanos, body: &[u8]) {
         let report: LoadStatsRequest = match serde_json::from_slice(body) {
             Ok(report) => report,
--- a/crates/craneknot-fleet/src/member.rs
+++ b/crates/craneknot-fleet/src/member.rs
@@ -26,6 +26,17 @@
     pub swim: swim::Timing,
 }
 
+impl Timing {
+    /// All spans from the one that is promised: how long a lease lasts, and how wrong clocks may be.
+    pub fn of_lease(lease: Nanos, drift: f64) -> Self {
+        let part = |share: f64| Nanos((lease.0 as f64 * share) as u64);
+        Timing {
+            raft: raft::Timing { heartbeat: part(0.08), election: part(0.5), drift, lease },
+            swim: swim::Timing { period: part(0.2), answer_within: part(0.07), suspicion: part(0.5) },
+        }
+    }
+}
+
 /// What the owner is to do, in order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
--- a/crates/craneknot-rehearsal/src/auditor.rs
+++ b/crates/craneknot-rehearsal/src/auditor.rs
@@ -49,10 +49,11 @@
     ShortQueue,
     Placement,
     NoTornRead,
+    NoOlderEpoch,
 }
 
 impl Rule {
-    pub const ALL: [Rule; 7] = [
+    pub const ALL: [Rule; 8] = [
         Rule::NobodyBare,
         Rule::NoEffectTwice,
         Rule::DrainsKept,
@@ -60,6 +61,7 @@
         Rule::ShortQueue,
         Rule::Placement,
         Rule::NoTornRead,
+        Rule::NoOlderEpoch,
     ];
 
     pub fn title(self) -> &'static str {
@@ -71,6 +73,7 @@
             Rule::ShortQueue => "the queue stays short",
             Rule::Placement => "only where allowed",
             Rule::NoTornRead => "no torn table read",
+            Rule::NoOlderEpoch => "no order of a former coordinator",
         }
     }
 }
@@ -121,6 +124,11 @@
     pub torn_reads: u64,
     pub swaps: u64,
     pub never_twice_run_twice: u64,
+    /// Proxies' spans from the end of a stream to the first swap by the next one.
+    pub unled: u64,
+    pub unled_p50_ms: f64,
+    pub unled_p99_ms: f64,
+    pub unled_most_ms: f64,
 }
 
 #[derive(Clone, Debug, Default, Serialize)]
@@ -145,6 +153,8 @@
     lines: BTreeMap<usize, Vec<usize>>,
     swapped: Nanos,
     bare_since: BTreeMap<usize, Nanos>,
+    epoch: u64,
+    unled_since: Option<Nanos>,
 }
 
 #[derive(Default)]
@@ -179,6 +189,7 @@
     windows: BTreeMap<u64, (f64, f64)>,
     asked_at: HashMap<OpId, Nanos>,
     latencies: Vec<u64>,
+    unled: Vec<u64>,
     classes: BTreeMap<usize, (f64, f64)>,
     now: Nanos,
     begin: Nanos,
@@ -199,6 +210,7 @@
         windows: BTreeMap::new(),
         asked_at: HashMap::new(),
         latencies: Vec::new(),
+        unled: Vec::new(),
         classes: BTreeMap::new(),
         now: Nanos(0),
         begin: records.first().map_or(Nanos(0), |record| record.at),
@@ -262,6 +274,7 @@
                 self.look_for_bare();
                 let held = &mut self.proxies[*proxy];
                 if held.joined.is_some_and(|(of, _)| of == *coordinator) {
+                    held.unled_since = held.unled_since.or(Some(self.now));
                     held.joined = None;
                 }
                 self.look_for_bare();
@@ -278,7 +291,8 @@
                     });
                 }
             }
-            What::Swapped { proxy, lines } => {
+            What::Swapped { proxy, lines, epoch } => {
+                self.epoch(*proxy, *epoch);
                 self.judgement.service.swaps += 1;
                 self.look_for_bare();
                 let held = &mut self.proxies[*proxy];
@@ -350,6 +364,23 @@
         }
     }
 
+    /// A proxy that has followed an epoch follows none before it, also after a restart.
+    fn epoch(&mut self, proxy: usize, epoch: u64) {
+        let moment = self.moment();
+        let held = &mut self.proxies[proxy];
+        if let Some(since) = held.unled_since.filter(|_| held.joined.is_some()) {
+            held.unled_since = None;
+            self.unled.push((self.now - since).0);
+        }
+        let before = held.epoch;
+        held.epoch = before.max(epoch);
+        let verdict = self.rule(Rule::NoOlderEpoch);
+        verdict.check();
+        if epoch < before {
+            verdict.broken(|| format!("proxy {proxy} followed epoch {epoch} after {before} {moment}"));
+        }
+    }
+
     fn told(&self, proxy: usize, server: usize) -> Option<(Told, Nanos)> {
         let (coordinator, since) = self.proxies[proxy].joined?;
         let told = self.coordinators.get(&coordinator)?.told.get(server)?;
@@ -571,6 +602,14 @@
                 .map_or(0.0, |nanos| *nanos as f64 / 1e6)
         };
         (service.latency_p50_ms, service.latency_p99_ms) = (at(0.5), at(0.99));
+        self.unled.sort_unstable();
+        let unled = |part: f64| {
+            let place = (self.unled.len().saturating_sub(1) as f64 * part) as usize;
+            self.unled.get(place).map_or(0.0, |nanos| *nanos as f64 / 1e6)
+        };
+        service.unled = self.unled.len() as u64;
+        (service.unled_p50_ms, service.unled_p99_ms, service.unled_most_ms) =
+            (unled(0.5), unled(0.99), unled(1.0));
         self.judgement
     }
 }
--- a/crates/craneknot-rehearsal/src/chooser.rs
+++ b/crates/craneknot-rehearsal/src/chooser.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use craneknot::interface::{FurtherTries, LevelUnit, Nanos};
-use craneknot_xds::discovery::{read_file, FileFault, Kind};
+use craneknot_xds::discovery::{epoch_of, read_file, FileFault, Kind};
 use craneknot_xds::meaning::{self, Admission};
 use craneknot_xds::resources::{Cluster, ClusterLoadAssignment, RouteConfiguration};
 use rand::{Rng, SeedableRng};
@@ -49,6 +49,7 @@
     bound: BTreeMap<usize, String>,
     buckets: BTreeMap<usize, Bucket>,
     away: BTreeMap<usize, Away>,
+    epochs: BTreeMap<Kind, u64>,
     rng: Pcg32,
 }
 
@@ -65,6 +66,7 @@
             bound: BTreeMap::new(),
             buckets: BTreeMap::new(),
             away: BTreeMap::new(),
+            epochs: BTreeMap::new(),
             rng: Pcg32::seed_from_u64(seed),
         }
     }
@@ -76,7 +78,8 @@
         text: &[u8],
         number: &dyn Fn(&str) -> Option<usize>,
     ) -> Result<(), FileFault> {
-        let (_, response) = read_file(kind, text)?;
+        let (version, response) = read_file(kind, text)?;
+        self.epochs.insert(kind, epoch_of(&version.source));
         let wrong = |cause: serde_json::Error| FileFault::Text(cause.to_string());
         match kind {
             Kind::Endpoints => {
@@ -117,6 +120,11 @@
         Ok(())
     }
 
+    /// The epoch of the bindings that were taken up last.
+    pub fn epoch(&self) -> u64 {
+        self.epochs.get(&Kind::Clusters).copied().unwrap_or(0)
+    }
+
     fn class(&self, name: &str) -> Option<usize> {
         self.classes.iter().position(|class| class == name)
     }
--- a/crates/craneknot-rehearsal/src/conduct.rs
+++ b/crates/craneknot-rehearsal/src/conduct.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fs;
 use std::io::{self, Write};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
@@ -15,7 +15,8 @@
 use craneknot_http::{request, Limits as HttpLimits, ResponseReader};
 use craneknot_reactor::{Clock, ConnId, Happened, Limits, Reactor, SteadyClock};
 use craneknot_settings::{
-    AgentSettings, CoordinatorSettings, NodeSettings, ProbeSettings, RosterSettings, Span, StreamSettings,
+    AgentSettings, CoordinatorAddress, CoordinatorSettings, MemberSettings, NodeSettings, ProbeSettings,
+    RosterSettings, SharedSettings, Span, StreamSettings,
 };
 use craneknot_store::{replace, RealDisk};
 use http::Method;
@@ -137,6 +138,35 @@
     asking: HashMap<ConnId, (usize, ResponseReader)>,
     status: BTreeMap<usize, serde_json::Value>,
     begin: Nanos,
+    mail: Mail,
+    /// Which coordinator led when a leader was struck.
+    struck: BTreeMap<usize, usize>,
+}
+
+/// Sockets between coordinators: what one sends to another goes through one of them, and may get lost there.
+#[derive(Default)]
+struct Mail {
+    sockets: Vec<UdpSocket>,
+    /// From whom and to whom.
+    ways: Vec<(usize, usize)>,
+    /// Where each coordinator's datagrams come in, as far as it runs.
+    places: BTreeMap<usize, SocketAddr>,
+    mute: BTreeSet<usize>,
+    deaf: BTreeSet<usize>,
+}
+
+impl Mail {
+    /// Passes on what has come on a way.
+    fn pass(&self, way: usize) {
+        let (from, to) = self.ways[way];
+        let lost = self.mute.contains(&from) || self.deaf.contains(&to);
+        let mut buffer = vec![0; 64 * 1024];
+        while let Ok((length, _)) = self.sockets[way].recv_from(&mut buffer) {
+            if let Some(place) = self.places.get(&to).filter(|_| !lost) {
+                let _ = self.sockets[way].send_to(&buffer[..length], place);
+            }
+        }
+    }
 }
 
 /// Settings of a coordinator of the script.
@@ -161,6 +191,7 @@
         report_period: script.report_period,
         probes: ProbeSettings { enabled: true, path: "/healthz".to_owned(), time_out: script.probe_time_out },
         streams: StreamSettings::default(),
+        shared: None,
     }
 }
 
@@ -283,10 +314,15 @@
             asking: HashMap::new(),
             status: BTreeMap::new(),
             begin: Nanos(0),
+            mail: Mail::default(),
+            struck: BTreeMap::new(),
         };
         stage.write_roster()?;
         for coordinator in 0..script.coordinators as usize {
-            let settings = coordinator_settings(script, coordinator);
+            let mut settings = coordinator_settings(script, coordinator);
+            if let Some(shared) = &script.shared {
+                settings.shared = Some(stage.members(coordinator, shared.lease)?);
+            }
             write_settings(&stage.coordinator_file(coordinator), &settings)?;
             stage.start_coordinator(coordinator)?;
         }
@@ -320,6 +356,66 @@
     fn coordinator_listens(&mut self, coordinator: usize, address: SocketAddr) {
         self.addresses.insert(coordinator, address);
         self.relays.set(coordinator, Some(address));
+        let ready =
+            fs::read(self.coordinator_file(coordinator).with_extension("ready.json")).unwrap_or_default();
+        let ready: serde_json::Value = serde_json::from_slice(&ready).unwrap_or_default();
+        let place = ready.get("datagrams").and_then(|place| place.as_str()?.parse().ok());
+        if let Some(place) = place {
+            self.mail.places.insert(coordinator, place);
+        }
+    }
+
+    /// The members of a shared fleet as one of them is told: every other one behind a socket of ours.
+    fn members(&mut self, of: usize, lease: Span) -> io::Result<SharedSettings> {
+        let mut members = Vec::new();
+        for to in 0..self.script.coordinators as usize {
+            let socket = UdpSocket::bind(loopback())?;
+            socket.set_nonblocking(true)?;
+            members
+                .push(MemberSettings { name: format!("coordinator-{to}"), datagrams: socket.local_addr()? });
+            self.reactor.watch(&socket, self.mail.sockets.len())?;
+            self.mail.sockets.push(socket);
+            self.mail.ways.push((of, to));
+        }
+        let store = PathBuf::from(format!("coordinator-{of}.store"));
+        Ok(SharedSettings { members, datagrams: loopback(), store, lease, drift: 0.01 })
+    }
+
+    /// The coordinator that says that it leads, in the latest term; the first that runs where none does.
+    fn leader(&self) -> Option<usize> {
+        let term = |(coordinator, status): (&usize, &serde_json::Value)| {
+            let shared = status.get("shared")?;
+            let leads =
+                shared.get("role")?.as_str()? == "leader" && self.coordinators.contains_key(coordinator);
+            leads.then_some((shared.get("term")?.as_u64()?, *coordinator))
+        };
+        let led = self.status.iter().filter_map(term).max().map(|(_, coordinator)| coordinator);
+        led.or(self.coordinators.keys().next().copied())
+    }
+
+    fn kill_coordinator(&mut self, coordinator: usize) {
+        if let Some(process) = self.coordinators.remove(&coordinator) {
+            process.kill();
+            self.relays.set(coordinator, None);
+            self.addresses.remove(&coordinator);
+            self.mail.places.remove(&coordinator);
+            self.log.add(self.reactor.now(), What::Coordinator { coordinator, up: false });
+        }
+    }
+
+    fn raise_coordinator(&mut self, coordinator: usize) -> io::Result<()> {
+        if !self.coordinators.contains_key(&coordinator) {
+            self.start_coordinator(coordinator)?;
+            self.look_for(coordinator);
+        }
+        Ok(())
+    }
+
+    fn stall_coordinator(&mut self, coordinator: usize, on: bool) {
+        if let Some(process) = self.coordinators.get(&coordinator) {
+            process.signal(if on { Signal::STOP } else { Signal::CONT });
+            self.log.add(self.reactor.now(), What::Stalled { coordinator, on });
+        }
     }
 
     /// The coordinators of an agent: those of its own zone first, else dealt in turn.
@@ -328,7 +424,10 @@
         let count = self.script.coordinators as usize;
         let mut order: Vec<usize> = (0..count).map(|k| (k + proxy) % count).collect();
         order.sort_by_key(|coordinator| self.plan.coordinator_zones[*coordinator] != zone);
-        let relays = order.into_iter().map(|c| self.relays.add(&mut self.reactor, proxy, c));
+        let relays = order.into_iter().map(|c| {
+            let address = self.relays.add(&mut self.reactor, proxy, c)?;
+            Ok(CoordinatorAddress::Named { name: format!("coordinator-{c}"), address })
+        });
         let settings = AgentSettings {
             nodes: vec![NodeSettings {
                 id: proxy_name(proxy),
@@ -410,10 +509,8 @@
                     Happened::Timer(Due::Status) => self.ask_status(),
                     Happened::Timer(Due::Act(place)) => self.act(place)?,
                     Happened::Timer(Due::Ready(coordinator)) => self.look_for(coordinator),
-                    Happened::Connected { .. }
-                    | Happened::Flushed { .. }
-                    | Happened::Ready(_)
-                    | Happened::Signal(_) => {}
+                    Happened::Ready(way) => self.mail.pass(way),
+                    Happened::Connected { .. } | Happened::Flushed { .. } | Happened::Signal(_) => {}
                 }
             }
         }
@@ -453,24 +550,42 @@
             FleetAct::Unreach { proxies, coordinators, on } => {
                 self.relays.unreach(&mut self.reactor, &mut self.log, &proxies, &coordinators, on);
             }
-            FleetAct::KillCoordinator(coordinator) => {
-                if let Some(process) = self.coordinators.remove(&coordinator) {
-                    process.kill();
-                    self.relays.set(coordinator, None);
-                    self.addresses.remove(&coordinator);
-                    self.log.add(self.reactor.now(), What::Coordinator { coordinator, up: false });
+            FleetAct::KillCoordinator(coordinator) => self.kill_coordinator(coordinator),
+            FleetAct::StartCoordinator(coordinator) => self.raise_coordinator(coordinator)?,
+            FleetAct::StallCoordinator(coordinator, on) => self.stall_coordinator(coordinator, on),
+            FleetAct::KillLeader(slot) => {
+                if let Some(leader) = self.leader() {
+                    self.struck.insert(slot, leader);
+                    self.kill_coordinator(leader);
                 }
             }
-            FleetAct::StartCoordinator(coordinator) => {
-                self.start_coordinator(coordinator)?;
-                self.look_for(coordinator);
+            FleetAct::StartLeader(slot) => {
+                if let Some(leader) = self.struck.remove(&slot) {
+                    self.raise_coordinator(leader)?;
+                }
             }
-            FleetAct::StallCoordinator(coordinator, on) => {
-                if let Some(process) = self.coordinators.get(&coordinator) {
-                    process.signal(if on { Signal::STOP } else { Signal::CONT });
-                    self.log.add(now, What::Stalled { coordinator, on });
+            FleetAct::StallLeader(slot) => {
+                if let Some(leader) = self.leader() {
+                    self.struck.insert(slot, leader);
+                    self.stall_coordinator(leader, true);
                 }
             }
+            FleetAct::ContinueLeader(slot) => {
+                if let Some(leader) = self.struck.remove(&slot) {
+                    self.stall_coordinator(leader, false);
+                }
+            }
+            FleetAct::Cut { coordinator, sends, gets } => {
+                let set = |of: &mut BTreeSet<usize>, on: bool| {
+                    if on {
+                        of.insert(coordinator);
+                    } else {
+                        of.remove(&coordinator);
+                    }
+                };
+                set(&mut self.mail.mute, sends);
+                set(&mut self.mail.deaf, gets);
+            }
             FleetAct::KillAgent(proxy) => {
                 if let Some(process) = self.agents.remove(&proxy) {
                     process.kill();
--- a/crates/craneknot-rehearsal/src/measure.rs
+++ b/crates/craneknot-rehearsal/src/measure.rs
@@ -16,8 +16,8 @@
 use craneknot_coordinator::roster::{Entry, Roster, ServerState};
 use craneknot_reactor::{Clock, SteadyClock};
 use craneknot_settings::{
-    AgentSettings, ChannelSettings, ClassSettings, CoordinatorSettings, FleetSettings, LevelUnit,
-    NodeSettings, ProbeSettings, Repeats, RosterSettings, RuleSettings, Span, StreamSettings,
+    AgentSettings, ChannelSettings, ClassSettings, CoordinatorAddress, CoordinatorSettings, FleetSettings,
+    LevelUnit, NodeSettings, ProbeSettings, Repeats, RosterSettings, RuleSettings, Span, StreamSettings,
 };
 use craneknot_store::{replace, RealDisk};
 use craneknot_xds::discovery::Kind;
@@ -127,6 +127,7 @@
         report_period: Span::millis(1_000),
         probes: ProbeSettings { enabled: false, path: "/healthz".to_owned(), time_out: Span::millis(500) },
         streams: StreamSettings::default(),
+        shared: None,
     }
 }
 
@@ -296,7 +297,7 @@
     };
     let settings = AgentSettings {
         nodes: mine.map(node).collect(),
-        coordinators: vec![address],
+        coordinators: vec![CoordinatorAddress::Plain(address)],
         listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
         ready_file: None,
         redial_least: Span::millis(200),
--- a/crates/craneknot-rehearsal/src/plan.rs
+++ b/crates/craneknot-rehearsal/src/plan.rs
@@ -64,6 +64,17 @@
     KillCoordinator(usize),
     StartCoordinator(usize),
     StallCoordinator(usize, bool),
+    /// Whoever leads, by the number of the act that ends it.
+    KillLeader(usize),
+    StartLeader(usize),
+    StallLeader(usize),
+    ContinueLeader(usize),
+    /// Datagrams of some coordinator get lost: those it sends, those it gets.
+    Cut {
+        coordinator: usize,
+        sends: bool,
+        gets: bool,
+    },
     KillAgent(usize),
     StartAgent(usize),
 }
@@ -85,6 +96,8 @@
     pub fleet_acts: Vec<(Nanos, FleetAct)>,
     /// Factor of traffic from that moment on.
     pub rates: Vec<(Nanos, f64)>,
+    /// Times a leader is struck.
+    pub leaders: usize,
     /// The zone a coordinator stands in.
     pub coordinator_zones: Vec<String>,
 }
@@ -281,6 +294,21 @@
                     self.plan.fleet_acts.push((end, FleetAct::StartAgent(proxy)));
                 }
             }
+            TroubleKind::LeaderKilled | TroubleKind::LeaderStalled => {
+                let slot = self.plan.leaders;
+                self.plan.leaders += 1;
+                let (strike, end_act) = match trouble.kind {
+                    TroubleKind::LeaderKilled => (FleetAct::KillLeader(slot), FleetAct::StartLeader(slot)),
+                    _ => (FleetAct::StallLeader(slot), FleetAct::ContinueLeader(slot)),
+                };
+                self.plan.fleet_acts.extend([(at, strike), (end, end_act)]);
+            }
+            TroubleKind::CoordinatorCut | TroubleKind::CoordinatorMute => {
+                let coordinator = self.rng.random_range(0..self.script.coordinators as usize);
+                let gets = trouble.kind == TroubleKind::CoordinatorCut;
+                let act = |sends, gets| FleetAct::Cut { coordinator, sends, gets };
+                self.plan.fleet_acts.extend([(at, act(true, gets)), (end, act(false, false))]);
+            }
             TroubleKind::CoordinatorKilled => {
                 for coordinator in self.coordinators(trouble) {
                     self.plan.fleet_acts.push((at, FleetAct::KillCoordinator(coordinator)));
--- a/crates/craneknot-rehearsal/src/proxies.rs
+++ b/crates/craneknot-rehearsal/src/proxies.rs
@@ -354,11 +354,14 @@
             Due::Act(place) => self.act(place),
             Due::Rate(place) => self.factor = self.rates[place].1,
             Due::NextOperation => {
+                // From the moment it was due, not from now: a late loop must not thin out the traffic.
+                let mut due = now;
                 if let Some(operation) = self.upcoming.take() {
+                    due = operation.asked;
                     self.log.add(now, What::Asked { op: operation.id, class: operation.class });
                     self.ask(operation);
                 }
-                self.plan_next(now);
+                self.plan_next(due);
             }
             Due::ClientOver(number) => self.client_done(number, Answer::Silent, true),
             Due::ClientAgain(operation) => self.ask(*operation),
@@ -414,7 +417,9 @@
         let torn =
             texts.into_iter().rev().find_map(|(kind, text)| held.chooser.take_up(kind, &text, &number).err());
         match torn {
-            None => self.log.add(now, What::Swapped { proxy, lines: held.chooser.lines() }),
+            None => self
+                .log
+                .add(now, What::Swapped { proxy, lines: held.chooser.lines(), epoch: held.chooser.epoch() }),
             Some(fault) => self.log.add(now, What::Torn { proxy, cause: fault.to_string() }),
         }
     }
@@ -958,7 +963,7 @@
         if self.script.plants.contains(&Plant::Bare) {
             let classes = self.script.classes.iter().map(|class| class.name.clone()).collect();
             self.proxies[0].chooser = Chooser::new(classes, 0, Nanos(0), 1);
-            self.log.add(now, What::Swapped { proxy: 0, lines: BTreeMap::new() });
+            self.log.add(now, What::Swapped { proxy: 0, lines: BTreeMap::new(), epoch: u64::MAX });
         }
         if self.script.plants.contains(&Plant::Torn) {
             let path = self.proxies[0].folder.join(Kind::Endpoints.file());
--- a/crates/craneknot-rehearsal/src/record.rs
+++ b/crates/craneknot-rehearsal/src/record.rs
@@ -68,6 +68,7 @@
     Swapped {
         proxy: usize,
         lines: BTreeMap<usize, Vec<usize>>,
+        epoch: u64,
     },
     /// A file that the proxy read was not whole.
     Torn {
--- a/crates/craneknot-rehearsal/src/report.rs
+++ b/crates/craneknot-rehearsal/src/report.rs
@@ -81,6 +81,13 @@
             "service {:.3} by importance, worst 10 s {:.3}; answers p50 {:.0} ms, p99 {:.0} ms; {} table swaps, {} torn reads, {} run twice",
             s.service, s.worst_window, s.latency_p50_ms, s.latency_p99_ms, s.swaps, s.torn_reads, s.never_twice_run_twice
         );
+        if s.unled > 0 {
+            let _ = writeln!(
+                text,
+                "{} streams ended and were followed by another: p50 {:.0} ms, p99 {:.0} ms, longest {:.0} ms to the next swap",
+                s.unled, s.unled_p50_ms, s.unled_p99_ms, s.unled_most_ms
+            );
+        }
         text
     }
 }
--- a/crates/craneknot-rehearsal/src/script.rs
+++ b/crates/craneknot-rehearsal/src/script.rs
@@ -115,6 +115,14 @@
     ProxyKilled,
     /// Coordinators are killed, and come back at the end.
     CoordinatorKilled,
+    /// The coordinator that leads is killed, and comes back at the end.
+    LeaderKilled,
+    /// The coordinator that leads stands still for the whole length, and then goes on.
+    LeaderStalled,
+    /// One coordinator neither hears the others nor is heard; proxies reach it as ever.
+    CoordinatorCut,
+    /// One coordinator hears the others, and is not heard.
+    CoordinatorMute,
     /// Agents are killed, and come back at the end; their proxies go on.
     AgentKilled,
     /// Proxies stand still again and again, for `strength` seconds each time.
@@ -214,6 +222,16 @@
     pub troubles: Vec<Trouble>,
     #[serde(default)]
     pub plants: Vec<Plant>,
+    /// The coordinators share one fleet and take over from one another; left out: each keeps to its own proxies.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub shared: Option<SharedFleet>,
+}
+
+/// Coordinators that share one fleet.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct SharedFleet {
+    pub lease: Span,
 }
 
 const BUILT_IN: &str = include_str!("built_in.json");
--- a/crates/craneknot-settings/src/agent.rs
+++ b/crates/craneknot-settings/src/agent.rs
@@ -26,6 +26,33 @@
     pub folder: PathBuf,
 }
 
+/// Where a coordinator listens; its name, where coordinators that share a fleet send agents to one another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(untagged)]
+pub enum CoordinatorAddress {
+    Plain(#[schemars(with = "String")] SocketAddr),
+    Named {
+        name: String,
+        #[schemars(with = "String")]
+        address: SocketAddr,
+    },
+}
+
+impl CoordinatorAddress {
+    pub fn address(&self) -> SocketAddr {
+        match self {
+            CoordinatorAddress::Plain(address) | CoordinatorAddress::Named { address, .. } => *address,
+        }
+    }
+
+    pub fn name(&self) -> Option<&str> {
+        match self {
+            CoordinatorAddress::Plain(_) => None,
+            CoordinatorAddress::Named { name, .. } => Some(name),
+        }
+    }
+}
+
 fn one() -> f64 {
     1.0
 }
@@ -37,8 +64,8 @@
     #[schemars(length(min = 1))]
     pub nodes: Vec<NodeSettings>,
     /// In order of preference; the agent follows one at a time.
-    #[schemars(with = "Vec<String>", length(min = 1))]
-    pub coordinators: Vec<SocketAddr>,
+    #[schemars(length(min = 1))]
+    pub coordinators: Vec<CoordinatorAddress>,
     /// Where proxies send their load reports; port 0: any free one.
     #[schemars(with = "String")]
     pub listen: SocketAddr,
--- a/crates/craneknot-settings/src/coordinator.rs
+++ b/crates/craneknot-settings/src/coordinator.rs
@@ -181,6 +181,47 @@
     }
 }
 
+/// A fellow coordinator, or this one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct MemberSettings {
+    /// Its own settings' name.
+    #[schemars(length(min = 1, max = 64))]
+    pub name: String,
+    /// Where its datagrams go.
+    #[schemars(with = "String")]
+    pub datagrams: SocketAddr,
+}
+
+/// Several coordinators that share one fleet and take over from one another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct SharedSettings {
+    /// All of them, this one included; the same everywhere. An odd number bears the most losses.
+    #[schemars(length(min = 1, max = 31))]
+    pub members: Vec<MemberSettings>,
+    /// Where this one's datagrams come in; port 0: any free one, told in the ready file.
+    #[schemars(with = "String")]
+    pub datagrams: SocketAddr,
+    /// Term, vote, history and the last list are kept here. Relative to the settings' folder.
+    pub store: PathBuf,
+    /// How long a coordinator may act without the leader's word: the longer, the calmer, and the later a takeover.
+    #[serde(default = "two_seconds")]
+    pub lease: Span,
+    /// Clocks run at most this much faster or slower than true time, as a share.
+    #[schemars(range(min = 0.0, max = 0.2))]
+    #[serde(default = "hundredth")]
+    pub drift: f64,
+}
+
+fn two_seconds() -> Span {
+    Span::millis(2_000)
+}
+
+fn hundredth() -> f64 {
+    0.01
+}
+
 /// A coordinator.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -206,6 +247,9 @@
     pub probes: ProbeSettings,
     #[serde(default)]
     pub streams: StreamSettings,
+    /// Left out: it shares its fleet with no one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub shared: Option<SharedSettings>,
 }
 
 /// Zones, kinds and classes by their names.
@@ -392,6 +436,26 @@
                 "give the span that message_limit is for",
             ));
         }
+        if let Some(shared) = &self.shared {
+            found
+                .extend(doubles("/shared/members", shared.members.iter().map(|member| member.name.as_str())));
+            if !shared.members.iter().any(|member| member.name == self.name) {
+                let what = format!("{:?} itself is not among them", self.name);
+                found.push(Problem::new("/shared/members", what, "name every coordinator, this one too"));
+            }
+            if shared.members.len() != self.fleet.coordinators as usize {
+                let what =
+                    format!("{} members, but {} coordinators", shared.members.len(), self.fleet.coordinators);
+                found.push(Problem::new("/shared/members", what, "make /fleet/coordinators their number"));
+            }
+            if shared.lease < Span::millis(100) {
+                found.push(Problem::new(
+                    "/shared/lease",
+                    "is under 100ms",
+                    "give what a few datagrams' ways take, many times",
+                ));
+            }
+        }
         if !self.probes.path.starts_with('/') {
             found.push(Problem::new(
                 "/probes/path",
--- a/crates/craneknot-settings/src/lib.rs
+++ b/crates/craneknot-settings/src/lib.rs
@@ -6,10 +6,10 @@
 mod coordinator;
 mod span;
 
-pub use agent::{AgentSettings, NodeSettings};
+pub use agent::{AgentSettings, CoordinatorAddress, NodeSettings};
 pub use check::{load, parse, schema_text, Check, Problem, Problems};
 pub use coordinator::{
-    ChannelSettings, ClassSettings, CoordinatorSettings, FleetSettings, LevelUnit, Names, ProbeSettings,
-    Repeats, RosterSettings, RuleSettings, StreamSettings,
+    ChannelSettings, ClassSettings, CoordinatorSettings, FleetSettings, LevelUnit, MemberSettings, Names,
+    ProbeSettings, Repeats, RosterSettings, RuleSettings, SharedSettings, StreamSettings,
 };
 pub use span::Span;
--- a/crates/craneknot-store/src/records.rs
+++ b/crates/craneknot-store/src/records.rs
@@ -128,7 +128,9 @@
         })?;
         for (name, value) in read {
             match value.split_at_checked(SUM) {
-                Some((sum, value)) if sum == checksum(&name, value) => self.records.insert(name, value.to_vec()),
+                Some((sum, value)) if sum == checksum(&name, value) => {
+                    self.records.insert(name, value.to_vec())
+                }
                 Some(_) | None => {
                     return Err(StoreError::Damaged {
                         what: format!("record {name:?} is not as it was written"),
--- a/crates/craneknot-xds/src/discovery.rs
+++ b/crates/craneknot-xds/src/discovery.rs
@@ -96,6 +96,11 @@
 }
 
 impl Status {
+    /// `FAILED_PRECONDITION`: an order of an older epoch than one that was followed.
+    pub fn outdated(message: impl Into<String>) -> Self {
+        Status { code: 9, message: message.into() }
+    }
+
     /// `INVALID_ARGUMENT`.
     pub fn invalid(message: impl Into<String>) -> Self {
         Status { code: 3, message: message.into() }
@@ -165,6 +170,21 @@
     }
 }
 
+/// A source's name with the epoch of its orders; epoch 0 stands alone.
+pub fn source_in(epoch: u64, source: &str) -> String {
+    if epoch == 0 {
+        source.to_owned()
+    } else {
+        format!("e{epoch}:{source}")
+    }
+}
+
+/// The epoch of a version or a source; 0 where it names none.
+pub fn epoch_of(version: &str) -> u64 {
+    let told = version.strip_prefix('e').and_then(|rest| rest.split_once(':'));
+    told.and_then(|(digits, _)| digits.parse().ok()).unwrap_or(0)
+}
+
 /// The checksum (XXH3) of resources as they stand in a file.
 pub fn checksum<'a>(resources: impl Iterator<Item = &'a str>) -> u64 {
     let mut text = String::new();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -222,6 +222,12 @@
         zone: ZoneId,
         usual_rate: f64,
     },
+    /// A proxy that has joined already follows that table of a former controller's.
+    ProxyHolds {
+        proxy: ProxyId,
+        class: ClassId,
+        table: TableId,
+    },
     ProxyLeft {
         proxy: ProxyId,
     },
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -177,6 +177,14 @@
                 self.proxies.insert(*proxy, joined);
                 self.steps_left = STEPS;
             }
+            Event::ProxyHolds { proxy, class, table } => {
+                // A takeover is no change of membership: bindings stay where they stand.
+                let group = Some(usize::from(table.0) / PLACES).filter(|group| *group < self.groups.len());
+                let bindings = self.proxies.get_mut(proxy).map(|proxy| &mut proxy.bindings);
+                if let Some(binding) = bindings.and_then(|all| all.get_mut(usize::from(class.0))) {
+                    binding.group = group;
+                }
+            }
             Event::ProxyLeft { proxy } => {
                 self.proxies.remove(proxy);
                 self.steps_left = STEPS;
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -230,3 +230,23 @@
     let level = level(&world, 1, 0);
     assert!(level >= 1.5, "one operation a second and proxy, at a cap of {level}");
 }
+
+/// Guards a takeover: bindings that a former controller made stand, though another group has less load.
+#[test]
+fn bindings_of_a_former_controller_stand() {
+    let mut world = World::new(settings(LevelUnit::Rate), 3, 16);
+    let table_of = |world: &World, proxy| world.bound.get(&(ProxyId(proxy), 0)).copied();
+    world.step(0.1, &[World::join(0)]);
+    world.step(1.0, &[Event::Woken]);
+    let first = table_of(&world, 0).unwrap();
+    // The next one would go to another group, since the first is loaded; it holds the first's table and keeps it.
+    let holds = Event::ProxyHolds { proxy: ProxyId(2), class: ClassId(0), table: first };
+    world.step(0.1, &[World::join(2), holds]);
+    world.step(1.0, &[Event::Woken]);
+    assert_eq!(table_of(&world, 2), Some(first));
+    // A table that no group has is of no use: the proxy is bound as any other.
+    let nowhere = Event::ProxyHolds { proxy: ProxyId(4), class: ClassId(0), table: TableId(60_000) };
+    world.step(0.1, &[World::join(4), nowhere]);
+    world.step(1.0, &[Event::Woken]);
+    assert!(table_of(&world, 4).is_some_and(|table| table != TableId(60_000)));
+}
