--- a/crates/craneknot-agent/src/hold.rs
+++ b/crates/craneknot-agent/src/hold.rs
@@ -97,6 +97,16 @@
         clusters.map(|(class, held)| (class.clone(), held.table.clone())).collect()
     }
 
+    /// Prints of what a coordinator that takes over need not send again: by table its lines and its levels.
+    pub fn prints(&self) -> BTreeMap<String, (String, String)> {
+        let text = |kind: Kind, table: &String| {
+            let held = self.contents.get(&kind).and_then(|contents| contents.get(table));
+            held.map_or(String::new(), |held| discovery::print_of(held.text.as_bytes()))
+        };
+        let tables = self.bound().into_values();
+        tables.map(|t| (t.clone(), (text(Kind::Endpoints, &t), text(Kind::Routes, &t)))).collect()
+    }
+
     fn of(&self, kind: Kind) -> Contents {
         self.contents.get(&kind).cloned().unwrap_or_default()
     }
--- a/crates/craneknot-agent/src/shell.rs
+++ b/crates/craneknot-agent/src/shell.rs
@@ -344,6 +344,7 @@
                 ("usual_rate".to_owned(), node.usual_rate.into()),
                 // What it follows now: one that takes over need not move it.
                 ("bound".to_owned(), serde_json::json!(self.followers[place].holding.bound())),
+                ("prints".to_owned(), serde_json::json!(self.followers[place].holding.prints())),
             ]),
         }
     }
@@ -485,8 +486,9 @@
         };
         let (closed, cluster_stats) = follower.sums.close(now);
         follower.reports_since = Some(now);
-        let mut node = self.node(place);
-        node.metadata.insert(CLOSED_AT.to_owned(), closed.into());
+        let id = self.followers[place].node.id.clone();
+        let metadata = BTreeMap::from([(CLOSED_AT.to_owned(), closed.into())]);
+        let node = Node { id, metadata, ..Node::default() };
         let body =
             serde_json::to_vec(&LoadStatsRequest { node: Some(node), cluster_stats }).unwrap_or_default();
         let sent =
--- a/crates/craneknot-coordinator/src/book.rs
+++ b/crates/craneknot-coordinator/src/book.rs
@@ -80,7 +80,8 @@
 }
 
 pub struct Book {
-    /// Part of every table's name: tables of two coordinators, or of two lives of one, are never taken for another.
+    /// Part of every table's name. Where coordinators share nothing it names this one's life, so that tables of two are
+    /// never taken for one another; where they share a fleet it is the same for all, whose tables are numbered alike.
     source: String,
     classes: Vec<String>,
     unit: LevelUnit,
@@ -237,6 +238,26 @@
         }
     }
 
+    /// Lines that a part of a table costs.
+    pub fn lines_of(&self, kind: Kind, table: TableId) -> f64 {
+        let lines = self.tables.get(&table).map_or(0, |held| match kind {
+            Kind::Endpoints => held.lines.len(),
+            Kind::Routes => held.levels.len(),
+            Kind::Clusters => 0,
+        });
+        lines as f64
+    }
+
+    /// The name that a table has at the proxies.
+    pub fn name_of(&self, table: TableId) -> String {
+        table_name(&self.source, table)
+    }
+
+    /// Tables are named anew from now on; to be said before any is made.
+    pub fn set_source(&mut self, source: String) {
+        self.source = source;
+    }
+
     /// Every class of the proxy has a table: only then can all its bindings be told as one.
     pub fn is_complete(&self, proxy: ProxyId) -> bool {
         self.bound.get(&proxy).is_some_and(|bound| bound.iter().all(Option::is_some))
--- a/crates/craneknot-coordinator/src/desk.rs
+++ b/crates/craneknot-coordinator/src/desk.rs
@@ -13,11 +13,11 @@
 use craneknot_fleet::wire::Datagram;
 use craneknot_fleet::MemberId;
 use craneknot_settings::{CoordinatorSettings, Names};
-use craneknot_xds::discovery::{epoch_of, source_in, DiscoveryRequest, Kind, Node};
+use craneknot_xds::discovery::{epoch_of, print_of, source_in, DiscoveryRequest, Kind, Node};
 use craneknot_xds::load::LoadStatsRequest;
 use serde::Serialize;
 
-use crate::book::{Book, Message};
+use crate::book::{Book, Message, Parts};
 use crate::channel::Channel;
 use crate::ids::Ids;
 use crate::intake::{Intake, Unheard};
@@ -102,6 +102,21 @@
     session: Session,
     /// Since when it is not known to be in our charge.
     unsure: Option<Nanos>,
+    /// Prints of what the proxy held when it joined, until we have ordered it: by table its lines and levels.
+    holds: BTreeMap<String, (String, String)>,
+}
+
+impl Stream {
+    /// Whether the proxy holds that text already; asked once, since from then on it holds what we sent.
+    fn holds(&mut self, table: &str, kind: Kind, print: impl FnOnce() -> String) -> bool {
+        let Some(prints) = self.holds.get_mut(table) else { return false };
+        let held = match kind {
+            Kind::Endpoints => std::mem::take(&mut prints.0),
+            Kind::Routes => std::mem::take(&mut prints.1),
+            Kind::Clusters => return false,
+        };
+        !held.is_empty() && held == print()
+    }
 }
 
 /// Figures for `status`.
@@ -152,6 +167,8 @@
     pub datagrams_sent: u64,
     pub saves: u64,
     pub sent_on: u64,
+    /// What proxies held already when they joined, and so was not sent: parts, lines, bytes.
+    pub spared: (u64, f64, u64),
 }
 
 pub struct Desk {
@@ -182,6 +199,8 @@
     fleet: Option<Member>,
     /// What proxies have accepted since it was last kept.
     accepted: BTreeMap<ProxyId, String>,
+    /// Parts, lines and bytes that proxies held already.
+    spared: (u64, f64, u64),
     datagrams: u64,
     saves: u64,
     sent_on: u64,
@@ -227,6 +246,7 @@
             bytes_sent: 0,
             fleet: None,
             accepted: BTreeMap::new(),
+            spared: (0, 0.0, 0),
             datagrams: 0,
             saves: 0,
             sent_on: 0,
@@ -237,6 +257,10 @@
     pub fn share(&mut self, settings: &CoordinatorSettings, saved: Saved, seed: u64, now: Nanos) {
         let Some(shared) = &settings.shared else { return };
         let members = shared.members.iter().map(|member| MemberId::new(&member.name)).collect();
+        // Placements within a proxy's own zone are numbered as they are met: such tables are not numbered alike.
+        if !settings.fleet.classes.iter().any(|class| class.home_only) {
+            self.book.set_source("fleet".to_owned());
+        }
         let timing = member::Timing::of_lease(shared.lease.0, shared.drift);
         // The date in milliseconds: later than that of any earlier life, and refuted where it is not.
         let incarnation = now.0 / 1_000_000;
@@ -414,10 +438,12 @@
             self.leave(now, old);
             self.outputs.push(Output::Break { stream: old, cause: "its proxy has joined anew".into() });
         }
+        let holds = node.metadata.get("prints").filter(|_| self.fleet.is_some());
+        let holds = holds.and_then(|prints| serde_json::from_value(prints.clone()).ok()).unwrap_or_default();
         let rate = node.metadata.get("usual_rate").and_then(|value| value.as_f64());
         let usual_rate = rate.filter(|rate| rate.is_finite()).unwrap_or(1.0).clamp(0.0, RATE_MOST);
         self.book.join(proxy);
-        self.streams.insert(id, Stream { proxy, zone, session: Session::new(now), unsure: None });
+        self.streams.insert(id, Stream { proxy, zone, session: Session::new(now), unsure: None, holds });
         self.of_proxy.insert(proxy, id);
         self.events.push(Event::ProxyJoined { proxy, zone, usual_rate });
         // Tables of a former coordinator of this fleet are numbered as ours are: its bindings can stand.
@@ -514,12 +540,41 @@
                 Order::Line { .. } | Order::Bind { .. } | Order::Level { .. } | Order::Mark { .. } => {}
             }
         }
-        for message in self.book.apply(now, &orders) {
-            let Some(id) = self.of_proxy.get(&message.proxy) else { continue };
+        for mut message in self.book.apply(now, &orders) {
+            let Some(id) = self.of_proxy.get(&message.proxy).copied() else { continue };
+            self.spare(id, &mut message);
+            if message.parts.is_empty() {
+                // All of it is there: a mark is as good as answered.
+                self.events.extend(message.mark.map(|mark| Event::Applied { proxy: message.proxy, mark }));
+                continue;
+            }
             self.messages += 1;
             self.lines += message.lines;
-            self.channel.offer(now, message.lines, (*id, message));
+            self.channel.offer(now, message.lines, (id, message));
+        }
+    }
+
+    /// Takes out of a message what the proxy holds already, from a former coordinator of this fleet.
+    fn spare(&mut self, id: StreamId, message: &mut Message) {
+        let Some(stream) = self.streams.get_mut(&id).filter(|stream| !stream.holds.is_empty()) else {
+            return;
+        };
+        let (mut lines, mut bytes, mut parts) = (0.0, 0, 0);
+        let Parts { endpoints, routes, clusters: _ } = &mut message.parts;
+        for (kind, texts) in [(Kind::Endpoints, endpoints), (Kind::Routes, routes)] {
+            texts.retain(|table, text| {
+                let held = stream.holds(&self.book.name_of(*table), kind, || print_of(text));
+                if held {
+                    lines += self.book.lines_of(kind, *table);
+                    bytes += text.len() as u64;
+                    parts += 1;
+                }
+                !held
+            });
         }
+        // Bindings are always sent: with them the proxy learns the epoch, and follows none before it.
+        message.lines = (message.lines - lines).max(1.0);
+        self.spared = (self.spared.0 + parts, self.spared.1 + lines, self.spared.2 + bytes);
     }
 
     fn answer(&mut self, now: Nanos) {
@@ -626,6 +681,7 @@
                 datagrams_sent: self.datagrams,
                 saves: self.saves,
                 sent_on: self.sent_on,
+                spared: self.spared,
             }),
             decided_to_swapped_ms: at(0.5)
                 .zip(at(0.99))
--- a/crates/craneknot-xds/src/discovery.rs
+++ b/crates/craneknot-xds/src/discovery.rs
@@ -185,6 +185,11 @@
     told.and_then(|(digits, _)| digits.parse().ok()).unwrap_or(0)
 }
 
+/// Tells one text of a resource from another (XXH3), in hexadecimal digits.
+pub fn print_of(text: &[u8]) -> String {
+    format!("{:016x}", xxh3_64(text))
+}
+
 /// The checksum (XXH3) of resources as they stand in a file.
 pub fn checksum<'a>(resources: impl Iterator<Item = &'a str>) -> u64 {
     let mut text = String::new();
