--- a/crates/craneknot-cli/tests/rehearse.rs
+++ b/crates/craneknot-cli/tests/rehearse.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 
 use craneknot_rehearsal::auditor::Rule;
-use craneknot_rehearsal::script::{Plant, Trouble, TroubleKind};
+use craneknot_rehearsal::script::{Plant, SharedFleet, Trouble, TroubleKind};
 use craneknot_rehearsal::{rehearse, Report, Script};
 use craneknot_settings::Span;
 
@@ -52,6 +52,26 @@
     assert!(report.service.swaps > 20 && report.service.service > 0.8, "{}", report.lines());
 }
 
+#[test]
+fn takeovers_break_no_rule() {
+    let troubles = vec![
+        trouble(TroubleKind::LeaderKilled, 2_000, 2_000, 1.0),
+        trouble(TroubleKind::Deploy, 3_000, 6_000, 0.4),
+        trouble(TroubleKind::LeaderStalled, 6_000, 2_500, 1.0),
+        trouble(TroubleKind::StreamBreak, 6_500, 100, 0.7),
+        trouble(TroubleKind::CoordinatorMute, 10_000, 1_500, 1.0),
+        trouble(TroubleKind::CoordinatorKilled, 12_500, 1_000, 1.0),
+    ];
+    let mut script = short(18, troubles);
+    script.coordinators = 3;
+    script.shared = Some(SharedFleet { lease: Span::millis(1_000) });
+    let report = play(&script);
+    assert!(report.passed(), "{}", report.lines());
+    let epoch = |status: &serde_json::Value| status["shared"]["epoch"].as_u64();
+    assert!(report.status.iter().filter_map(epoch).max() > Some(2), "{:?}", report.status);
+    assert!(report.service.unled > 0 && report.rules[&Rule::NoOlderEpoch].checks > 0);
+}
+
 #[test]
 fn a_proxy_without_tables_is_found() {
     let script = Script { plants: vec![Plant::Bare], ..short(9, vec![]) };
