Members of a shared fleet come and go by a settings reload; three faults of that found by walks

Need: coordinators must be added and removed without a stop.

Change: Raft changes its voters one at a time from the moment the change is in the log; a first life writes down who votes; SWIM looks after all that are named or vote, and a member refutes whatever is said of it, also by one that has forgotten its incarnation. SIGHUP reads the members anew.

Found by walks with changing members: voters taken from later settings at a restart, a leader that is to go and holds all others for dead, and a member that could not refute an old word.

--- a/crates/craneknot-cli/src/main.rs
+++ b/crates/craneknot-cli/src/main.rs
@@ -165,6 +165,7 @@
             let read: CoordinatorSettings = load(&settings).map_err(wrong)?;
             let clock = Arc::new(SteadyClock::new());
             let mut shell = Shell::new(read, folder_of(&settings), clock).map_err(system)?;
+            shell.reload_from(&settings);
             shell.end_on(&[SIGHUP, SIGINT, SIGTERM]).map_err(system)?;
             match shell.run() {
                 Ended::Asked => Ok(()),
--- a/crates/craneknot-cli/src/status.rs
+++ b/crates/craneknot-cli/src/status.rs
@@ -61,13 +61,14 @@
     if shared.is_object() {
         let _ = writeln!(
             text,
-            "  {} in term {}, led by {}; epoch {} shared by {}; alive {}",
+            "  {} in term {}, led by {}; epoch {} shared by {}; alive {}; voters {}",
             at(shared, "role").as_str().unwrap_or("?"),
             at(shared, "term"),
             at(shared, "leader").as_str().unwrap_or("no one"),
             at(shared, "epoch"),
             names(at(shared, "members")),
-            names(at(shared, "alive"))
+            names(at(shared, "alive")),
+            names(at(shared, "voters"))
         );
         let _ = writeln!(text, "  lease (epoch, settled, ms left): {}", at(shared, "lease"));
         let _ = writeln!(
--- a/crates/craneknot-cli/tests/shared.rs
+++ b/crates/craneknot-cli/tests/shared.rs
@@ -147,3 +147,69 @@
     until(&mut shell, "files of the second", || epochs(folder.path()).len() == 3);
     sender.join().unwrap();
 }
+
+/// A settings reload brings a second coordinator into a fleet of one, and takes it out again.
+#[test]
+fn members_come_and_go_by_a_reload() {
+    use craneknot_rehearsal::conduct::{await_ready, write_settings, Process};
+    let folder = tempfile::tempdir().unwrap();
+    list(folder.path(), 1, &[9001]);
+    let place = || std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let sockets = [place(), place()];
+    let places = [0, 1].map(|k| sockets[k].local_addr().unwrap());
+    drop(sockets);
+    let names = ["one", "two"];
+    let settings = |k: usize, members: &[usize]| {
+        let mut settings = shared(&format!("{}.store", names[k]));
+        settings.name = names[k].to_owned();
+        settings.ready_file = Some(format!("{}.ready.json", names[k]).into());
+        settings.roster.remembered = None;
+        settings.fleet.coordinators = members.len() as u32;
+        let member = |k: &usize| json!({"name": names[*k], "datagrams": places[*k].to_string()});
+        let shared = settings.shared.as_mut().unwrap();
+        shared.members = members.iter().map(|k| serde_json::from_value(member(k)).unwrap()).collect();
+        shared.datagrams = places[k];
+        settings
+    };
+    let write = |k: usize, members: &[usize]| {
+        let file = folder.path().join(format!("{}.json", names[k]));
+        write_settings(&file, &settings(k, members)).unwrap();
+        file
+    };
+    let program = Path::new(env!("CARGO_BIN_EXE_craneknot"));
+    let start = |k: usize, members: &[usize]| {
+        let process = Process::start(program, "run", &write(k, members)).unwrap();
+        (process, await_ready(&folder.path().join(format!("{}.ready.json", names[k]))).unwrap())
+    };
+    let voters = |at: std::net::SocketAddr| {
+        let mut stream = std::net::TcpStream::connect(at).unwrap();
+        let asked = b"GET /status HTTP/1.1\r\nconnection: close\r\n\r\n";
+        std::io::Write::write_all(&mut stream, asked).unwrap();
+        let mut text = String::new();
+        std::io::Read::read_to_string(&mut stream, &mut text).unwrap();
+        let status: serde_json::Value = serde_json::from_str(text.split_once("\r\n\r\n").unwrap().1).unwrap();
+        (status["shared"]["voters"].clone(), status["shared"]["lease"].is_array())
+    };
+    let until = |what: &str, done: &dyn Fn() -> bool| {
+        let end = Instant::now() + Duration::from_secs(20);
+        while !done() {
+            assert!(Instant::now() < end, "{what} never came");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    };
+    let (one, at) = start(0, &[0]);
+    until("a fleet of one", &|| voters(at) == (json!(["one"]), true));
+    let (two, other) = start(1, &[0, 1]);
+    write(0, &[0, 1]);
+    one.signal(rustix::process::Signal::HUP);
+    until("both vote", &|| voters(at) == (json!(["one", "two"]), true) && voters(other).1);
+    // Settings that are not in order change nothing.
+    std::fs::write(folder.path().join("one.json"), "{").unwrap();
+    one.signal(rustix::process::Signal::HUP);
+    until("the reload", &|| {
+        let log = fs::read_to_string(folder.path().join("one.log")).unwrap_or_default();
+        log.contains("the settings are not in order")
+    });
+    assert_eq!(voters(at), (json!(["one", "two"]), true));
+    drop(two);
+}
--- a/crates/craneknot-coordinator/src/desk.rs
+++ b/crates/craneknot-coordinator/src/desk.rs
@@ -162,6 +162,8 @@
     pub epoch: u64,
     pub members: Vec<String>,
     pub alive: Vec<String>,
+    /// Those whose votes count.
+    pub voters: Vec<String>,
     /// The epoch acted on, whether all of it is settled, and how long the lease lasts, ms.
     pub lease: Option<(u64, bool, f64)>,
     pub datagrams_sent: u64,
@@ -268,6 +270,13 @@
         self.fleet = Some(Member::new(me, &members, timing, saved, incarnation, seed, now));
     }
 
+    /// Settings name these as members from now on.
+    pub fn set_members(&mut self, now: Nanos, names: impl Iterator<Item = String>) {
+        if let Some(fleet) = &mut self.fleet {
+            fleet.set_members(now, &names.map(|name| MemberId::new(&name)).collect());
+        }
+    }
+
     /// What the store says that a proxy followed: no order of ours may be of an older epoch.
     pub fn note_followed(&mut self, version: &str) {
         if let Some(fleet) = &mut self.fleet {
@@ -674,6 +683,7 @@
                 leader: fleet.leader().map(MemberId::to_string),
                 epoch: fleet.view().epoch.0,
                 members: fleet.view().members.iter().map(MemberId::to_string).collect(),
+                voters: fleet.voters().iter().map(MemberId::to_string).collect(),
                 alive: fleet.alive().iter().map(MemberId::to_string).collect(),
                 lease: fleet
                     .lease()
--- a/crates/craneknot-coordinator/src/shell.rs
+++ b/crates/craneknot-coordinator/src/shell.rs
@@ -15,7 +15,7 @@
     request, response, response_chunks, Limits as HttpLimits, RequestReader, ResponseReader,
 };
 use craneknot_reactor::{Clock, ConnId, FolderWatch, Happened, Limits, ListenerId, Reactor};
-use craneknot_settings::{CoordinatorSettings, SharedSettings};
+use craneknot_settings::{load, CoordinatorSettings, SharedSettings};
 use craneknot_store::{replace, RealDisk, Store, StoreError};
 use craneknot_xds::discovery::{DiscoveryRequest, Kind};
 use craneknot_xds::load::{self, LoadStatsRequest, LoadStatsResponse, Seconds};
@@ -86,6 +86,8 @@
     turn_at: Option<Nanos>,
     read_roster: bool,
     shared: Option<SharedEnd>,
+    /// Read again when asked to.
+    file: Option<PathBuf>,
 }
 
 /// What a shared fleet needs: the store, and a socket for datagrams.
@@ -205,6 +207,7 @@
             turn_at: None,
             read_roster: true,
             shared,
+            file: None,
         })
     }
 
@@ -213,6 +216,39 @@
         signals.iter().try_for_each(|signal| self.reactor.signal(*signal))
     }
 
+    /// Reads this file again on SIGHUP: members of a shared fleet may change in service, all else with a new start.
+    pub fn reload_from(&mut self, file: &Path) {
+        self.file = Some(file.to_owned());
+    }
+
+    fn reload(&mut self) {
+        let Some(file) = &self.file else { return };
+        let fresh: CoordinatorSettings = match load(file) {
+            Ok(fresh) => fresh,
+            Err(problems) => return error!(%problems, "the settings are not in order; the old ones stand"),
+        };
+        let now = self.reactor.now();
+        if let (Some(shared), Some(news)) = (&mut self.shared, &fresh.shared) {
+            let named = news.members.iter().map(|member| (member.name.clone(), member.datagrams));
+            shared.members = named.collect();
+            self.desk.set_members(now, news.members.iter().map(|member| member.name.clone()));
+            info!(members = shared.members.len(), "took the members that the settings name");
+        }
+        let members_aside = |settings: &CoordinatorSettings| {
+            let mut rest = settings.clone();
+            rest.fleet.coordinators = 0;
+            rest.listen = self.settings.listen;
+            if let Some(shared) = &mut rest.shared {
+                shared.members.clear();
+            }
+            rest
+        };
+        if members_aside(&fresh) != members_aside(&self.settings) {
+            warn!("other settings have changed too: they count with the next start");
+        }
+        self.settings.shared = fresh.shared.or(self.settings.shared.take());
+    }
+
     /// Runs until a signal ends it.
     pub fn run(&mut self) -> Ended {
         loop {
@@ -261,8 +297,8 @@
                     self.read_roster = true;
                 }
                 Happened::Signal(HANG_UP) => {
-                    info!("reading the list of servers anew");
                     self.read_roster = true;
+                    self.reload();
                 }
                 Happened::Signal(signal) => {
                     info!(signal, "ending");
--- a/crates/craneknot-fleet/src/member.rs
+++ b/crates/craneknot-fleet/src/member.rs
@@ -72,6 +72,8 @@
 struct Ledger {
     /// When a member's last lease on an older view surely ends.
     until: BTreeMap<MemberId, Nanos>,
+    /// The same of one that we have granted nothing: what a former leader may have.
+    floor: Nanos,
     /// Members that know the newest view.
     know: BTreeSet<MemberId>,
 }
@@ -80,6 +82,8 @@
 pub struct Member {
     me: MemberId,
     members: BTreeSet<MemberId>,
+    /// Those that SWIM looks after.
+    met: BTreeSet<MemberId>,
     timing: Timing,
     raft: Raft,
     swim: Swim,
@@ -111,6 +115,7 @@
         Member {
             me,
             members: members.clone(),
+            met: members.clone(),
             timing,
             raft,
             swim,
@@ -203,6 +208,7 @@
         let mut out = Vec::new();
         let steps = self.raft.tick(now);
         self.carry(now, steps, &mut out);
+        self.meet(now);
         for (to, message) in self.swim.tick(now) {
             out.push(Output::Send(to, self.datagram(Body::Swim(message))));
         }
@@ -219,7 +225,8 @@
     pub fn take(&mut self, now: Nanos, datagram: Datagram) -> Vec<Output> {
         let mut out = Vec::new();
         let from = datagram.from;
-        if from == self.me || !self.members.contains(&from) {
+        let known = self.members.contains(&from) || self.raft.voters().contains(&from);
+        if from == self.me || !known {
             return out;
         }
         match datagram.body {
@@ -258,8 +265,7 @@
                 raft::Output::Leads(_) => {
                     // What a former leader granted is not known: as much as could be, as late as could be.
                     let until = now + self.timing.raft.long(self.timing.raft.lease);
-                    let all = self.members.iter().map(|member| (member.clone(), until));
-                    self.ledger = Ledger { until: all.collect(), know: BTreeSet::new() };
+                    self.ledger = Ledger { until: BTreeMap::new(), floor: until, know: BTreeSet::new() };
                 }
                 raft::Output::Applied(_) => {
                     self.ledger.know.clear();
@@ -323,8 +329,8 @@
     /// Every member of the view before knows the newest, or can hold no lease on the one before.
     fn is_settled(&self, now: Nanos) -> bool {
         let over = |member: &MemberId| {
-            self.ledger.know.contains(member)
-                || self.ledger.until.get(member).is_none_or(|until| *until <= now)
+            let until = self.ledger.until.get(member).copied().unwrap_or(self.ledger.floor);
+            self.ledger.know.contains(member) || until.max(self.ledger.floor) <= now
         };
         self.raft.before().members.iter().all(over)
     }
@@ -344,6 +350,7 @@
 
     /// A leader's other duty: a view of those that live.
     fn lead(&mut self, now: Nanos, out: &mut Vec<Output>) {
+        self.change_voters(now, out);
         let alive: BTreeSet<MemberId> = self.swim.alive().intersection(&self.members).cloned().collect();
         if alive != self.living.0 {
             self.living = (alive, now);
@@ -364,6 +371,48 @@
         self.carry(now, steps, out);
     }
 
+    /// Settings name other members than vote: one change at a time, the next once it is certain.
+    fn change_voters(&mut self, now: Nanos, out: &mut Vec<Output>) {
+        let may = self.raft.role() == Role::Leader && self.raft.is_current() && !self.raft.is_changing();
+        if !may || *self.raft.voters() == self.members {
+            return;
+        }
+        let mut voters = self.raft.voters().clone();
+        let alive = self.swim.alive();
+        // One that does not live yet would be a voter that cannot vote.
+        let new =
+            self.members.iter().find(|member| !voters.contains(*member) && alive.contains(*member)).cloned();
+        let old =
+            voters.iter().find(|member| !self.members.contains(*member) && **member != self.me).cloned();
+        match (new, old) {
+            (Some(new), _) => voters.insert(new),
+            (None, Some(old)) => voters.remove(&old),
+            (None, None) => return,
+        };
+        let steps = self.raft.propose(now, Command::Voters(voters));
+        self.carry(now, steps, out);
+    }
+
+    /// Settings name another set of members.
+    pub fn set_members(&mut self, now: Nanos, members: &BTreeSet<MemberId>) {
+        self.members = members.clone();
+        self.meet(now);
+    }
+
+    /// Those that vote are probed and answered too, though settings no longer name them: else one that leads and is to go
+    /// would hold all others for dead.
+    fn meet(&mut self, now: Nanos) {
+        let all: BTreeSet<MemberId> = self.members.union(self.raft.voters()).cloned().collect();
+        if all != self.met {
+            self.swim.set_members(&all, now);
+            self.met = all;
+        }
+    }
+
+    pub fn voters(&self) -> &BTreeSet<MemberId> {
+        self.raft.voters()
+    }
+
     fn tell(&mut self, now: Nanos, out: &mut Vec<Output>) {
         let lease = self.lease.as_ref().filter(|lease| now < lease.until);
         let told = lease.map(|lease| (lease.view.epoch, lease.settled, true));
--- a/crates/craneknot-fleet/src/raft.rs
+++ b/crates/craneknot-fleet/src/raft.rs
@@ -15,6 +15,8 @@
 use crate::{MemberId, Stamp};
 
 const KEPT: usize = 32; // applied entries kept for members that lag; one further back gets the view itself
+static NO_ONE: BTreeSet<MemberId> = BTreeSet::new();
+
 const BATCH: usize = 16; // entries in one message: it must fit a datagram
 
 /// Spans; all members must be told the same.
@@ -48,6 +50,9 @@
     Nothing,
     /// These share the proxies from now on, in an epoch later than that.
     Share { members: BTreeSet<MemberId>, above: Epoch },
+    /// These vote from now on, one more or one fewer than before. It counts from the moment it is in the log (thesis,
+    /// 4.1): two majorities that differ by one member always have one in common.
+    Voters(BTreeSet<MemberId>),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -159,6 +164,7 @@
 #[derive(Clone, Debug)]
 pub struct Raft {
     me: MemberId,
+    /// Those that vote, this one left out.
     peers: BTreeSet<MemberId>,
     timing: Timing,
     saved: Saved,
@@ -187,13 +193,16 @@
         seed: u64,
         now: Nanos,
     ) -> Self {
-        let mut peers = members.clone();
-        peers.remove(&me);
+        let mut saved = saved;
+        // A first life: who votes is what its settings say, and stays so until the log says otherwise, whatever later
+        // settings name. Else two halves of a fleet could start from sets with no member in common.
+        let begins = saved.history.voters.is_none();
+        saved.history.voters.get_or_insert_with(|| members.clone());
         let mut raft = Raft {
             me,
-            peers,
+            peers: BTreeSet::new(),
             timing,
-            dirty: false,
+            dirty: begins,
             role: Role::Follower,
             leader: None,
             votes: BTreeSet::new(),
@@ -208,10 +217,48 @@
             rng: Pcg32::seed_from_u64(seed),
             saved,
         };
+        raft.note_voters();
         raft.put_off(now);
         raft
     }
 
+    /// Those that vote, by the newest word of the log, certain or not.
+    pub fn voters(&self) -> &BTreeSet<MemberId> {
+        let told = self.saved.log.iter().rev().find_map(|entry| match &entry.command {
+            Command::Voters(voters) => Some(voters),
+            Command::Nothing | Command::Share { .. } => None,
+        });
+        told.or(self.saved.history.voters.as_ref()).unwrap_or(&NO_ONE)
+    }
+
+    /// A change of those that vote is under way.
+    pub fn is_changing(&self) -> bool {
+        let from = (self.commit - self.saved.base) as usize;
+        self.saved.log[from..].iter().any(|entry| matches!(entry.command, Command::Voters(_)))
+    }
+
+    fn note_voters(&mut self) {
+        let mut peers = self.voters().clone();
+        peers.remove(&self.me);
+        if peers == self.peers {
+            return;
+        }
+        self.peers = peers;
+        if self.role == Role::Leader {
+            let next = self.last() + 1;
+            let new = |id: &MemberId| (id.clone(), Peer { next, matched: 0, answered: None });
+            let held = std::mem::take(&mut self.others);
+            self.others = self.peers.iter().map(new).collect();
+            let kept = held.into_iter().filter(|(id, _)| self.peers.contains(id)).collect::<Vec<_>>();
+            self.others.extend(kept);
+        }
+    }
+
+    /// One that was left out neither stands nor votes for itself.
+    fn is_voter(&self) -> bool {
+        self.voters().contains(&self.me)
+    }
+
     pub fn role(&self) -> Role {
         self.role
     }
@@ -332,7 +379,11 @@
                 }
             }
             Role::Follower | Role::Canvasser | Role::Candidate if now >= self.stand_at => {
-                self.canvass(now, &mut outputs);
+                if self.is_voter() {
+                    self.canvass(now, &mut outputs);
+                } else {
+                    self.put_off(now);
+                }
             }
             Role::Leader | Role::Follower | Role::Canvasser | Role::Candidate => {}
         }
@@ -382,6 +433,7 @@
     fn push(&mut self, command: Command) {
         self.saved.log.push(Entry { term: self.saved.term, command });
         self.dirty = true;
+        self.note_voters();
         self.count();
     }
 
@@ -436,10 +488,8 @@
 
     /// A message has come.
     pub fn take(&mut self, now: Nanos, from: &MemberId, message: Message) -> Vec<Output> {
+        // Also of those that our log does not name as voters: a log may lag behind who leads and who votes.
         let mut outputs = Vec::new();
-        if !self.peers.contains(from) {
-            return outputs;
-        }
         let (term, mine) = (message.term(), self.saved.term);
         // Canvassing changes no one's term; a vote asked for while a leader is heard is not even looked at.
         let quiet = match &message {
@@ -460,7 +510,9 @@
                 let term = if yes { term } else { self.saved.term };
                 outputs.push(Output::Send(from.clone(), Message::Inclined { term, yes }));
             }
-            Message::Inclined { term, yes: true } if self.role == Role::Canvasser && term == mine + 1 => {
+            Message::Inclined { term, yes: true }
+                if self.role == Role::Canvasser && term == mine + 1 && self.peers.contains(from) =>
+            {
                 self.votes.insert(from.clone());
                 if self.is_majority(self.votes.len()) {
                     self.stand(now, &mut outputs);
@@ -481,7 +533,9 @@
                 }
                 outputs.push(Output::Send(from.clone(), Message::Vote { term: self.saved.term, yes }));
             }
-            Message::Vote { term, yes: true } if self.role == Role::Candidate && term == self.saved.term => {
+            Message::Vote { term, yes: true }
+                if self.role == Role::Candidate && term == self.saved.term && self.peers.contains(from) =>
+            {
                 self.votes.insert(from.clone());
                 if self.is_majority(self.votes.len()) {
                     self.lead(now, &mut outputs);
@@ -512,6 +566,7 @@
                         self.saved.history = history.clone();
                         (self.commit, self.applied, self.history) = (base, base, history);
                         self.dirty = true;
+                        self.note_voters();
                         outputs.push(Output::Applied(self.history.view.clone()));
                     }
                     let matched = self.commit.max(base);
@@ -569,6 +624,7 @@
                 }
             }
         }
+        self.note_voters();
         (true, place)
     }
 
@@ -619,6 +675,7 @@
             let place = (self.applied - self.saved.base - 1) as usize;
             match &self.saved.log[place].command {
                 Command::Nothing => {}
+                Command::Voters(voters) => self.history.voters = Some(voters.clone()),
                 Command::Share { members, above } => {
                     self.history.share(members.clone(), *above);
                     outputs.push(Output::Applied(self.history.view.clone()));
@@ -635,8 +692,10 @@
             return;
         }
         for entry in self.saved.log.drain(..KEPT).collect::<Vec<Entry>>() {
-            if let Command::Share { members, above } = entry.command {
-                self.saved.history.share(members, above);
+            match entry.command {
+                Command::Nothing => {}
+                Command::Voters(voters) => self.saved.history.voters = Some(voters),
+                Command::Share { members, above } => self.saved.history.share(members, above),
             }
             self.saved.base += 1;
             self.saved.base_term = entry.term;
--- a/crates/craneknot-fleet/src/swim.rs
+++ b/crates/craneknot-fleet/src/swim.rs
@@ -316,9 +316,9 @@
 
     fn hear(&mut self, now: Nanos, rumour: Rumour) {
         if rumour.member == self.me {
-            // Refuted with a later incarnation.
-            if rumour.health != Health::Alive && rumour.incarnation >= self.incarnation {
-                self.incarnation = rumour.incarnation + 1;
+            // Refuted with a later incarnation; also where ours is later already: who says so has forgotten it.
+            if rumour.health != Health::Alive {
+                self.incarnation = self.incarnation.max(rumour.incarnation + 1);
                 let (member, incarnation) = (self.me.clone(), self.incarnation);
                 self.tell(Rumour { member, incarnation, health: Health::Alive });
             }
--- a/crates/craneknot-fleet/src/view.rs
+++ b/crates/craneknot-fleet/src/view.rs
@@ -32,6 +32,9 @@
 pub struct History {
     pub before: View,
     pub view: View,
+    /// Those that vote; nothing: as the first settings had it.
+    #[serde(default)]
+    pub voters: Option<BTreeSet<MemberId>>,
 }
 
 impl History {
--- a/crates/craneknot-fleet/tests/random.rs
+++ b/crates/craneknot-fleet/tests/random.rs
@@ -120,3 +120,44 @@
         world.run_until("coming back", Nanos::from_millis(8_000), |world| world.covered() == PROXIES);
     }
 }
+
+/// Settings name one more or one fewer now and then, amid all troubles.
+#[test]
+fn voters_change_in_service() {
+    let (steps, seeds) = (setting("STEPS", 3_000), setting("SEEDS", 12));
+    for seed in 0..seeds {
+        let walked = catch_unwind(AssertUnwindSafe(|| {
+            let mut world = World::new(5, seed, Flaw::None);
+            let mut named = vec![0, 1, 2];
+            [3, 4].into_iter().for_each(|place| world.kill(place));
+            world.forget_lives();
+            world.rename(&named);
+            (0..3).for_each(|place| world.start(place));
+            world.calm = true;
+            world.run_until("the first view", Nanos::from_millis(5_000), |world| world.covered() == PROXIES);
+            world.calm = false;
+            for step in 0..steps {
+                world.step();
+                if step % 150 == 149 {
+                    let place = (seed + step / 150 * 7) as usize % 5;
+                    match named.iter().position(|other| *other == place) {
+                        Some(at) if named.len() > 3 => {
+                            named.remove(at);
+                        }
+                        Some(_) => {}
+                        None => named.push(place),
+                    }
+                    world.rename(&named);
+                }
+            }
+            world.calm_down();
+            // Those that are no longer named are ended once the others vote without them, as operators are told; one
+            // that leads does not leave itself out.
+            world.run_until("voting as named", Nanos::from_millis(20_000), World::votes_as_named);
+            (0..5).filter(|place| !named.contains(place)).for_each(|place| world.kill(place));
+            let settled = |world: &World| world.covered() == PROXIES && world.votes_as_named();
+            world.run_until("settling", Nanos::from_millis(20_000), settled);
+        }));
+        walked.unwrap_or_else(|_| panic!("seed {seed}"));
+    }
+}
--- a/crates/craneknot-fleet/tests/world/mod.rs
+++ b/crates/craneknot-fleet/tests/world/mod.rs
@@ -65,6 +65,8 @@
     flying: Vec<(Nanos, usize, Datagram)>,
     orders: Vec<(Nanos, usize, Epoch)>,
     pub rng: Pcg32,
+    /// What settings name as members: all that run are told at once.
+    pub named: BTreeSet<MemberId>,
     flaw: Flaw,
     cut: BTreeSet<(usize, usize)>,
     loss: f64,
@@ -129,6 +131,7 @@
             agents: vec![Agent::default(); PROXIES],
             flying: Vec::new(),
             orders: Vec::new(),
+            named: (0..count).map(name).collect(),
             rng,
             flaw,
             cut: BTreeSet::new(),
@@ -153,7 +156,7 @@
 
     pub fn start(&mut self, place: usize) {
         let (now, flaw) = (self.clock(place), self.flaw);
-        let all: BTreeSet<MemberId> = (0..self.nodes.len()).map(name).collect();
+        let all = self.named.clone();
         let node = &mut self.nodes[place];
         node.lives += 1;
         let mut timing = timing();
@@ -178,6 +181,36 @@
         node.member = Some(Member::new(name(place), &all, timing, saved, node.lives, seed, now));
     }
 
+    /// All begin their first lives anew.
+    pub fn forget_lives(&mut self) {
+        for place in 0..self.nodes.len() {
+            self.kill(place);
+            self.nodes[place].saved = Saved::default();
+        }
+        self.flying.clear();
+        self.leaders.clear();
+    }
+
+    /// Settings name these from now on.
+    pub fn rename(&mut self, members: &[usize]) {
+        self.named = members.iter().map(|place| name(*place)).collect();
+        for place in 0..self.nodes.len() {
+            let clock = self.clock(place);
+            if let Some(member) = &mut self.nodes[place].member {
+                member.set_members(clock, &self.named);
+            }
+        }
+    }
+
+    /// All that are named vote, and no one else but the one that leads.
+    pub fn votes_as_named(&self) -> bool {
+        let Some(place) = self.leader() else { return false };
+        let Some(leader) = &self.nodes[place].member else { return false };
+        let mut named = self.named.clone();
+        named.extend(leader.voters().get(&name(place)).cloned());
+        *leader.voters() == named && !leader.raft().is_changing()
+    }
+
     /// Killed without a word; what was saved stays.
     pub fn kill(&mut self, place: usize) {
         let node = &mut self.nodes[place];
@@ -389,6 +422,27 @@
         }
     }
 
+    fn describe(&self) -> String {
+        let line = |(place, node): (usize, &Node)| {
+            match &node.member {
+            None => format!("\n  c{place} is down"),
+            Some(m) => format!(
+                "\n  c{place} {:?} term {} leader {:?} voters {:?} alive {:?} view {:?} lease {:?} changing {}",
+                m.role(),
+                m.term(),
+                m.leader(),
+                m.voters(),
+                m.alive(),
+                m.view(),
+                m.lease(),
+                m.raft().is_changing()
+            ),
+        }
+        };
+        let named = format!("\n  named {:?}", self.named);
+        [named].into_iter().chain(self.nodes.iter().enumerate().map(line)).collect()
+    }
+
     /// How many of the proxies someone is in charge of.
     pub fn covered(&self) -> usize {
         self.gap_since.iter().filter(|since| since.is_none()).count()
@@ -409,7 +463,7 @@
     pub fn run_until(&mut self, what: &str, most: Nanos, done: impl Fn(&World) -> bool) -> Nanos {
         let begin = self.now;
         while !done(self) {
-            assert!(self.now - begin < most, "{what} took longer than {most:?}");
+            assert!(self.now - begin < most, "{what} took longer than {most:?}:{}", self.describe());
             self.step();
         }
         self.now - begin
