A model of the fleet on the rehearsal's own parts: run with error bars, compare

Need: an operator wants to know before a change what it does; designs are to be tried at sizes sockets do not reach.

Change: craneknot-model plays a rehearsal's script on a queue of events, with the same module, agents, stand-ins and auditor; craneknot model run and compare. What proxies met is summed in one place for both.

--- a/crates/craneknot-cli/src/main.rs
+++ b/crates/craneknot-cli/src/main.rs
@@ -10,6 +10,7 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 use craneknot_coordinator::shell::{Ended, Shell};
+use craneknot_model::experiment::{self, Estimate};
 use craneknot_reactor::SteadyClock;
 use craneknot_rehearsal::Script;
 use craneknot_settings::{load, schema_text, AgentSettings, CoordinatorSettings, Problems};
@@ -96,6 +97,11 @@
         #[arg(long)]
         folder: Option<PathBuf>,
     },
+    /// Plays a rehearsal's script in simulated time.
+    Model {
+        #[command(subcommand)]
+        act: ModelAct,
+    },
     /// Asks coordinators how they are: streams, what waits, and in a shared fleet members, leases and epochs.
     Status {
         /// Where they listen.
@@ -124,6 +130,35 @@
     },
 }
 
+#[derive(Subcommand)]
+enum ModelAct {
+    /// One seed after another, until the error bars of the service are narrow enough.
+    Run {
+        /// The script, a JSON file; left out: the short one that is built in.
+        script: Option<PathBuf>,
+        #[arg(long)]
+        seed: Option<u64>,
+        /// Runs at the least.
+        #[arg(long, default_value_t = 5)]
+        least: usize,
+        /// Runs at the most.
+        #[arg(long, default_value_t = 20)]
+        most: usize,
+        /// Half the width of the 95% interval of the service that is enough.
+        #[arg(long, default_value_t = 0.01)]
+        narrow: f64,
+        #[arg(long)]
+        report: Option<PathBuf>,
+    },
+    /// Two scripts on the same random numbers: the second's service less the first's.
+    Compare {
+        one: PathBuf,
+        other: PathBuf,
+        #[arg(long, default_value_t = 10)]
+        runs: usize,
+    },
+}
+
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let Ok(filter) = EnvFilter::try_new(&cli.level) else {
@@ -220,6 +255,34 @@
                 Err(Failed::Rule)
             }
         }
+        Command::Model { act: ModelAct::Run { script, seed, least, most, narrow, report } } => {
+            let mut read = match &script {
+                Some(file) => load::<Script>(file).map_err(wrong)?,
+                None => Script::built_in().map_err(wrong)?,
+            };
+            read.seed = seed.unwrap_or(read.seed);
+            let asked = experiment::Asked { least, most, narrow };
+            let outcome = experiment::run(&read, asked, |seed, report| {
+                eprintln!("seed {seed}: service {:.3}", report.service.service);
+            });
+            let text = serde_json::to_string_pretty(&outcome).unwrap_or_default();
+            println!("{text}");
+            if let Some(path) = report {
+                fs::write(&path, text + "\n").map_err(system)?;
+            }
+            if outcome.broken.is_empty() {
+                Ok(())
+            } else {
+                Err(Failed::Rule)
+            }
+        }
+        Command::Model { act: ModelAct::Compare { one, other, runs } } => {
+            let (one, other) = (load::<Script>(&one).map_err(wrong)?, load::<Script>(&other).map_err(wrong)?);
+            let difference = experiment::compare(&one, &other, runs);
+            let Estimate { mean, half_width, runs } = difference;
+            println!("service {mean:+.4} ± {half_width:.4} (95%, {runs} runs on the same random numbers)");
+            Ok(())
+        }
         Command::Status { coordinators, json } => {
             let mut failed = false;
             for address in coordinators {
--- a/crates/craneknot-rehearsal/src/conduct.rs
+++ b/crates/craneknot-rehearsal/src/conduct.rs
@@ -170,7 +170,7 @@
 }
 
 /// Settings of a coordinator of the script.
-fn coordinator_settings(script: &Script, coordinator: usize) -> CoordinatorSettings {
+pub fn coordinator_settings(script: &Script, coordinator: usize) -> CoordinatorSettings {
     let mut channel = script.channel.clone();
     if script.plants.contains(&Plant::LongQueue) {
         channel.lines_limit *= 1_000.0;
@@ -201,7 +201,7 @@
 }
 
 /// What the auditor is told of the fleet.
-fn terms(script: &Script, plan: &Plan) -> Terms {
+pub fn terms(script: &Script, plan: &Plan) -> Terms {
     let class = |class: &craneknot_settings::ClassSettings| {
         let fits = |place: &usize| {
             let group = &plan.servers[*place].group;
--- a/crates/craneknot-rehearsal/src/lib.rs
+++ b/crates/craneknot-rehearsal/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod report;
 pub mod script;
 pub mod servers;
+pub mod sums;
 
 pub use conduct::rehearse;
 pub use report::Report;
--- a/crates/craneknot-rehearsal/src/proxies.rs
+++ b/crates/craneknot-rehearsal/src/proxies.rs
@@ -14,10 +14,9 @@
     reserve, Clock, ConnId, FolderWatch, Happened, Limits, ListenerId, Reactor, TimerId,
 };
 use craneknot_settings::Repeats;
-use craneknot_xds::discovery::{Kind, Locality, Node};
-use craneknot_xds::load::{self, *};
+use craneknot_xds::discovery::{Kind, Node};
+use craneknot_xds::load::{self, LoadStatsRequest, Seconds};
 use craneknot_xds::orca;
-use craneknot_xds::resources::{Address, SocketAddress};
 use http::{header as http_header, HeaderName, Method, Request, Response, StatusCode};
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -30,6 +29,7 @@
 use crate::record::{EndedAs, Log, OpId, What};
 use crate::script::{Plant, Script};
 use crate::servers::{header, number};
+use crate::sums::Sums;
 
 const FOLDERS: usize = 1; // the number under which the proxies' folders are watched
 const LIMITS: HttpLimits = HttpLimits { head: 8 * 1024, body: 64 * 1024 };
@@ -99,22 +99,6 @@
     over: TimerId,
 }
 
-#[derive(Default)]
-struct ServerSums {
-    issued: u64,
-    good: u64,
-    bad: u64,
-    latency_ms: f64,
-    loads: BTreeMap<&'static str, (u64, f64)>,
-}
-
-#[derive(Default)]
-struct ClassSums {
-    operations: u64,
-    dropped: u64,
-    servers: BTreeMap<usize, ServerSums>,
-}
-
 struct Proxy {
     name: String,
     zone: usize,
@@ -131,7 +115,7 @@
     unread: BTreeSet<Kind>,
     idle: BTreeMap<usize, Vec<ConnId>>,
     conns: BTreeSet<ConnId>,
-    sums: BTreeMap<usize, ClassSums>,
+    sums: Sums,
     sums_since: Nanos,
     agent: Option<ConnId>,
     paths: BTreeMap<usize, f64>,
@@ -221,7 +205,7 @@
                 unread: BTreeSet::new(),
                 idle: BTreeMap::new(),
                 conns: BTreeSet::new(),
-                sums: BTreeMap::new(),
+                sums: Sums::default(),
                 sums_since: reactor.now(),
                 agent: None,
                 paths: BTreeMap::new(),
@@ -642,15 +626,13 @@
         }
         let held = &mut self.proxies[proxy];
         let admitted = held.chooser.admit(now, class);
-        let sums = held.sums.entry(class).or_default();
+        held.sums.came(class, admitted.is_ok());
         match admitted {
             Ok(()) => {
-                sums.operations += 1;
                 self.serving.insert(number_of, serving);
                 self.attempt(number_of, None);
             }
             Err(refusal) => {
-                sums.dropped += 1;
                 self.refuse(client, refusal);
             }
         }
@@ -716,8 +698,7 @@
         let (proxy, class) = (serving.proxy, serving.class);
         let (op, attempt) = (serving.op, serving.attempt);
         self.log.add(now, What::Sent { proxy, server, op, attempt, class });
-        let sums = self.proxies[proxy].sums.entry(class).or_default().servers.entry(server).or_default();
-        sums.issued += 1;
+        self.proxies[proxy].sums.sent(class, server);
         let over = self.reactor.set_timer(serving.until, Due::TryOver(number));
         serving.over = Some(over);
         let cut = self.proxies[proxy].paths.get(&server).copied().unwrap_or(0.0);
@@ -764,17 +745,7 @@
         let Some(server) = serving.tried.last().copied() else { return };
         let text = answer.headers().get(orca::HEADER).and_then(|value| value.to_str().ok());
         if let Some(report) = text.and_then(orca::LoadReport::read) {
-            let sums = self.proxies[proxy].sums.entry(class).or_default().servers.entry(server).or_default();
-            let named = |name: &str| report.named_metrics.get(name).copied();
-            let values = [
-                (metric::CPU, report.cpu_utilization),
-                (metric::INFLIGHT, named("inflight")),
-                (metric::SERVICE_MS, named("service_ms")),
-            ];
-            for (name, value) in values.into_iter().filter_map(|(name, value)| Some((name, value?))) {
-                let load = sums.loads.entry(name).or_default();
-                *load = (load.0 + 1, load.1 + value);
-            }
+            self.proxies[proxy].sums.load(class, server, &report);
         }
         if let Some(conn) = conn {
             if let Some(Use::ToServer { trying, .. }) = self.uses.get_mut(&conn) {
@@ -808,14 +779,7 @@
             self.proxies[proxy].conns.remove(&conn);
             self.reactor.close(conn);
         }
-        let sums = self.proxies[proxy].sums.entry(class).or_default().servers.entry(server).or_default();
-        match tried {
-            Tried::Good => {
-                sums.good += 1;
-                sums.latency_ms += took.secs() * 1e3;
-            }
-            Tried::Unrun | Tried::Failed => sums.bad += 1,
-        }
+        self.proxies[proxy].sums.ended(class, server, tried == Tried::Good, took);
         self.proxies[proxy].chooser.note(now, server, tried);
         let planted = self.planted && op_never && self.script.plants.contains(&Plant::RunTwice);
         let again = match tried {
@@ -851,7 +815,7 @@
                 held.stalled_until = None;
                 held.deferred.clear();
                 held.idle.clear();
-                held.sums.clear();
+                held.sums = Sums::default();
                 for conn in std::mem::take(&mut held.conns) {
                     self.uses.remove(&conn);
                     self.reactor.reset(conn);
@@ -907,47 +871,8 @@
         held.sums_since = now;
         let sums = std::mem::take(&mut held.sums);
         let node = Node { id: held.name.clone(), ..Node::default() };
-        let mut cluster_stats = Vec::new();
-        for (class, sums) in sums {
-            let mut zones: BTreeMap<&str, LocalityStats> = BTreeMap::new();
-            for (server, sums) in &sums.servers {
-                let zone = self.server_zones[*server].as_str();
-                let locality = zones.entry(zone).or_default();
-                locality.locality = Locality::zone(zone);
-                locality.total_issued_requests.0 += sums.issued;
-                locality.total_successful_requests.0 += sums.good;
-                locality.total_error_requests.0 += sums.bad;
-                let mut metrics = vec![MetricStats::new(metric::LATENCY_MS, sums.good, sums.latency_ms)];
-                metrics.extend(
-                    sums.loads.iter().map(|(name, (count, total))| MetricStats::new(name, *count, *total)),
-                );
-                let at = self.servers[*server];
-                let socket_address = SocketAddress { address: at.ip().to_string(), port_value: at.port() };
-                locality.upstream_endpoint_stats.push(EndpointStats {
-                    address: Address { socket_address },
-                    total_successful_requests: Count(sums.good),
-                    total_error_requests: Count(sums.bad),
-                    total_issued_requests: Count(sums.issued),
-                    load_metric_stats: metrics,
-                    ..EndpointStats::default()
-                });
-            }
-            let mut localities: Vec<LocalityStats> = zones.into_values().collect();
-            if localities.is_empty() {
-                localities.push(LocalityStats::default());
-            }
-            // Operations count once, whatever their tries: with the first locality, the others with none.
-            for (place, locality) in localities.iter_mut().enumerate() {
-                let count = if place == 0 { sums.operations } else { 0 };
-                locality.load_metric_stats.push(MetricStats::new(metric::OPERATIONS, count, count as f64));
-            }
-            cluster_stats.push(ClusterStats {
-                cluster_name: self.script.classes[class].name.clone(),
-                upstream_locality_stats: localities,
-                total_dropped_requests: Count(sums.dropped),
-                load_report_interval: interval,
-            });
-        }
+        let place = |server: usize| (self.servers[server], self.server_zones[server].as_str());
+        let cluster_stats = sums.report(interval, &self.script.classes, &place);
         let body =
             serde_json::to_vec(&LoadStatsRequest { node: Some(node), cluster_stats }).unwrap_or_default();
         let json = [(http_header::CONTENT_TYPE, "application/json")];
