--- a/crates/craneknot-cli/src/main.rs
+++ b/crates/craneknot-cli/src/main.rs
@@ -11,6 +11,7 @@
 use clap::{Parser, Subcommand, ValueEnum};
 use craneknot_coordinator::shell::{Ended, Shell};
 use craneknot_model::experiment::{self, Estimate};
+use craneknot_model::hunt;
 use craneknot_reactor::SteadyClock;
 use craneknot_rehearsal::Script;
 use craneknot_settings::{load, schema_text, AgentSettings, CoordinatorSettings, Problems};
@@ -150,6 +151,19 @@
         #[arg(long)]
         report: Option<PathBuf>,
     },
+    /// Looks for a day on which a rule breaks, or service falls furthest, and writes the smallest script that shows it.
+    Hunt {
+        /// The fleet and its clients; its own troubles are left out.
+        script: Option<PathBuf>,
+        #[arg(long)]
+        seed: Option<u64>,
+        /// Days to play.
+        #[arg(long, default_value_t = 100)]
+        days: usize,
+        /// Where the script found is written.
+        #[arg(long)]
+        out: Option<PathBuf>,
+    },
     /// Two scripts on the same random numbers: the second's service less the first's.
     Compare {
         one: PathBuf,
@@ -276,6 +290,29 @@
                 Err(Failed::Rule)
             }
         }
+        Command::Model { act: ModelAct::Hunt { script, seed, days, out } } => {
+            let mut base = match &script {
+                Some(file) => load::<Script>(file).map_err(wrong)?,
+                None => Script::built_in().map_err(wrong)?,
+            };
+            base.seed = seed.unwrap_or(base.seed);
+            let found = hunt::hunt(&base, days, |day, report| {
+                if !report.passed() {
+                    eprintln!("day {day}: a rule broke, seed {}", report.seed);
+                }
+            });
+            let text = serde_json::to_string_pretty(&found.script).unwrap_or_default();
+            print!("{}", found.report.lines());
+            match out {
+                Some(path) => fs::write(&path, text + "\n").map_err(system)?,
+                None => println!("{text}"),
+            }
+            if found.report.passed() {
+                Ok(())
+            } else {
+                Err(Failed::Rule)
+            }
+        }
         Command::Model { act: ModelAct::Compare { one, other, runs } } => {
             let (one, other) = (load::<Script>(&one).map_err(wrong)?, load::<Script>(&other).map_err(wrong)?);
             let difference = experiment::compare(&one, &other, runs);
--- /dev/null
+++ b/crates/craneknot-model/src/hunt.rs
@@ -0,0 +1,135 @@
+//! Looks for days on which a rule breaks, or service falls furthest, and shrinks what it finds to the smallest script that
+//! still shows it.
+
+use craneknot::interface::Nanos;
+use craneknot_rehearsal::script::{Trouble, TroubleKind};
+use craneknot_rehearsal::{Report, Script};
+use craneknot_settings::Span;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+
+use crate::world;
+
+const KINDS: [TroubleKind; 22] = [
+    TroubleKind::Burst,
+    TroubleKind::Deploy,
+    TroubleKind::FastErrors,
+    TroubleKind::Hang,
+    TroubleKind::Slow,
+    TroubleKind::AnswersLost,
+    TroubleKind::Crash,
+    TroubleKind::Silent,
+    TroubleKind::Flapping,
+    TroubleKind::RosterDown,
+    TroubleKind::StreamBreak,
+    TroubleKind::Unreachable,
+    TroubleKind::ProxyKilled,
+    TroubleKind::CoordinatorKilled,
+    TroubleKind::AgentKilled,
+    TroubleKind::ProxyStall,
+    TroubleKind::CoordinatorStall,
+    TroubleKind::ZoneLost,
+    TroubleKind::MassRestart,
+    TroubleKind::Preempt,
+    TroubleKind::OneSided,
+    TroubleKind::Growth,
+];
+const TROUBLES_MOST: usize = 6; // at once on one day: more is no one's day
+const SAME: f64 = 0.02; // service by which a smaller script may differ and still show the same
+
+/// What was found.
+pub struct Found {
+    pub script: Script,
+    pub report: Report,
+    /// Days played, those of shrinking included.
+    pub played: usize,
+}
+
+/// How bad a day is: broken rules before all else, then lost service.
+fn badness(report: &Report) -> (bool, f64) {
+    (!report.passed(), 1.0 - report.service.service)
+}
+
+fn worse(one: (bool, f64), other: (bool, f64)) -> bool {
+    (one.0, one.1) > (other.0, other.1)
+}
+
+fn draw(base: &Script, rng: &mut Pcg32) -> Script {
+    let length = base.length.0 .0;
+    let trouble = |rng: &mut Pcg32| {
+        let kind = KINDS.choose(rng).copied().unwrap_or(TroubleKind::Crash);
+        let span = rng.random_range(length / 20..length / 3);
+        let at = rng.random_range(length / 20..length - span);
+        let zone = (kind == TroubleKind::ZoneLost || rng.random_range(0..4) == 0)
+            .then(|| base.zones.choose(rng).cloned())
+            .flatten();
+        Trouble {
+            kind,
+            at: Span(Nanos(at)),
+            length: Span(Nanos(span)),
+            part: rng.random_range(0.1..0.7),
+            strength: None,
+            zone,
+            server_kind: None,
+            unlisted: rng.random_range(0..3) == 0,
+        }
+    };
+    let count = rng.random_range(1..=TROUBLES_MOST);
+    Script {
+        troubles: (0..count).map(|_| trouble(rng)).collect(),
+        seed: rng.random_range(0..1 << 32),
+        ..base.clone()
+    }
+}
+
+/// Plays `budget` days drawn from the base's seed; the worst, shrunk.
+pub fn hunt(base: &Script, budget: usize, mut progress: impl FnMut(usize, &Report)) -> Found {
+    let mut rng = Pcg32::seed_from_u64(base.seed);
+    let mut worst: Option<(Script, Report)> = None;
+    for day in 0..budget.max(1) {
+        let script = draw(base, &mut rng);
+        let report = world::play(&script);
+        progress(day, &report);
+        if worst.as_ref().is_none_or(|(_, held)| worse(badness(&report), badness(held))) {
+            worst = Some((script, report));
+        }
+    }
+    let mut played = budget.max(1);
+    let (mut script, mut report) = worst.unwrap_or_else(|| (base.clone(), world::play(base)));
+    // One trouble less, as long as it still shows.
+    let mut place = 0;
+    while place < script.troubles.len() && script.troubles.len() > 1 {
+        let mut smaller = script.clone();
+        smaller.troubles.remove(place);
+        let tried = world::play(&smaller);
+        played += 1;
+        let same = match report.passed() {
+            false => !tried.passed(),
+            true => tried.service.service <= report.service.service + SAME,
+        };
+        if same {
+            (script, report) = (smaller, tried);
+        } else {
+            place += 1;
+        }
+    }
+    Found { script, report, played }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_hunt_is_the_same_for_a_seed_and_its_script_shows_what_it_says() {
+        let base =
+            Script { length: Span::millis(8_000), troubles: Vec::new(), ..Script::built_in().unwrap() };
+        let (one, two) = (hunt(&base, 12, |_, _| {}), hunt(&base, 12, |_, _| {}));
+        assert_eq!((&one.script, one.played), (&two.script, two.played));
+        let again = world::play(&one.script);
+        assert_eq!(again.lines(), one.report.lines());
+        let calm = world::play(&base);
+        assert!(again.service.service < calm.service.service, "{}", again.lines());
+    }
+}
