One place draws the list of servers and their makes, for sockets and model alike

Need: the rehearsal and the model each built the list of servers and a server's make by themselves.

Change: both ask the plan. No behaviour changes.

--- a/crates/craneknot-model/src/world.rs
+++ b/crates/craneknot-model/src/world.rs
@@ -8,15 +8,14 @@
 use craneknot_agent::dial::{Dial, Effect, Sign, State};
 use craneknot_agent::hold::{Holding, Verdict};
 use craneknot_coordinator::desk::{body, Desk, Output, StreamId};
-use craneknot_coordinator::roster::{Entry, Roster, ServerState};
 use craneknot_coordinator::session::Answer as Told;
 use craneknot_rehearsal::auditor;
 use craneknot_rehearsal::caller::{Answer, Caller, Next, Operation};
 use craneknot_rehearsal::chooser::{Chooser, Tried};
 use craneknot_rehearsal::conduct::{coordinator_settings, terms};
 use craneknot_rehearsal::machine::{Arrival, Job, Machine, Make};
-use craneknot_rehearsal::plan::{FleetAct, Plan, ProxyAct, ServerAct, Shows};
-use craneknot_rehearsal::record::{merge, EndedAs, Listed, Log, What};
+use craneknot_rehearsal::plan::{FleetAct, Plan, ProxyAct, ServerAct, ServerPlan, Shows};
+use craneknot_rehearsal::record::{merge, EndedAs, Log, What};
 use craneknot_rehearsal::sums::Sums;
 use craneknot_rehearsal::{Report, Script};
 use craneknot_xds::discovery::{DiscoveryRequest, DiscoveryResponse, Kind, Locality, Node, Status};
@@ -145,16 +144,8 @@
 impl<'a> World<'a> {
     fn new(script: &'a Script, plan: Plan, caller: Caller) -> Self {
         let classes: Vec<String> = script.classes.iter().map(|class| class.name.clone()).collect();
-        let server = |planned: &craneknot_rehearsal::plan::ServerPlan| {
-            let make = Make {
-                cores: planned.group.cores,
-                speed: planned.group.speed,
-                queue: planned.group.queue,
-                cold_share: script.rules.cold_share,
-                warm_after: script.rules.warm_after.0,
-                fall_multiple: script.rules.fall_multiple,
-                fall_window: script.rules.fall_window.0,
-            };
+        let server = |(place, planned): (usize, &ServerPlan)| {
+            let make = plan.make(script, place);
             let machine = Machine::new(make, None);
             let up = planned.from_start;
             Server { make, machine, up, life: 0, errors: 0.0, hangs: false, loses: 0.0, silent: false }
@@ -191,7 +182,7 @@
             desks: (0..count).map(|_| None).collect(),
             desk_at: vec![Nanos(u64::MAX); count],
             stalled: vec![false; count],
-            servers: plan.servers.iter().map(server).collect(),
+            servers: plan.servers.iter().enumerate().map(server).collect(),
             proxies: plan.proxy_zones.iter().enumerate().map(proxy).collect(),
             owners: BTreeMap::new(),
             tries: BTreeMap::new(),
@@ -411,26 +402,8 @@
 
     fn list(&mut self) {
         self.version += 1;
-        let (mut servers, mut listed) = (Vec::new(), Vec::new());
-        for (server, shows) in self.shows.iter().enumerate() {
-            let (state, started) = match shows {
-                Shows::Nothing => continue,
-                Shows::Up(started) => (ServerState::Up, started.map(|started| self.begin + started)),
-                Shows::Draining => (ServerState::Draining, None),
-            };
-            let planned = &self.plan.servers[server];
-            servers.push(Entry {
-                address: address(server).to_string(),
-                zone: planned.group.zone.clone(),
-                kind: planned.group.kind.clone(),
-                cell: planned.cell,
-                weight: Some(f64::from(planned.group.cores) * planned.group.speed),
-                started: started.map(Nanos::secs),
-                state,
-            });
-            listed.push(Listed { server, draining: state == ServerState::Draining, started });
-        }
-        self.roster = serde_json::to_vec(&Roster { version: self.version, servers }).ok();
+        let (roster, listed) = self.plan.roster(self.version, self.begin, &self.shows, &address);
+        self.roster = serde_json::to_vec(&roster).ok();
         self.log.add(self.now, What::Rostered { servers: listed });
         (0..self.desks.len()).for_each(|coordinator| self.read_roster(coordinator));
     }
--- a/crates/craneknot-rehearsal/src/conduct.rs
+++ b/crates/craneknot-rehearsal/src/conduct.rs
@@ -11,7 +11,6 @@
 use std::time::{Duration, Instant};
 
 use craneknot::interface::Nanos;
-use craneknot_coordinator::roster::{Entry, Roster, ServerState};
 use craneknot_http::{request, Limits as HttpLimits, ResponseReader};
 use craneknot_reactor::{Clock, ConnId, Happened, Limits, Reactor, SteadyClock};
 use craneknot_settings::{
@@ -26,7 +25,7 @@
 use crate::auditor::{self, ClassTerms, ServerTerms, Terms};
 use crate::plan::{FleetAct, Plan, Shows};
 use crate::proxies::{self, agent_ready, proxy_folder, proxy_name, ready_address};
-use crate::record::{merge, Listed, Log, Record, What};
+use crate::record::{merge, Log, Record, What};
 use crate::relay::Relays;
 use crate::report::Report;
 use crate::script::{Plant, Script};
@@ -454,28 +453,10 @@
 
     fn write_roster(&mut self) -> io::Result<()> {
         self.version += 1;
-        let (mut servers, mut listed) = (Vec::new(), Vec::new());
-        for (server, shows) in self.shows.iter().enumerate() {
-            let (state, started) = match shows {
-                Shows::Nothing => continue,
-                Shows::Up(started) => (ServerState::Up, started.map(|started| self.begin + started)),
-                Shows::Draining => (ServerState::Draining, None),
-            };
-            let planned = &self.plan.servers[server];
-            servers.push(Entry {
-                address: self.servers[server].to_string(),
-                zone: planned.group.zone.clone(),
-                kind: planned.group.kind.clone(),
-                cell: planned.cell,
-                weight: Some(f64::from(planned.group.cores) * planned.group.speed),
-                started: started.map(Nanos::secs),
-                state,
-            });
-            listed.push(Listed { server, draining: state == ServerState::Draining, started });
-        }
+        let address = |server: usize| self.servers[server];
+        let (roster, listed) = self.plan.roster(self.version, self.begin, &self.shows, &address);
         if !self.roster_out {
-            let text =
-                serde_json::to_vec(&Roster { version: self.version, servers }).map_err(io::Error::other)?;
+            let text = serde_json::to_vec(&roster).map_err(io::Error::other)?;
             self.log.add(self.reactor.now(), What::Rostered { servers: listed });
             replace(&DISK, &self.folder.join(ROSTER), &text)?;
         }
--- a/crates/craneknot-rehearsal/src/plan.rs
+++ b/crates/craneknot-rehearsal/src/plan.rs
@@ -1,13 +1,17 @@
 //! What will happen when: a script's troubles drawn from its seed into single acts, before anything starts.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 use craneknot::interface::Nanos;
+use craneknot_coordinator::roster::{Entry, Roster, ServerState};
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 
-use crate::script::{Plant, Script, ServerGroup, Trouble, TroubleKind};
+use crate::machine::Make;
+use crate::record::Listed;
+use crate::script::{Script, ServerGroup, Trouble, TroubleKind};
 
 /// A server that stands or will stand, with its place in the script's groups.
 #[derive(Clone, Debug)]
@@ -145,8 +149,48 @@
         plan
     }
 
-    pub fn planted(script: &Script, plant: Plant) -> bool {
-        script.plants.contains(&plant)
+    /// What a server of the plan can do.
+    pub fn make(&self, script: &Script, server: usize) -> Make {
+        let group = &self.servers[server].group;
+        Make {
+            cores: group.cores,
+            speed: group.speed,
+            queue: group.queue,
+            cold_share: script.rules.cold_share,
+            warm_after: script.rules.warm_after.0,
+            fall_multiple: script.rules.fall_multiple,
+            fall_window: script.rules.fall_window.0,
+        }
+    }
+
+    /// The list of servers as they show, and the same for the record; starts are told since `begin`.
+    pub fn roster(
+        &self,
+        version: u64,
+        begin: Nanos,
+        shows: &[Shows],
+        address: &dyn Fn(usize) -> SocketAddr,
+    ) -> (Roster, Vec<Listed>) {
+        let (mut servers, mut listed) = (Vec::new(), Vec::new());
+        for (server, shows) in shows.iter().enumerate() {
+            let (state, started) = match shows {
+                Shows::Nothing => continue,
+                Shows::Up(started) => (ServerState::Up, started.map(|started| begin + started)),
+                Shows::Draining => (ServerState::Draining, None),
+            };
+            let planned = &self.servers[server];
+            servers.push(Entry {
+                address: address(server).to_string(),
+                zone: planned.group.zone.clone(),
+                kind: planned.group.kind.clone(),
+                cell: planned.cell,
+                weight: Some(f64::from(planned.group.cores) * planned.group.speed),
+                started: started.map(Nanos::secs),
+                state,
+            });
+            listed.push(Listed { server, draining: state == ServerState::Draining, started });
+        }
+        (Roster { version, servers }, listed)
     }
 }
 
--- a/crates/craneknot-rehearsal/src/servers.rs
+++ b/crates/craneknot-rehearsal/src/servers.rs
@@ -91,15 +91,7 @@
         let mut servers = Vec::new();
         let mut by_listener = BTreeMap::new();
         for (place, planned) in plan.servers.iter().enumerate() {
-            let make = Make {
-                cores: planned.group.cores,
-                speed: planned.group.speed,
-                queue: planned.group.queue,
-                cold_share: script.rules.cold_share,
-                warm_after: script.rules.warm_after.0,
-                fall_multiple: script.rules.fall_multiple,
-                fall_window: script.rules.fall_window.0,
-            };
+            let make = plan.make(script, place);
             let (reserve, address) = reserve(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
             let listener = planned.from_start.then(|| reactor.listen_reserved(address)).transpose()?;
             listener.into_iter().for_each(|listener| {
