Silence is looked for only once a stream can be silent; one name for a report's moment

Need: read once more, the change looked at every stream for silence in each turn, and a turn comes with every report; the key of a report's moment stood in three places; a zone was looked up by counting through all numbers.

Change: the desk keeps the earliest moment at which a stream can count as silent, and looks only after it; streams end at the same moment as before. The key stands with the load messages; names tell whether they have a zone.

--- a/crates/craneknot-agent/src/shell.rs
+++ b/crates/craneknot-agent/src/shell.rs
@@ -14,7 +14,7 @@
 use craneknot_settings::{AgentSettings, NodeSettings};
 use craneknot_store::{replace, Disk, RealDisk, FRESH};
 use craneknot_xds::discovery::{DiscoveryRequest, DiscoveryResponse, Kind, Locality, Node, Status};
-use craneknot_xds::load::{self, LoadStatsRequest, LoadStatsResponse, Seconds};
+use craneknot_xds::load::{self, LoadStatsRequest, LoadStatsResponse, Seconds, CLOSED_AT};
 use http::{header, HeaderName, Method, Response, StatusCode};
 use tracing::{debug, info, warn};
 
@@ -29,9 +29,6 @@
 const WARM_WITHIN: Nanos = Nanos::from_millis(5_000); // ms; bindings whose tables have not come by then are refused
 const RESPONSE_MOST: usize = 64 * 1024 * 1024; // bytes of one response
 
-/// The key in a node's metadata that tells a repeated report; see the coordinator's intake.
-const CLOSED_AT: &str = "report_closed_ms";
-
 enum Due {
     Dial(usize),
     DialOver(usize, ConnId),
--- a/crates/craneknot-coordinator/src/desk.rs
+++ b/crates/craneknot-coordinator/src/desk.rs
@@ -197,6 +197,8 @@
     messages: u64,
     lines: f64,
     refusals: u64,
+    /// Until then no stream can count as silent.
+    silent_after: Nanos,
     bytes_sent: u64,
     fleet: Option<Member>,
     /// What proxies have accepted since it was last kept.
@@ -245,6 +247,7 @@
             messages: 0,
             lines: 0.0,
             refusals: 0,
+            silent_after: now,
             bytes_sent: 0,
             fleet: None,
             accepted: BTreeMap::new(),
@@ -430,7 +433,7 @@
     }
 
     fn join(&mut self, now: Nanos, id: StreamId, node: &Node) -> Result<(), Refused> {
-        if !self.names_zone(&node.locality.zone) {
+        if !self.names.has_zone(&node.locality.zone) {
             return Err(Refused::UnknownZone(node.locality.zone.clone()));
         }
         match self.charge(now, &node.id) {
@@ -467,14 +470,6 @@
         Ok(())
     }
 
-    fn names_zone(&self, zone: &str) -> bool {
-        (0..=u16::MAX)
-            .map(ZoneId)
-            .map(|id| self.names.zone_name(id))
-            .take_while(|name| !name.is_empty())
-            .any(|name| name == zone)
-    }
-
     /// A stream has ended, from whichever side.
     pub fn leave(&mut self, now: Nanos, id: StreamId) {
         let Some(stream) = self.streams.remove(&id) else { return };
@@ -615,13 +610,20 @@
         }
     }
 
+    /// Looks at all streams only once one of them can have become silent: a turn comes with every report.
     fn break_silent(&mut self, now: Nanos) {
+        if now <= self.silent_after {
+            return;
+        }
         let period = self.settings.report_period;
         let silent = self.streams.iter().filter(|(_, stream)| stream.session.is_silent(now, period));
         for id in silent.map(|(id, _)| *id).collect::<Vec<StreamId>>() {
             self.outputs.push(Output::Break { stream: id, cause: "it has been silent".into() });
             self.leave(now, id);
         }
+        // One that joins from now on cannot be silent before one that spoke just now.
+        let earliest = self.streams.values().map(|stream| stream.session.silent_after(period));
+        self.silent_after = earliest.chain([Session::new(now).silent_after(period)]).min().unwrap_or(now);
     }
 
     /// When the next turn is due though nothing comes in.
--- a/crates/craneknot-coordinator/src/intake.rs
+++ b/crates/craneknot-coordinator/src/intake.rs
@@ -7,16 +7,13 @@
 use std::sync::Arc;
 
 use craneknot::interface::*;
-use craneknot_xds::load::{metric, ClusterStats, EndpointStats, LoadStatsRequest};
+use craneknot_xds::load::{metric, ClusterStats, EndpointStats, LoadStatsRequest, CLOSED_AT};
 
 const RATE_MOST: f64 = 1e6; // operations a second of one class at one server: more is a report gone wrong
 const SPAN_MOST: Nanos = Nanos::from_millis(60_000); // ms; sums over longer say nothing of now
 const ENDPOINTS_MOST: usize = 4_096; // of one class in one report: more than any table holds
 const LATENCY_MOST: f64 = 3.6e6; // ms; an hour: no operation lasts that long
 
-/// The key in a node's metadata: when the report was closed, in ms of the agent's clock.
-pub const CLOSED_AT: &str = "report_closed_ms";
-
 /// What was not counted, and why.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Unheard {
--- a/crates/craneknot-coordinator/src/session.rs
+++ b/crates/craneknot-coordinator/src/session.rs
@@ -200,7 +200,12 @@
 
     /// Nothing came for so long that the stream counts as broken.
     pub fn is_silent(&self, now: Nanos, report_period: Nanos) -> bool {
-        now - self.heard > SILENT.max(Nanos(report_period.0.saturating_mul(SILENT_PERIODS)))
+        now > self.silent_after(report_period)
+    }
+
+    /// Until then it cannot count as silent; a word moves it on.
+    pub fn silent_after(&self, report_period: Nanos) -> Nanos {
+        self.heard + SILENT.max(Nanos(report_period.0.saturating_mul(SILENT_PERIODS)))
     }
 
     /// A request has come.
--- a/crates/craneknot-model/src/world.rs
+++ b/crates/craneknot-model/src/world.rs
@@ -19,7 +19,7 @@
 use craneknot_rehearsal::sums::Sums;
 use craneknot_rehearsal::{Report, Script};
 use craneknot_xds::discovery::{DiscoveryRequest, DiscoveryResponse, Kind, Locality, Node, Status};
-use craneknot_xds::load::{LoadStatsRequest, Seconds};
+use craneknot_xds::load::{LoadStatsRequest, Seconds, CLOSED_AT};
 use craneknot_xds::orca;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -540,7 +540,7 @@
         let place = |server: usize| (address(server), self.plan.servers[server].group.zone.as_str());
         let cluster_stats = sums.report(interval, &self.script.classes, &place);
         let closed = self.now.0 / 1_000_000;
-        let metadata = BTreeMap::from([("report_closed_ms".to_owned(), closed.into())]);
+        let metadata = BTreeMap::from([(CLOSED_AT.to_owned(), closed.into())]);
         let node = Some(Node { id: format!("proxy-{proxy}"), metadata, ..Node::default() });
         let report = Box::new(LoadStatsRequest { node, cluster_stats });
         // By way of the agent, which sends at moments of its own.
--- a/crates/craneknot-settings/src/coordinator.rs
+++ b/crates/craneknot-settings/src/coordinator.rs
@@ -279,6 +279,10 @@
         KindId(place_of(&mut self.kinds, name))
     }
 
+    pub fn has_zone(&self, name: &str) -> bool {
+        self.zones.iter().any(|known| known == name)
+    }
+
     pub fn zone_name(&self, zone: ZoneId) -> &str {
         self.zones.get(usize::from(zone.0)).map_or("", String::as_str)
     }
--- a/crates/craneknot-xds/src/load.rs
+++ b/crates/craneknot-xds/src/load.rs
@@ -8,6 +8,10 @@
 /// The path of the published service's one method.
 pub const PATH: &str = "/envoy.service.load_stats.v3.LoadReportingService/StreamLoadStats";
 
+/// The key in a node's metadata that tells when a report was closed, in ms of the agent's clock: a report that comes again
+/// counts once.
+pub const CLOSED_AT: &str = "report_closed_ms";
+
 /// Names of load metrics, beside those that servers name themselves.
 pub mod metric {
     /// Answering time of good answers, ms.
