--- a/crates/craneknot-cli/src/main.rs
+++ b/crates/craneknot-cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The `craneknot` program.
 
+mod model;
 mod status;
 
 use std::fs;
@@ -10,8 +11,6 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 use craneknot_coordinator::shell::{Ended, Shell};
-use craneknot_model::experiment::{self, Estimate};
-use craneknot_model::hunt;
 use craneknot_reactor::SteadyClock;
 use craneknot_rehearsal::Script;
 use craneknot_settings::{load, schema_text, AgentSettings, CoordinatorSettings, Problems};
@@ -97,11 +96,14 @@
         /// Where settings, files and logs of the rehearsal are kept; left out: a new folder, removed at the end.
         #[arg(long)]
         folder: Option<PathBuf>,
+        /// What was seen is written there, as gzipped JSON lines, for the model to play again.
+        #[arg(long)]
+        record: Option<PathBuf>,
     },
     /// Plays a rehearsal's script in simulated time.
     Model {
         #[command(subcommand)]
-        act: ModelAct,
+        act: model::Act,
     },
     /// Asks coordinators how they are: streams, what waits, and in a shared fleet members, leases and epochs.
     Status {
@@ -131,48 +133,6 @@
     },
 }
 
-#[derive(Subcommand)]
-enum ModelAct {
-    /// One seed after another, until the error bars of the service are narrow enough.
-    Run {
-        /// The script, a JSON file; left out: the short one that is built in.
-        script: Option<PathBuf>,
-        #[arg(long)]
-        seed: Option<u64>,
-        /// Runs at the least.
-        #[arg(long, default_value_t = 5)]
-        least: usize,
-        /// Runs at the most.
-        #[arg(long, default_value_t = 20)]
-        most: usize,
-        /// Half the width of the 95% interval of the service that is enough.
-        #[arg(long, default_value_t = 0.01)]
-        narrow: f64,
-        #[arg(long)]
-        report: Option<PathBuf>,
-    },
-    /// Looks for a day on which a rule breaks, or service falls furthest, and writes the smallest script that shows it.
-    Hunt {
-        /// The fleet and its clients; its own troubles are left out.
-        script: Option<PathBuf>,
-        #[arg(long)]
-        seed: Option<u64>,
-        /// Days to play.
-        #[arg(long, default_value_t = 100)]
-        days: usize,
-        /// Where the script found is written.
-        #[arg(long)]
-        out: Option<PathBuf>,
-    },
-    /// Two scripts on the same random numbers: the second's service less the first's.
-    Compare {
-        one: PathBuf,
-        other: PathBuf,
-        #[arg(long, default_value_t = 10)]
-        runs: usize,
-    },
-}
-
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let Ok(filter) = EnvFilter::try_new(&cli.level) else {
@@ -250,14 +210,15 @@
             );
             Ok(())
         }
-        Command::Rehearse { script, seed, report, folder } => {
+        Command::Rehearse { script, seed, report, folder, record } => {
             let mut read = match &script {
                 Some(file) => load::<Script>(file).map_err(wrong)?,
                 None => Script::built_in().map_err(wrong)?,
             };
             read.seed = seed.unwrap_or(read.seed);
             let program = std::env::current_exe().map_err(system)?;
-            let result = craneknot_rehearsal::rehearse(&read, &program, folder.as_deref()).map_err(system)?;
+            let result = craneknot_rehearsal::rehearse(&read, &program, folder.as_deref(), record.as_deref())
+                .map_err(system)?;
             print!("{}", result.lines());
             if let Some(path) = report {
                 let text = serde_json::to_string_pretty(&result).unwrap_or_default();
@@ -269,57 +230,7 @@
                 Err(Failed::Rule)
             }
         }
-        Command::Model { act: ModelAct::Run { script, seed, least, most, narrow, report } } => {
-            let mut read = match &script {
-                Some(file) => load::<Script>(file).map_err(wrong)?,
-                None => Script::built_in().map_err(wrong)?,
-            };
-            read.seed = seed.unwrap_or(read.seed);
-            let asked = experiment::Asked { least, most, narrow };
-            let outcome = experiment::run(&read, asked, |seed, report| {
-                eprintln!("seed {seed}: service {:.3}", report.service.service);
-            });
-            let text = serde_json::to_string_pretty(&outcome).unwrap_or_default();
-            println!("{text}");
-            if let Some(path) = report {
-                fs::write(&path, text + "\n").map_err(system)?;
-            }
-            if outcome.broken.is_empty() {
-                Ok(())
-            } else {
-                Err(Failed::Rule)
-            }
-        }
-        Command::Model { act: ModelAct::Hunt { script, seed, days, out } } => {
-            let mut base = match &script {
-                Some(file) => load::<Script>(file).map_err(wrong)?,
-                None => Script::built_in().map_err(wrong)?,
-            };
-            base.seed = seed.unwrap_or(base.seed);
-            let found = hunt::hunt(&base, days, |day, report| {
-                if !report.passed() {
-                    eprintln!("day {day}: a rule broke, seed {}", report.seed);
-                }
-            });
-            let text = serde_json::to_string_pretty(&found.script).unwrap_or_default();
-            print!("{}", found.report.lines());
-            match out {
-                Some(path) => fs::write(&path, text + "\n").map_err(system)?,
-                None => println!("{text}"),
-            }
-            if found.report.passed() {
-                Ok(())
-            } else {
-                Err(Failed::Rule)
-            }
-        }
-        Command::Model { act: ModelAct::Compare { one, other, runs } } => {
-            let (one, other) = (load::<Script>(&one).map_err(wrong)?, load::<Script>(&other).map_err(wrong)?);
-            let difference = experiment::compare(&one, &other, runs);
-            let Estimate { mean, half_width, runs } = difference;
-            println!("service {mean:+.4} ± {half_width:.4} (95%, {runs} runs on the same random numbers)");
-            Ok(())
-        }
+        Command::Model { act } => model::act(act),
         Command::Status { coordinators, json } => {
             let mut failed = false;
             for address in coordinators {
--- a/crates/craneknot-cli/tests/rehearse.rs
+++ b/crates/craneknot-cli/tests/rehearse.rs
@@ -8,7 +8,7 @@
 use craneknot_settings::Span;
 
 fn play(script: &Script) -> Report {
-    let report = rehearse(script, Path::new(env!("CARGO_BIN_EXE_craneknot")), None).unwrap();
+    let report = rehearse(script, Path::new(env!("CARGO_BIN_EXE_craneknot")), None, None).unwrap();
     assert!(report.service.asked > 100, "{}", report.lines());
     report
 }
--- a/crates/craneknot-coordinator/src/desk.rs
+++ b/crates/craneknot-coordinator/src/desk.rs
@@ -8,7 +8,7 @@
 use craneknot::interface::*;
 use craneknot::Controller;
 use craneknot_fleet::member::{self, Charge, Member};
-use craneknot_fleet::raft::Saved;
+use craneknot_fleet::raft::{Role, Saved};
 use craneknot_fleet::view::Epoch;
 use craneknot_fleet::wire::Datagram;
 use craneknot_fleet::MemberId;
@@ -197,6 +197,9 @@
     messages: u64,
     lines: f64,
     refusals: u64,
+    /// Streams not known to be in our charge, and the view by which all were looked at last.
+    unsure: usize,
+    looked: Option<Epoch>,
     /// Until then no stream can count as silent.
     silent_after: Nanos,
     bytes_sent: u64,
@@ -247,6 +250,8 @@
             messages: 0,
             lines: 0.0,
             refusals: 0,
+            unsure: 0,
+            looked: None,
             silent_after: now,
             bytes_sent: 0,
             fleet: None,
@@ -307,7 +312,10 @@
                     self.outputs.push(Output::Datagram { to: to.to_string(), text: datagram.text() });
                 }
                 // What may be sent has changed.
-                member::Output::Changed => self.stirred.extend(self.streams.keys()),
+                member::Output::Changed => {
+                    self.looked = None;
+                    self.stirred.extend(self.streams.keys());
+                }
             }
         }
     }
@@ -322,6 +330,12 @@
         let Some(fleet) = &mut self.fleet else { return };
         let steps = fleet.tick(now);
         self.carry(steps);
+        // Whose charge a proxy is changes with the view and the lease alone; each look costs a hash a stream.
+        let view = self.fleet.as_ref().map(|fleet| fleet.view().epoch);
+        if self.unsure == 0 && view.is_some() && self.looked == view {
+            return;
+        }
+        (self.looked, self.unsure) = (view, 0);
         for id in self.streams.keys().copied().collect::<Vec<StreamId>>() {
             let charge = self.charge(now, self.proxy_name(id));
             let Some(stream) = self.streams.get_mut(&id) else { continue };
@@ -333,6 +347,7 @@
                     self.leave(now, id);
                 }
                 Charge::Unknown => {
+                    self.unsure += 1;
                     let since = *stream.unsure.get_or_insert(now);
                     if now - since >= UNSURE {
                         let cause = "no one is known to be in charge of its proxy".to_owned();
@@ -643,6 +658,12 @@
         self.settings.report_period
     }
 
+    /// The term in which this one leads a shared fleet; nothing: it does not lead.
+    pub fn leads(&self) -> Option<u64> {
+        let fleet = self.fleet.as_ref()?;
+        (fleet.role() == Role::Leader).then(|| fleet.term())
+    }
+
     /// Begins the spans from decision to swap anew.
     pub fn forget_spans(&mut self) {
         self.spans.clear();
--- a/crates/craneknot-fleet/src/member.rs
+++ b/crates/craneknot-fleet/src/member.rs
@@ -191,7 +191,8 @@
     }
 
     pub fn next_at(&self) -> Nanos {
-        let lease = self.lease.as_ref().map(|lease| lease.until);
+        // A lease whose end was told asks for nothing more: its end is past.
+        let lease = self.lease.as_ref().filter(|_| self.told.is_some()).map(|lease| lease.until);
         [Some(self.raft.next_at()), Some(self.swim.next_at()), Some(self.renew_at), lease]
             .into_iter()
             .flatten()
--- a/crates/craneknot-fleet/tests/world/mod.rs
+++ b/crates/craneknot-fleet/tests/world/mod.rs
@@ -327,6 +327,8 @@
             }
             let Some(member) = &mut self.nodes[place].member else { continue };
             let outputs = member.tick(clock);
+            // Found in the fleet model: one whose lease had ended asked to be woken at that end, over and over.
+            assert!(member.next_at() > clock, "node {place} would spin at {clock:?}");
             self.carry(place, outputs);
             self.order(place);
         }
--- a/crates/craneknot-model/src/experiment.rs
+++ b/crates/craneknot-model/src/experiment.rs
@@ -1,16 +1,27 @@
-//! Replications, and means with their error bars.
+//! Replications, means with their error bars, comparisons on common random numbers, sweeps, and forecasts of a recorded run.
 
+use std::collections::BTreeMap;
+use std::path::Path;
+
+use craneknot_rehearsal::recording::Recording;
 use craneknot_rehearsal::{Report, Script};
-use serde::Serialize;
+use craneknot_settings::{parse, Span};
+use rayon::prelude::*;
+use serde::{Deserialize, Serialize};
 use statrs::distribution::{ContinuousCDF, StudentsT};
 
-use crate::world;
+use crate::baseline::Who;
+use crate::bound;
+use crate::world::{play_whole, Ask};
+
+pub const FORMAT: &str = "craneknot-outcome-1";
 
 /// A mean and the half-width of its 95% interval (Student's t).
-#[derive(Clone, Copy, Debug, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Estimate {
     pub mean: f64,
-    pub half_width: f64,
+    /// Nothing: one run tells no width.
+    pub half_width: Option<f64>,
     pub runs: usize,
 }
 
@@ -18,87 +29,438 @@
     pub fn of(values: &[f64]) -> Self {
         let runs = values.len();
         let mean = values.iter().sum::<f64>() / runs.max(1) as f64;
-        if runs < 2 {
-            return Estimate { mean, half_width: f64::INFINITY, runs };
+        let half_width = spread(values, mean).map(|(t, deviation)| t * deviation / (runs as f64).sqrt());
+        Estimate { mean, half_width, runs }
+    }
+
+    /// Where one more run falls, 19 times of 20: wider than the interval of the mean.
+    pub fn of_next(values: &[f64]) -> Self {
+        let runs = values.len();
+        let mean = values.iter().sum::<f64>() / runs.max(1) as f64;
+        let half_width =
+            spread(values, mean).map(|(t, deviation)| t * deviation * (1.0 + 1.0 / runs as f64).sqrt());
+        Estimate { mean, half_width, runs }
+    }
+
+    pub fn is_narrow(&self, most: f64) -> bool {
+        self.half_width.is_some_and(|half| half <= most)
+    }
+}
+
+impl std::fmt::Display for Estimate {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self.half_width {
+            Some(half) => write!(f, "{:.4} ± {half:.4} ({} runs)", self.mean, self.runs),
+            None => write!(f, "{:.4} (one run)", self.mean),
         }
-        let variance = values.iter().map(|value| (value - mean).powi(2)).sum::<f64>() / (runs - 1) as f64;
-        let freedom = (runs - 1) as f64;
-        let t = StudentsT::new(0.0, 1.0, freedom).map_or(f64::INFINITY, |t| t.inverse_cdf(0.975));
-        Estimate { mean, half_width: t * (variance / runs as f64).sqrt(), runs }
     }
 }
 
+/// Student's t for 95%, and the standard deviation.
+fn spread(values: &[f64], mean: f64) -> Option<(f64, f64)> {
+    let freedom = values.len().checked_sub(1).filter(|freedom| *freedom > 0)? as f64;
+    let variance = values.iter().map(|value| (value - mean).powi(2)).sum::<f64>() / freedom;
+    let t = StudentsT::new(0.0, 1.0, freedom).ok()?.inverse_cdf(0.975);
+    Some((t, variance.sqrt()))
+}
+
 /// What is asked of an experiment.
 #[derive(Clone, Copy, Debug)]
 pub struct Asked {
     pub least: usize,
     pub most: usize,
-    /// Enough once the interval's half-width of the service is no more than this.
+    /// Enough once the interval's half-width is no more than this.
     pub narrow: f64,
+    /// Whether baselines and the bound are played beside ours.
+    pub baselines: bool,
 }
 
-#[derive(Clone, Debug, Serialize)]
-pub struct Outcome {
-    pub script: String,
-    pub version: String,
-    pub first_seed: u64,
+/// One run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Single {
+    pub seed: u64,
+    pub service: f64,
+    pub worst_window: f64,
+    pub p99_ms: f64,
+    /// Lines sent a second by all coordinators, and the most in a channel for its limit.
+    pub lines_per_second: f64,
+    pub queue: f64,
+    /// The first evidence of a broken rule.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub broken: Option<String>,
+    /// Service by baselines and the bound, where they were asked for.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub beside: BTreeMap<String, f64>,
+}
+
+impl Single {
+    fn of(script: &Script, report: &Report) -> Self {
+        let figure = |name: &str| {
+            let of = |status: &serde_json::Value| status.get(name)?.as_f64();
+            report.status.iter().filter_map(of).collect::<Vec<f64>>()
+        };
+        let limit = script.channel.lines_limit;
+        Single {
+            seed: report.seed,
+            service: report.service.service,
+            worst_window: report.service.worst_window,
+            p99_ms: report.service.latency_p99_ms,
+            lines_per_second: figure("lines").iter().sum::<f64>() / report.seconds.max(1e-9),
+            queue: figure("channel_most").into_iter().fold(0.0, f64::max) / limit,
+            broken: report.rules.values().find_map(|verdict| verdict.first.clone()),
+            beside: BTreeMap::new(),
+        }
+    }
+}
+
+/// All runs of one script.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Arm {
+    pub name: String,
+    /// Where it is one of a sweep: what was put in at each pointer.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub put: BTreeMap<String, serde_json::Value>,
+    pub script: Script,
     pub service: Estimate,
     pub worst_window: Estimate,
     pub p99_ms: Estimate,
-    /// Runs in which a rule was broken, with the first evidence.
-    pub broken: Vec<(u64, String)>,
+    pub lines_per_second: Estimate,
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub beside: BTreeMap<String, Estimate>,
+    pub singles: Vec<Single>,
 }
 
-/// Plays the script with one seed after another until the bars are narrow enough.
-pub fn run(script: &Script, asked: Asked, mut progress: impl FnMut(u64, &Report)) -> Outcome {
-    let mut reports: Vec<Report> = Vec::new();
-    let values = |reports: &[Report], of: fn(&Report) -> f64| reports.iter().map(of).collect::<Vec<f64>>();
+impl Arm {
+    fn of(
+        name: String,
+        put: BTreeMap<String, serde_json::Value>,
+        script: Script,
+        singles: Vec<Single>,
+    ) -> Self {
+        let estimate = |of: fn(&Single) -> f64| Estimate::of(&singles.iter().map(of).collect::<Vec<f64>>());
+        let names = singles.first().map(|single| single.beside.keys().cloned().collect::<Vec<String>>());
+        let beside = |name: String| {
+            let values: Vec<f64> =
+                singles.iter().filter_map(|single| single.beside.get(&name).copied()).collect();
+            (name, Estimate::of(&values))
+        };
+        Arm {
+            name,
+            put,
+            script,
+            service: estimate(|single| single.service),
+            worst_window: estimate(|single| single.worst_window),
+            p99_ms: estimate(|single| single.p99_ms),
+            lines_per_second: estimate(|single| single.lines_per_second),
+            beside: names.into_iter().flatten().map(beside).collect(),
+            singles,
+        }
+    }
+}
+
+/// The second arm's service less the first's, seed by seed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Difference {
+    pub arm: String,
+    pub less: String,
+    pub service: Estimate,
+}
+
+/// What a forecast of a recorded run came to.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Forecast {
+    pub measured: f64,
+    /// Where the service of one run falls, 19 times of 20.
+    pub next: Estimate,
+    pub inside: bool,
+}
+
+/// One file with all that is needed to play it again.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Outcome {
+    pub format: String,
+    pub version: String,
+    pub arms: Vec<Arm>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub differences: Vec<Difference>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub forecast: Option<Forecast>,
+}
+
+impl Outcome {
+    fn new(arms: Vec<Arm>) -> Self {
+        let version = env!("CARGO_PKG_VERSION").to_owned();
+        Outcome { format: FORMAT.to_owned(), version, arms, differences: Vec::new(), forecast: None }
+    }
+
+    /// Seeds in which a rule broke, by arm.
+    pub fn broken(&self) -> impl Iterator<Item = (&str, &Single)> {
+        self.arms.iter().flat_map(|arm| {
+            arm.singles
+                .iter()
+                .filter(|single| single.broken.is_some())
+                .map(|single| (arm.name.as_str(), single))
+        })
+    }
+}
+
+const BATCH: usize = 4; // runs begun at once; the same on every machine, since it decides how many are played
+
+fn single(script: &Script, ask: Ask, baselines: bool) -> Single {
+    let played = play_whole(script, ask);
+    let mut single = Single::of(script, &played.report);
+    if baselines {
+        for who in Who::BASELINES {
+            let report = play_whole(script, Ask { who, ..ask }).report;
+            single.beside.insert(who.title().to_owned(), report.service.service);
+        }
+        if let Some(bound) = bound::service(script, played.begin, &played.asked) {
+            single.beside.insert("bound".to_owned(), bound);
+        }
+    }
+    single
+}
+
+/// Plays run after run, a batch at once, until `enough` of the values or the most that were asked for.
+fn runs<T: Send>(
+    asked: Asked,
+    one: impl Fn(u64) -> T + Sync,
+    value: impl Fn(&T) -> f64,
+    mut progress: impl FnMut(&[T]),
+) -> Vec<T> {
+    let mut all: Vec<T> = Vec::new();
     loop {
-        let seed = script.seed.wrapping_add(reports.len() as u64);
-        let report = world::play(&Script { seed, ..script.clone() });
-        progress(seed, &report);
-        reports.push(report);
-        let service = Estimate::of(&values(&reports, |report| report.service.service));
-        let enough = reports.len() >= asked.least && service.half_width <= asked.narrow;
-        if enough || reports.len() >= asked.most.max(1) {
-            let first = |report: &Report| report.rules.values().find_map(|verdict| verdict.first.clone());
-            return Outcome {
-                script: script.name.clone(),
-                version: env!("CARGO_PKG_VERSION").to_owned(),
-                first_seed: script.seed,
-                service,
-                worst_window: Estimate::of(&values(&reports, |report| report.service.worst_window)),
-                p99_ms: Estimate::of(&values(&reports, |report| report.service.latency_p99_ms)),
-                broken: reports.iter().filter_map(|report| Some((report.seed, first(report)?))).collect(),
-            };
+        let from = all.len();
+        let to = (from + BATCH).min(asked.most.max(1));
+        let batch: Vec<T> = (from..to).into_par_iter().map(|number| one(number as u64)).collect();
+        progress(&batch);
+        all.extend(batch);
+        let narrow = Estimate::of(&all.iter().map(&value).collect::<Vec<f64>>()).is_narrow(asked.narrow);
+        if all.len() >= asked.most.max(1) || all.len() >= asked.least && narrow {
+            return all;
         }
     }
 }
 
-/// The difference of two scripts on common random numbers: seed by seed, the second less the first.
-pub fn compare(one: &Script, other: &Script, runs: usize) -> Estimate {
-    let play = |script: &Script, k: usize| {
-        let seed = one.seed.wrapping_add(k as u64);
-        world::play(&Script { seed, ..script.clone() }).service.service
+fn seeded(script: &Script, number: u64) -> Script {
+    Script { seed: script.seed.wrapping_add(number), ..script.clone() }
+}
+
+/// Plays the script with one seed after another until the bars are narrow enough.
+pub fn run(script: &Script, asked: Asked, mut progress: impl FnMut(&Single)) -> Outcome {
+    let one = |number| single(&seeded(script, number), Ask::default(), asked.baselines);
+    let told = |batch: &[Single]| batch.iter().for_each(&mut progress);
+    let singles = runs(asked, one, |single| single.service, told);
+    Outcome::new(vec![Arm::of(script.name.clone(), BTreeMap::new(), script.clone(), singles)])
+}
+
+/// Two scripts on common random numbers, until the difference's bars are narrow enough.
+pub fn compare(one: &Script, other: &Script, asked: Asked, mut progress: impl FnMut(&Single)) -> Outcome {
+    let names = match one.name == other.name {
+        true => (format!("{}, first", one.name), format!("{}, second", other.name)),
+        false => (one.name.clone(), other.name.clone()),
+    };
+    let other = Script { seed: one.seed, ..other.clone() };
+    let both = |number| {
+        let play = |script: &Script| single(&seeded(script, number), Ask::default(), asked.baselines);
+        (play(one), play(&other))
+    };
+    let gain = |(first, second): &(Single, Single)| second.service - first.service;
+    let pairs = runs(asked, both, gain, |batch| {
+        batch.iter().for_each(|(first, second)| {
+            progress(first);
+            progress(second);
+        })
+    });
+    let service = Estimate::of(&pairs.iter().map(gain).collect::<Vec<f64>>());
+    let (first, second): (Vec<Single>, Vec<Single>) = pairs.into_iter().unzip();
+    let difference = Difference { arm: names.1.clone(), less: names.0.clone(), service };
+    let mut outcome = Outcome::new(vec![
+        Arm::of(names.0, BTreeMap::new(), one.clone(), first),
+        Arm::of(names.1, BTreeMap::new(), other, second),
+    ]);
+    outcome.differences.push(difference);
+    outcome
+}
+
+/// One setting of a sweep, by JSON pointer (RFC 6901), and the values it takes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Axis {
+    pub pointer: String,
+    pub values: Vec<serde_json::Value>,
+}
+
+impl std::str::FromStr for Axis {
+    type Err = String;
+
+    /// `/clients/rate=100,200,400`; a value that is no JSON is text, such as `1.5s`.
+    fn from_str(text: &str) -> Result<Self, String> {
+        let (pointer, values) = text.split_once('=').ok_or("wants POINTER=VALUE,VALUE...")?;
+        if !pointer.starts_with('/') {
+            return Err(format!("pointer {pointer:?} does not begin with a slash"));
+        }
+        let value = |text: &str| serde_json::from_str(text).unwrap_or(serde_json::Value::from(text));
+        let values: Vec<serde_json::Value> = values.split(',').map(value).collect();
+        Ok(Axis { pointer: pointer.to_owned(), values })
+    }
+}
+
+/// The script with other values at these pointers, checked as one that was read.
+pub fn put(script: &Script, values: &BTreeMap<String, serde_json::Value>) -> Result<Script, String> {
+    let mut whole = serde_json::to_value(script).map_err(|cause| cause.to_string())?;
+    for (pointer, value) in values {
+        match whole.pointer_mut(pointer) {
+            Some(place) => *place = value.clone(),
+            // What is left out of a script may still be set: its last name is new in an object that is there.
+            None => {
+                let (before, name) = pointer.rsplit_once('/').unwrap_or(("", pointer));
+                let object = whole.pointer_mut(before).and_then(|place| place.as_object_mut());
+                object.ok_or(format!("nothing stands at {pointer}"))?.insert(name.to_owned(), value.clone());
+            }
+        }
+    }
+    let text = serde_json::to_vec(&whole).map_err(|cause| cause.to_string())?;
+    parse(Path::new("the script as swept"), &text).map_err(|problems| problems.to_string())
+}
+
+/// Plays every combination of the axes' values on common random numbers; differences are against the first.
+pub fn sweep(
+    script: &Script,
+    axes: &[Axis],
+    asked: Asked,
+    mut progress: impl FnMut(&str, &Single),
+) -> Result<Outcome, String> {
+    let mut cells = vec![BTreeMap::new()];
+    for axis in axes {
+        cells = cells
+            .into_iter()
+            .flat_map(|cell: BTreeMap<String, serde_json::Value>| {
+                axis.values.iter().map(move |value| {
+                    let mut cell = cell.clone();
+                    cell.insert(axis.pointer.clone(), value.clone());
+                    cell
+                })
+            })
+            .collect();
+    }
+    // All are checked before the first is played.
+    let scripts = cells.iter().map(|cell| put(script, cell)).collect::<Result<Vec<Script>, String>>()?;
+    let mut arms: Vec<Arm> = Vec::new();
+    for (cell, script) in cells.into_iter().zip(scripts) {
+        let name =
+            cell.iter().map(|(pointer, value)| format!("{pointer}={value}")).collect::<Vec<_>>().join(" ");
+        let one = |number| single(&seeded(&script, number), Ask::default(), asked.baselines);
+        let told = |batch: &[Single]| batch.iter().for_each(|single| progress(&name, single));
+        let singles = runs(asked, one, |single| single.service, told);
+        arms.push(Arm::of(name, cell, script, singles));
+    }
+    let mut outcome = Outcome::new(arms);
+    if let Some((first, rest)) = outcome.arms.split_first() {
+        let difference = |arm: &Arm| {
+            let pairs = arm.singles.iter().zip(&first.singles);
+            let values: Vec<f64> = pairs.map(|(one, other)| one.service - other.service).collect();
+            Difference { arm: arm.name.clone(), less: first.name.clone(), service: Estimate::of(&values) }
+        };
+        outcome.differences = rest.iter().map(difference).collect();
+    }
+    Ok(outcome)
+}
+
+/// Plays what a recording shows was asked for, amid the same troubles, with all else drawn anew in each run, and says where
+/// the recorded run's service should have fallen. `script`: as fitted, or as another setting has it.
+pub fn replay(
+    recording: &Recording,
+    script: &Script,
+    asked: Asked,
+    mut progress: impl FnMut(&Single),
+) -> Outcome {
+    let arrivals = recording.arrivals();
+    let one = |number: u64| {
+        // Far from the seeds of whole days, so that no replay is by chance the recorded day itself.
+        let chance = (number + 1) << 32;
+        let ask = Ask { arrivals: Some(&arrivals), chance, ..Ask::default() };
+        Single { seed: chance, ..single(script, ask, asked.baselines) }
     };
-    Estimate::of(&(0..runs).map(|k| play(other, k) - play(one, k)).collect::<Vec<f64>>())
+    let told = |batch: &[Single]| batch.iter().for_each(&mut progress);
+    let singles = runs(asked, one, |single| single.service, told);
+    let next = Estimate::of_next(&singles.iter().map(|single| single.service).collect::<Vec<f64>>());
+    let measured = recording.head.service;
+    let inside = next.half_width.is_some_and(|half| (measured - next.mean).abs() <= half);
+    let mut outcome =
+        Outcome::new(vec![Arm::of(script.name.clone(), BTreeMap::new(), script.clone(), singles)]);
+    outcome.forecast = Some(Forecast { measured, next, inside });
+    outcome
+}
+
+/// A swept value on an axis of a plot: a number, or a span in seconds.
+pub fn number_of(value: &serde_json::Value) -> Option<f64> {
+    value.as_f64().or_else(|| Span::read(value.as_str()?).map(|span| span.0.secs()))
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
 
+    const ASKED: Asked = Asked { least: 2, most: 2, narrow: 1.0, baselines: false };
+
+    fn short() -> Script {
+        Script { length: Span::millis(6_000), troubles: Vec::new(), ..Script::built_in().unwrap() }
+    }
+
     #[test]
     fn intervals_hold_the_mean_as_often_as_they_say() {
         use rand::{Rng, SeedableRng};
         let mut rng = rand_pcg::Pcg32::seed_from_u64(9);
-        let holds = (0..2_000).filter(|_| {
-            let values: Vec<f64> =
-                (0..8).map(|_| (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0).collect();
-            let estimate = Estimate::of(&values);
-            estimate.mean.abs() <= estimate.half_width
-        });
-        let share = holds.count() as f64 / 2_000.0;
-        assert!((0.93..0.97).contains(&share), "{share}");
+        let (mut holds, mut next) = (0, 0);
+        for _ in 0..2_000 {
+            let mut draw = || (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0;
+            let values: Vec<f64> = (0..8).map(|_| draw()).collect();
+            let within = |estimate: Estimate, value: f64| {
+                usize::from((estimate.mean - value).abs() <= estimate.half_width.unwrap())
+            };
+            holds += within(Estimate::of(&values), 0.0);
+            next += within(Estimate::of_next(&values), draw());
+        }
+        for share in [holds as f64 / 2_000.0, next as f64 / 2_000.0] {
+            assert!((0.93..0.97).contains(&share), "{share}");
+        }
+        assert_eq!(Estimate::of(&[1.0]).half_width, None);
+    }
+
+    #[test]
+    fn two_settings_that_are_the_same_differ_by_exactly_nothing() {
+        let outcome = compare(&short(), &short(), ASKED, |_| {});
+        let Estimate { mean, half_width, .. } = outcome.differences[0].service;
+        assert_eq!((mean, half_width), (0.0, Some(0.0)));
+        assert_eq!(outcome, compare(&short(), &short(), ASKED, |_| {}));
+    }
+
+    #[test]
+    fn a_sweep_sets_what_it_names_and_refuses_what_is_out_of_order() {
+        let axes = ["/clients/rate=50,100".parse().unwrap(), "/report_period=500ms".parse().unwrap()];
+        let outcome = sweep(&short(), &axes, ASKED, |_, _| {}).unwrap();
+        let rates: Vec<f64> = outcome.arms.iter().map(|arm| arm.script.clients.rate).collect();
+        assert_eq!((rates, outcome.differences.len()), (vec![50.0, 100.0], 1));
+        assert_eq!(number_of(&serde_json::json!("500ms")), Some(0.5));
+        for (text, word) in
+            [("/clients/rate=-1", "rate"), ("/no/such=1", "/no/such"), ("/seed=\"x\"", "seed")]
+        {
+            let cause = sweep(&short(), &[text.parse().unwrap()], ASKED, |_, _| {}).unwrap_err();
+            assert!(cause.contains(word), "{cause}");
+        }
+        assert!("rate=1".parse::<Axis>().is_err() && "/rate".parse::<Axis>().is_err());
+        let text = serde_json::to_string(&outcome).unwrap();
+        assert_eq!(serde_json::from_str::<Outcome>(&text).unwrap(), outcome);
+    }
+
+    #[test]
+    fn baselines_stand_beside_and_none_passes_the_bound() {
+        let script = Script { length: Span::millis(10_000), ..Script::built_in().unwrap() };
+        let outcome = run(&script, Asked { baselines: true, ..ASKED }, |_| {});
+        let single = &outcome.arms[0].singles[0];
+        let bound = single.beside["bound"];
+        assert_eq!(single.beside.len(), Who::BASELINES.len() + 1);
+        assert!(single.service <= bound + 1e-9 && single.beside.values().all(|one| *one <= bound + 1e-9));
+        assert!(single.beside[Who::Random.title()] > 0.3, "{single:?}");
     }
 }
--- /dev/null
+++ b/crates/craneknot-model/src/world/mod.rs
@@ -0,0 +1,461 @@
+//! The engine: events in the order of time, one seed one run.
+
+mod agents;
+mod coordinators;
+mod operations;
+mod troubles;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::net::{Ipv4Addr, SocketAddr};
+
+use craneknot::interface::{LoadReport, Nanos, ProbeOutcome, ServerId};
+use craneknot_agent::dial::{Dial, Effect, Sign, State};
+use craneknot_agent::hold::{Holding, Verdict};
+use craneknot_coordinator::desk::{body, Desk, Output, Refused, StreamId};
+use craneknot_coordinator::session::Answer as Told;
+use craneknot_fleet::raft::Saved;
+use craneknot_rehearsal::auditor;
+use craneknot_rehearsal::caller::{Answer, Caller, Next, Operation};
+use craneknot_rehearsal::chooser::{Chooser, Tried};
+use craneknot_rehearsal::conduct::{coordinator_settings, terms};
+use craneknot_rehearsal::machine::{Arrival, Job, Machine, Make};
+use craneknot_rehearsal::plan::{FleetAct, Plan, ProxyAct, ServerAct, ServerPlan, Shows};
+use craneknot_rehearsal::record::{merge, EndedAs, Log, Record, What};
+use craneknot_rehearsal::sums::Sums;
+use craneknot_rehearsal::{Report, Script};
+use craneknot_xds::discovery::{DiscoveryRequest, DiscoveryResponse, Kind, Locality, Node, Status};
+use craneknot_xds::load::{LoadStatsRequest, Seconds, CLOSED_AT};
+use craneknot_xds::orca;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+
+use crate::baseline::{self, Seen, Who};
+use crate::bound::Asked;
+
+const START: Nanos = Nanos::from_millis(1_000_000_000); // ms; the date at which a run begins
+const HOP: Nanos = Nanos(400_000); // ns; one way between any two on one machine, with what their loops take
+/// What a try takes on its way there and back, on average.
+pub const ROUND_TRIP: Nanos = Nanos(3 * HOP.0);
+const FIRST_TABLES: Nanos = Nanos::from_millis(1_500); // ms; from the agents' start to the first operation
+const SETTLE: Nanos = Nanos::from_millis(2_500); // ms; after the last operation
+const SILENT: Nanos = Nanos::from_millis(2_000); // ms; an agent whose report has no answer for so long dials anew
+const STILL: Nanos = Nanos::from_millis(20); // ms; what comes to a coordinator that stands still is looked at again after it
+const NOTICE: Nanos = Nanos::from_millis(1); // ms; until the end of a process shows at the other end
+
+enum Event {
+    Desk(usize),
+    ToDesk {
+        coordinator: usize,
+        stream: StreamId,
+        proxy: usize,
+        kind: Kind,
+        refused: Option<Status>,
+    },
+    ToAgent {
+        proxy: usize,
+        stream: StreamId,
+        kind: Kind,
+        response: Option<Box<DiscoveryResponse>>,
+    },
+    Dial(usize),
+    Lost {
+        proxy: usize,
+        stream: StreamId,
+    },
+    Report(usize),
+    Reported {
+        proxy: usize,
+        coordinator: usize,
+        report: Box<LoadStatsRequest>,
+    },
+    Probed {
+        coordinator: usize,
+        server: ServerId,
+        since: Nanos,
+    },
+    /// A datagram of one coordinator comes in at another.
+    Mail {
+        to: usize,
+        text: Vec<u8>,
+    },
+    /// The proxy's agent is sent on to the coordinator in charge.
+    SentOn {
+        proxy: usize,
+        stream: StreamId,
+        to: usize,
+    },
+    NextOperation,
+    Ask(Box<Operation>),
+    Arrive(u64),
+    Done {
+        server: usize,
+        life: u64,
+        job: u64,
+    },
+    Ended {
+        number: u64,
+        tried: Tried,
+    },
+    TryOver(u64),
+    ClientOver(u64),
+    Answered {
+        number: u64,
+        answer: Answer,
+    },
+    ServerAct(usize),
+    ProxyAct(usize),
+    FleetAct(usize),
+    Rate(usize),
+    Queue,
+    LookAtQueues,
+}
+
+struct Server {
+    make: Make,
+    machine: Machine,
+    up: bool,
+    life: u64,
+    errors: f64,
+    hangs: bool,
+    loses: f64,
+    silent: bool,
+}
+
+struct Proxy {
+    zone: usize,
+    up: bool,
+    down_since: Option<Nanos>,
+    chooser: Chooser,
+    holding: Holding,
+    nonces: BTreeMap<Kind, String>,
+    dial: Dial,
+    order: Vec<usize>,
+    stream: Option<(usize, StreamId)>,
+    agent: bool,
+    sums: Sums,
+    sums_since: Nanos,
+    /// Since when a report has had no answer.
+    unanswered: Option<Nanos>,
+    paths: BTreeMap<usize, f64>,
+    stalled_until: Nanos,
+}
+
+struct Try {
+    operation: Operation,
+    proxy: usize,
+    tried: Vec<usize>,
+    until: Nanos,
+    sent: Nanos,
+    done: bool,
+}
+
+/// A coordinator's store.
+#[derive(Default)]
+struct Disk {
+    saved: Saved,
+    followed: BTreeMap<String, String>,
+    list: Option<Vec<u8>>,
+}
+
+struct World<'a> {
+    script: &'a Script,
+    plan: Plan,
+    now: Nanos,
+    begin: Nanos,
+    queue: BinaryHeap<Reverse<(Nanos, u64)>>,
+    events: BTreeMap<u64, Event>,
+    next: u64,
+    desks: Vec<Option<Desk>>,
+    desk_at: Vec<Nanos>,
+    stalled: Vec<bool>,
+    /// What each coordinator has on its disk.
+    disks: Vec<Disk>,
+    /// What each coordinator hears while it stands still.
+    unread: Vec<Vec<Vec<u8>>>,
+    /// Coordinators whose datagrams get lost: those that they send, those that they get.
+    mute: BTreeSet<usize>,
+    deaf: BTreeSet<usize>,
+    /// Which coordinator led when a leader was struck.
+    struck: BTreeMap<usize, usize>,
+    servers: Vec<Server>,
+    proxies: Vec<Proxy>,
+    owners: BTreeMap<StreamId, usize>,
+    tries: BTreeMap<u64, Try>,
+    clients: BTreeMap<u64, Operation>,
+    caller: Caller,
+    upcoming: Option<Operation>,
+    factor: f64,
+    shows: Vec<Shows>,
+    version: u64,
+    roster: Option<Vec<u8>>,
+    rng: Pcg32,
+    log: Log,
+    ask: Ask<'a>,
+    /// Known arrivals that have come.
+    given: usize,
+    /// What was asked for, whatever became of it.
+    asked: Vec<Asked>,
+    /// What all proxies know of servers' queues, where the choice is by late knowledge.
+    late: Vec<f64>,
+}
+
+fn address(server: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 10_000 + server as u16))
+}
+
+fn number(text: &str) -> Option<usize> {
+    text.rsplit_once(':')?.1.parse::<usize>().ok()?.checked_sub(10_000)
+}
+
+/// How a script is to be played.
+#[derive(Clone, Copy, Default)]
+pub struct Ask<'a> {
+    /// Who picks the servers.
+    pub who: Who,
+    /// Moments since the first operation could come, classes and zones of operations that are known to have come;
+    /// nothing: they are drawn.
+    pub arrivals: Option<&'a [(Nanos, usize, usize)]>,
+    /// Draws all but the troubles anew, whose draw is by the script's seed alone.
+    pub chance: u64,
+}
+
+/// Plays a script.
+pub fn play(script: &Script) -> Report {
+    play_whole(script, Ask::default()).report
+}
+
+/// A run and all that was seen in it.
+pub struct Played {
+    pub report: Report,
+    pub records: Vec<Record>,
+    pub asked: Vec<Asked>,
+    /// When the first operation may come.
+    pub begin: Nanos,
+}
+
+/// Plays a script as asked.
+pub fn play_whole(script: &Script, ask: Ask) -> Played {
+    let plan = Plan::draw(script);
+    let terms = terms(script, &plan);
+    let begin = START + FIRST_TABLES;
+    let Some(caller) = Caller::new(script, script.seed ^ ask.chance ^ 0xca11) else {
+        let report = Report::new(script, 0.0, auditor::judge(&terms, &[]), Vec::new());
+        return Played { report, records: Vec::new(), asked: Vec::new(), begin };
+    };
+    let mut world = World::new(script, plan, caller, ask);
+    let (stop, end) = (world.begin + script.length.0, world.begin + script.length.0 + SETTLE);
+    world.run(stop, end);
+    let status = world.desks.iter().flatten().map(|desk| serde_json::json!(desk.status(world.now))).collect();
+    let records = merge(vec![world.log]);
+    let judgement = auditor::judge(&terms, &records);
+    let report = Report::new(script, script.length.0.secs(), judgement, status);
+    Played { report, records, asked: world.asked, begin }
+}
+
+impl<'a> World<'a> {
+    fn new(script: &'a Script, plan: Plan, caller: Caller, ask: Ask<'a>) -> Self {
+        let chance = script.seed ^ ask.chance;
+        let classes: Vec<String> = script.classes.iter().map(|class| class.name.clone()).collect();
+        let server = |(place, planned): (usize, &ServerPlan)| {
+            let make = plan.make(script, place);
+            let machine = Machine::new(make, None);
+            let up = planned.from_start;
+            Server { make, machine, up, life: 0, errors: 0.0, hangs: false, loses: 0.0, silent: false }
+        };
+        let count = script.coordinators as usize;
+        let proxy = |(place, zone): (usize, &String)| {
+            let seed = chance.wrapping_mul(31).wrapping_add(place as u64);
+            let mut order: Vec<usize> = (0..count).map(|k| (k + place) % count).collect();
+            order.sort_by_key(|coordinator| plan.coordinator_zones[*coordinator] != *zone);
+            let (least, most) = (Nanos::from_millis(150), Nanos::from_millis(1_500));
+            Proxy {
+                zone: script.zones.iter().position(|other| other == zone).unwrap_or(0),
+                up: true,
+                down_since: None,
+                chooser: Chooser::new(classes.clone(), script.habits.ejects, script.habits.keep_away.0, seed),
+                holding: Holding::default(),
+                nonces: BTreeMap::new(),
+                dial: Dial::new(count, least, most, seed ^ 0xd1a1, START),
+                order,
+                stream: None,
+                agent: true,
+                sums: Sums::default(),
+                sums_since: START,
+                unanswered: None,
+                paths: BTreeMap::new(),
+                stalled_until: Nanos(0),
+            }
+        };
+        let mut world = World {
+            now: START,
+            begin: START + FIRST_TABLES,
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            next: 0,
+            desks: (0..count).map(|_| None).collect(),
+            desk_at: vec![Nanos(u64::MAX); count],
+            stalled: vec![false; count],
+            disks: (0..count).map(|_| Disk::default()).collect(),
+            unread: vec![Vec::new(); count],
+            mute: BTreeSet::new(),
+            deaf: BTreeSet::new(),
+            struck: BTreeMap::new(),
+            servers: plan.servers.iter().enumerate().map(server).collect(),
+            proxies: plan.proxy_zones.iter().enumerate().map(proxy).collect(),
+            owners: BTreeMap::new(),
+            tries: BTreeMap::new(),
+            clients: BTreeMap::new(),
+            caller,
+            upcoming: None,
+            factor: 1.0,
+            shows: plan
+                .servers
+                .iter()
+                .map(|s| if s.from_start { Shows::Up(None) } else { Shows::Nothing })
+                .collect(),
+            version: 0,
+            roster: None,
+            rng: Pcg32::seed_from_u64(chance ^ 0x30de1),
+            log: Log::default(),
+            ask,
+            given: 0,
+            asked: Vec::new(),
+            late: Vec::new(),
+            script,
+            plan,
+        };
+        world.list();
+        if ask.who == Who::Ours {
+            (0..count).for_each(|coordinator| world.start_desk(coordinator));
+        } else {
+            world.set(world.now, Event::LookAtQueues);
+        }
+        for proxy in 0..world.proxies.len() {
+            world.log.add(world.now, What::Proxy { proxy, up: true });
+            let at = world.proxies[proxy].dial.next_at().unwrap_or(world.now);
+            world.set(at, Event::Dial(proxy));
+            let spread = Nanos(world.rng.random_range(0..script.report_period.0 .0.max(1)));
+            world.set(world.now + spread, Event::Report(proxy));
+        }
+        let begin = world.begin;
+        for place in 0..world.plan.server_acts.len() {
+            world.set(begin + world.plan.server_acts[place].0, Event::ServerAct(place));
+        }
+        for place in 0..world.plan.proxy_acts.len() {
+            world.set(begin + world.plan.proxy_acts[place].0, Event::ProxyAct(place));
+        }
+        for place in 0..world.plan.fleet_acts.len() {
+            world.set(begin + world.plan.fleet_acts[place].0, Event::FleetAct(place));
+        }
+        for place in 0..world.plan.rates.len() {
+            world.set(begin + world.plan.rates[place].0, Event::Rate(place));
+        }
+        world.set(world.now, Event::Queue);
+        world
+    }
+
+    fn set(&mut self, at: Nanos, event: Event) {
+        self.next += 1;
+        self.queue.push(Reverse((at.max(self.now), self.next)));
+        self.events.insert(self.next, event);
+    }
+
+    fn soon(&mut self, event: Event) {
+        let spread = Nanos(self.rng.random_range(0..HOP.0));
+        self.set(self.now + HOP + spread, event);
+    }
+
+    fn run(&mut self, stop: Nanos, end: Nanos) {
+        self.plan_next(self.begin, stop);
+        while let Some(Reverse((at, number))) = self.queue.pop() {
+            if at >= end {
+                self.now = end;
+                return;
+            }
+            self.now = at;
+            if let Some(event) = self.events.remove(&number) {
+                self.happen(event, stop);
+            }
+        }
+    }
+
+    fn happen(&mut self, event: Event, stop: Nanos) {
+        match event {
+            Event::Desk(coordinator) => {
+                if self.desk_at[coordinator] <= self.now {
+                    self.turn(coordinator);
+                }
+            }
+            Event::ToDesk { coordinator, stream, proxy, kind, refused } => {
+                self.desk_asked(coordinator, stream, proxy, kind, refused);
+            }
+            Event::ToAgent { proxy, stream, kind, response } => {
+                self.agent_told(proxy, stream, kind, response)
+            }
+            Event::Dial(proxy) => self.dial(proxy),
+            Event::Lost { proxy, stream } => {
+                if self.proxies[proxy].stream.is_some_and(|(_, of)| of == stream) {
+                    self.end_stream(proxy);
+                    self.redial(proxy);
+                }
+            }
+            Event::Report(proxy) => self.report(proxy),
+            Event::Reported { proxy, coordinator, report } => self.reported(proxy, coordinator, report),
+            Event::Probed { coordinator, server, since } => self.probed(coordinator, server, since),
+            Event::Mail { to, text } => self.mail(to, &text),
+            Event::SentOn { proxy, stream, to } => self.sent_on(proxy, stream, to),
+            Event::NextOperation => {
+                let mut due = self.now;
+                if let Some(operation) = self.upcoming.take() {
+                    due = operation.asked;
+                    let (op, class, zone) = (operation.id, operation.class, operation.zone);
+                    self.log.add(self.now, What::Asked { op, class, zone });
+                    self.asked.push(Asked { at: self.now, class, work: operation.work });
+                    self.ask(operation);
+                }
+                self.plan_next(due, stop);
+            }
+            Event::Ask(operation) => self.ask(*operation),
+            Event::Arrive(number) => self.arrive(number),
+            Event::Done { server, life, job } => self.done(server, life, job),
+            Event::Ended { number, tried } => self.ended(number, tried),
+            Event::TryOver(number) => self.ended(number, Tried::Failed),
+            Event::ClientOver(number) => self.answered(number, Answer::Silent),
+            Event::Answered { number, answer } => self.answered(number, answer),
+            Event::ServerAct(place) => self.server_act(place),
+            Event::ProxyAct(place) => self.proxy_act(place),
+            Event::FleetAct(place) => self.fleet_act(place),
+            Event::Rate(place) => self.factor = self.plan.rates[place].1,
+            Event::LookAtQueues => {
+                self.late = (0..self.servers.len()).map(|server| self.queue_of(server)).collect();
+                self.set(self.now + self.script.report_period.0, Event::LookAtQueues);
+            }
+            Event::Queue => {
+                for (coordinator, desk) in self.desks.iter().enumerate() {
+                    let Some(desk) = desk else { continue };
+                    let status = desk.status(self.now);
+                    let (lines, most) = (status.channel_lines, status.channel_most);
+                    self.log.add(self.now, What::Queue { coordinator, lines, most });
+                }
+                self.set(self.now + Nanos::from_millis(200), Event::Queue);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn one_seed_is_one_run() {
+        let script = Script::built_in().unwrap();
+        let (one, two) = (play(&script), play(&script));
+        assert_eq!(one.lines(), two.lines());
+        assert!(one.passed() && one.service.asked > 3_000, "{}", one.lines());
+        let other = play(&Script { seed: 2, ..script });
+        assert_ne!(one.lines(), other.lines());
+    }
+}
--- a/crates/craneknot-rehearsal/src/auditor.rs
+++ b/crates/craneknot-rehearsal/src/auditor.rs
@@ -335,7 +335,8 @@
             What::Stopped { server } => self.cold[*server] = Cold::default(),
             // The machine's own word; the work that came is weighed here anew.
             What::Fell { .. } => {}
-            What::Asked { op, class } => {
+            What::Tried { .. } => {}
+            What::Asked { op, class, .. } => {
                 self.judgement.service.asked += 1;
                 self.asked_at.insert(*op, self.now);
                 let importance = self.terms.classes[*class].importance;
--- a/crates/craneknot-rehearsal/src/caller.rs
+++ b/crates/craneknot-rehearsal/src/caller.rs
@@ -46,6 +46,8 @@
 
 pub struct Caller {
     rng: Pcg32,
+    /// Apart from the other, so that what is asked for does not hang on what became of it.
+    waits: Pcg32,
     next_id: u64,
     rate: f64,
     classes: WeightedIndex<f64>,
@@ -66,6 +68,7 @@
         let work = |mean: f64| Gamma::new(SHAPE, mean.max(1e-6) / SHAPE).ok();
         Some(Caller {
             rng: Pcg32::seed_from_u64(seed),
+            waits: Pcg32::seed_from_u64(!seed),
             next_id: 0,
             rate: clients.rate,
             classes: WeightedIndex::new(clients.demand.iter().map(|demand| demand.share)).ok()?,
@@ -103,6 +106,23 @@
         (at, operation)
     }
 
+    /// An operation that is known to have come, with work and key by chance.
+    pub fn given(&mut self, at: Nanos, class: usize, zone: usize) -> Operation {
+        let place = self.class_of.iter().position(|of| *of == class);
+        let work = place.map_or(0.0, |place| self.work[place].sample(&mut self.rng));
+        let key = (self.rng.random::<f64>().powi(2) * f64::from(KEYS)) as u32;
+        self.next_id += 1;
+        Operation {
+            id: OpId(self.next_id),
+            class,
+            zone,
+            key,
+            work: Nanos::from_secs(work),
+            asked: at,
+            attempt: 0,
+        }
+    }
+
     /// What a client does after an attempt. One that must never run twice comes again only after a refusal.
     pub fn after(&mut self, now: Nanos, operation: &Operation, answer: Answer) -> Next {
         let again = match answer {
@@ -112,7 +132,7 @@
         };
         let Some(told) = again.filter(|_| operation.attempt < self.retries) else { return Next::End };
         let wait = Nanos(self.retry_wait.0 << operation.attempt.min(10));
-        let jitter = 0.5 + self.rng.random::<f64>();
+        let jitter = 0.5 + self.waits.random::<f64>();
         let at = now + told.max(Nanos((wait.0 as f64 * jitter) as u64));
         match at - operation.asked < self.hard_stops[operation.class] {
             true => Next::Again { at },
--- a/crates/craneknot-rehearsal/src/chooser.rs
+++ b/crates/craneknot-rehearsal/src/chooser.rs
@@ -183,6 +183,11 @@
         lines.last().map(|(server, _)| *server).ok_or(Refusal::NoLine)
     }
 
+    /// Whether the proxy keeps away from a server by itself now.
+    pub fn keeps_away(&self, now: Nanos, server: usize) -> bool {
+        self.away.get(&server).is_some_and(|away| now < away.until)
+    }
+
     /// Keeps what a try came to.
     pub fn note(&mut self, now: Nanos, server: usize, tried: Tried) {
         let away = self.away.entry(server).or_default();
--- a/crates/craneknot-rehearsal/src/conduct.rs
+++ b/crates/craneknot-rehearsal/src/conduct.rs
@@ -26,6 +26,7 @@
 use crate::plan::{FleetAct, Plan, Shows};
 use crate::proxies::{self, agent_ready, proxy_folder, proxy_name, ready_address};
 use crate::record::{merge, Log, Record, What};
+use crate::recording::Recording;
 use crate::relay::Relays;
 use crate::report::Report;
 use crate::script::{Plant, Script};
@@ -232,8 +233,14 @@
     }
 }
 
-/// Plays a script. `program` is the program under rehearsal; `folder` keeps what is written, else it is removed.
-pub fn rehearse(script: &Script, program: &Path, folder: Option<&Path>) -> io::Result<Report> {
+/// Plays a script. `program` is the program under rehearsal; `folder` keeps what is written, else it is removed; what was
+/// seen goes to `recording`.
+pub fn rehearse(
+    script: &Script,
+    program: &Path,
+    folder: Option<&Path>,
+    recording: Option<&Path>,
+) -> io::Result<Report> {
     let temporary = tempfile::tempdir()?;
     let keep = folder.is_some();
     let folder = match folder {
@@ -271,7 +278,11 @@
         write_record(&folder.join("record.txt"), begin, &records)?;
     }
     let judgement = auditor::judge(&terms, &records);
-    Ok(Report::new(script, script.length.0.secs(), judgement, status))
+    let report = Report::new(script, script.length.0.secs(), judgement, status);
+    if let Some(path) = recording {
+        Recording::of("sockets", script, begin, &records, &report).write(path)?;
+    }
+    Ok(report)
 }
 
 /// The record as text, a line each, with seconds since the first operation.
--- a/crates/craneknot-rehearsal/src/lib.rs
+++ b/crates/craneknot-rehearsal/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod plan;
 pub mod proxies;
 pub mod record;
+pub mod recording;
 pub mod relay;
 pub mod report;
 pub mod script;
--- a/crates/craneknot-rehearsal/src/machine.rs
+++ b/crates/craneknot-rehearsal/src/machine.rs
@@ -158,6 +158,11 @@
         usize::from(self.running) + self.waiting.len()
     }
 
+    /// Work that it can do in a second as it stands, in seconds of work.
+    pub fn capacity(&self, now: Nanos) -> f64 {
+        self.make.capacity(self.warmth(now)) / self.slow
+    }
+
     /// Recent service time without waiting, s.
     pub fn service(&self) -> f64 {
         self.service
--- a/crates/craneknot-rehearsal/src/proxies.rs
+++ b/crates/craneknot-rehearsal/src/proxies.rs
@@ -342,7 +342,8 @@
                 let mut due = now;
                 if let Some(operation) = self.upcoming.take() {
                     due = operation.asked;
-                    self.log.add(now, What::Asked { op: operation.id, class: operation.class });
+                    let (op, class, zone) = (operation.id, operation.class, operation.zone);
+                    self.log.add(now, What::Asked { op, class, zone });
                     self.ask(operation);
                 }
                 self.plan_next(due);
@@ -779,6 +780,7 @@
             self.proxies[proxy].conns.remove(&conn);
             self.reactor.close(conn);
         }
+        self.log.add(now, What::Tried { proxy, server, class, how: tried, took });
         self.proxies[proxy].sums.ended(class, server, tried == Tried::Good, took);
         self.proxies[proxy].chooser.note(now, server, tried);
         let planted = self.planted && op_never && self.script.plants.contains(&Plant::RunTwice);
--- a/crates/craneknot-rehearsal/src/record.rs
+++ b/crates/craneknot-rehearsal/src/record.rs
@@ -4,6 +4,8 @@
 
 use craneknot::interface::Nanos;
 
+use crate::chooser::Tried;
+
 /// An operation of a client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct OpId(pub u64);
@@ -117,6 +119,15 @@
     Asked {
         op: OpId,
         class: usize,
+        zone: usize,
+    },
+    /// A proxy's try ended, as the proxy saw it.
+    Tried {
+        proxy: usize,
+        server: usize,
+        class: usize,
+        how: Tried,
+        took: Nanos,
     },
     Ended {
         op: OpId,
