--- a/crates/craneknot-cli/src/model.rs
+++ b/crates/craneknot-cli/src/model.rs
@@ -134,7 +134,11 @@
     for arm in &outcome.arms {
         println!("{}: service {}", arm.name, arm.service);
         println!("  worst 10 s {}, p99 {} ms", arm.worst_window, arm.p99_ms);
-        arm.beside.iter().for_each(|(name, estimate)| println!("  {name}: {estimate}"));
+        for (name, estimate) in &arm.beside {
+            let fell: usize = arm.singles.iter().filter_map(|single| single.beside_fell.get(name)).sum();
+            let note = if fell > 0 { format!(", {fell} cold servers pushed over") } else { String::new() };
+            println!("  {name}: {estimate}{note}");
+        }
     }
     for difference in &outcome.differences {
         println!("{} less {}: service {}", difference.arm, difference.less, difference.service);
--- a/crates/craneknot-model/src/experiment.rs
+++ b/crates/craneknot-model/src/experiment.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::path::Path;
 
+use craneknot_rehearsal::record::What;
 use craneknot_rehearsal::recording::Recording;
 use craneknot_rehearsal::{Report, Script};
 use craneknot_settings::{parse, Span};
@@ -91,6 +92,9 @@
     /// Service by baselines and the bound, where they were asked for.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub beside: BTreeMap<String, f64>,
+    /// Cold servers that baselines pushed over: they are held to no rule, and may be better off for it.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub beside_fell: BTreeMap<String, usize>,
 }
 
 impl Single {
@@ -109,6 +113,7 @@
             queue: figure("channel_most").into_iter().fold(0.0, f64::max) / limit,
             broken: report.rules.values().find_map(|verdict| verdict.first.clone()),
             beside: BTreeMap::new(),
+            beside_fell: BTreeMap::new(),
         }
     }
 }
@@ -211,8 +216,13 @@
     let mut single = Single::of(script, &played.report);
     if baselines {
         for who in Who::BASELINES {
-            let report = play_whole(script, Ask { who, ..ask }).report;
-            single.beside.insert(who.title().to_owned(), report.service.service);
+            let played = play_whole(script, Ask { who, ..ask });
+            single.beside.insert(who.title().to_owned(), played.report.service.service);
+            let fell =
+                played.records.iter().filter(|record| matches!(record.what, What::Fell { .. })).count();
+            if fell > 0 {
+                single.beside_fell.insert(who.title().to_owned(), fell);
+            }
         }
         if let Some(bound) = bound::service(script, played.begin, &played.asked) {
             single.beside.insert("bound".to_owned(), bound);
