Model and rehearsal share strikes at leaders, cuts, placement, names and spans

Need: read once more, the model had written again what the rehearsal has: strikes at whoever leads, lost datagrams, members of a shared fleet, an agent's spans, and four copies of where a class may run; status was asked for in two places.

Change: Struck turns a strike at the leader into an act on one coordinator and Cuts says what gets lost, for both; ClassSettings::allows; shared_settings, coordinator_name and the agents' spans in one place; one blocking ask of a coordinator; one way to read a script and to write JSON in the program; fit looks up a server once.

--- a/crates/craneknot-cli/src/main.rs
+++ b/crates/craneknot-cli/src/main.rs
@@ -15,6 +15,7 @@
 use craneknot_rehearsal::conduct::{Kept, Programs};
 use craneknot_rehearsal::Script;
 use craneknot_settings::{load, schema_text, AgentSettings, CoordinatorSettings, Problems};
+use serde::Serialize;
 use tracing::error;
 use tracing_subscriber::EnvFilter;
 
@@ -172,6 +173,25 @@
     file.parent().filter(|folder| !folder.as_os_str().is_empty()).unwrap_or(Path::new("."))
 }
 
+/// The script of a file, or the one that is built in; the seed in place of its own.
+fn script_of(file: Option<&Path>, seed: Option<u64>) -> Result<Script, Failed> {
+    let mut script = match file {
+        Some(file) => load::<Script>(file).map_err(wrong)?,
+        None => Script::built_in().map_err(wrong)?,
+    };
+    script.seed = seed.unwrap_or(script.seed);
+    Ok(script)
+}
+
+fn pretty(value: &impl Serialize) -> String {
+    serde_json::to_string_pretty(value).unwrap_or_default()
+}
+
+/// Writes a value as JSON where that was asked for.
+fn keep(path: Option<&Path>, value: &impl Serialize) -> Result<(), Failed> {
+    path.map_or(Ok(()), |path| fs::write(path, pretty(value) + "\n").map_err(system))
+}
+
 fn act(command: Command) -> Result<(), Failed> {
     match command {
         Command::Run { settings } => {
@@ -215,20 +235,13 @@
             Ok(())
         }
         Command::Rehearse { script, seed, report, folder, record, upgrade_from } => {
-            let mut read = match &script {
-                Some(file) => load::<Script>(file).map_err(wrong)?,
-                None => Script::built_in().map_err(wrong)?,
-            };
-            read.seed = seed.unwrap_or(read.seed);
+            let read = script_of(script.as_deref(), seed)?;
             let program = std::env::current_exe().map_err(system)?;
             let programs = Programs { first: upgrade_from.as_deref().unwrap_or(&program), next: &program };
             let kept = Kept { folder: folder.as_deref(), recording: record.as_deref() };
             let result = craneknot_rehearsal::rehearse(&read, programs, kept).map_err(system)?;
             print!("{}", result.lines());
-            if let Some(path) = report {
-                let text = serde_json::to_string_pretty(&result).unwrap_or_default();
-                fs::write(&path, text + "\n").map_err(system)?;
-            }
+            keep(report.as_deref(), &result)?;
             if result.passed() {
                 Ok(())
             } else {
@@ -258,12 +271,8 @@
             let program = std::env::current_exe().map_err(system)?;
             let asked = craneknot_rehearsal::measure::Asked { agents, servers, seconds, sync };
             let figures = craneknot_rehearsal::measure::measure(&program, asked).map_err(system)?;
-            let text = serde_json::to_string_pretty(&figures).unwrap_or_default();
-            println!("{text}");
-            if let Some(path) = report {
-                fs::write(&path, text + "\n").map_err(system)?;
-            }
-            Ok(())
+            println!("{}", pretty(&figures));
+            keep(report.as_deref(), &figures)
         }
     }
 }
--- a/crates/craneknot-cli/src/model.rs
+++ b/crates/craneknot-cli/src/model.rs
@@ -9,11 +9,9 @@
 use craneknot_model::world::{play_whole, Ask, ROUND_TRIP};
 use craneknot_model::{fit, hunt};
 use craneknot_rehearsal::recording::Recording;
-use craneknot_rehearsal::Script;
-use craneknot_settings::load;
 use tracing::error;
 
-use crate::{system, wrong, Failed};
+use crate::{keep, pretty, script_of, system, Failed};
 
 /// How many runs, and what stands beside.
 #[derive(Args, Clone, Copy)]
@@ -108,15 +106,6 @@
     },
 }
 
-fn script_of(file: Option<&Path>, seed: Option<u64>) -> Result<Script, Failed> {
-    let mut script = match file {
-        Some(file) => load::<Script>(file).map_err(wrong)?,
-        None => Script::built_in().map_err(wrong)?,
-    };
-    script.seed = seed.unwrap_or(script.seed);
-    Ok(script)
-}
-
 fn recording_of(file: &Path) -> Result<Recording, Failed> {
     Recording::read(file).map_err(|fault| {
         eprintln!("{}: {fault}", file.display());
@@ -147,10 +136,7 @@
         let word = if forecast.inside { "inside" } else { "outside" };
         println!("forecast of one run: {}; measured {:.4}, {word}", forecast.next, forecast.measured);
     }
-    if let Some(path) = out {
-        let text = serde_json::to_string_pretty(outcome).unwrap_or_default();
-        fs::write(path, text + "\n").map_err(system)?;
-    }
+    keep(out, outcome)?;
     match outcome.broken().next() {
         None => Ok(()),
         Some((arm, single)) => {
@@ -224,12 +210,8 @@
                 eprintln!("{}: {cause}", recording.display());
                 Failed::Settings
             })?;
-            println!("{}", serde_json::to_string_pretty(&fitted).unwrap_or_default());
-            if let Some(path) = out {
-                let text = serde_json::to_string_pretty(&fitted.script).unwrap_or_default();
-                fs::write(path, text + "\n").map_err(system)?;
-            }
-            Ok(())
+            println!("{}", pretty(&fitted));
+            keep(out.as_deref(), &fitted.script)
         }
         Act::Plot { files, out } => {
             let inputs = files.iter().map(|file| input_of(file)).collect::<Result<Vec<Input>, Failed>>()?;
@@ -246,12 +228,11 @@
                     eprintln!("day {day}: a rule broke, seed {}", report.seed);
                 }
             });
-            let text = serde_json::to_string_pretty(&found.script).unwrap_or_default();
             print!("{}", found.report.lines());
             println!("{:.3} behind the bound; {} days played", found.badness.behind, found.played);
             match out {
-                Some(path) => fs::write(&path, text + "\n").map_err(system)?,
-                None => println!("{text}"),
+                Some(path) => keep(Some(&path), &found.script)?,
+                None => println!("{}", pretty(&found.script)),
             }
             if found.report.passed() {
                 Ok(())
--- a/crates/craneknot-cli/src/status.rs
+++ b/crates/craneknot-cli/src/status.rs
@@ -1,24 +1,18 @@
 //! How a coordinator says that it is.
 
 use std::fmt::Write as _;
-use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use craneknot_coordinator::ask::Within;
 use serde_json::Value;
 
 const WITHIN: Duration = Duration::from_secs(3); // for an answer
-const LARGEST: u64 = 1024 * 1024; // bytes of one
 
 /// Asks for the status, as JSON.
 pub fn ask(address: SocketAddr) -> io::Result<Value> {
-    let mut stream = TcpStream::connect_timeout(&address, WITHIN)?;
-    stream.set_read_timeout(Some(WITHIN))?;
-    stream.write_all(b"GET /status HTTP/1.1\r\nhost: coordinator\r\nconnection: close\r\n\r\n")?;
-    let mut text = String::new();
-    stream.take(LARGEST).read_to_string(&mut text)?;
-    let body = text.split_once("\r\n\r\n").map_or("", |(_, body)| body);
-    serde_json::from_str(body).map_err(io::Error::other)
+    craneknot_coordinator::ask::ask(address, "/status", Within { connect: WITHIN, read: WITHIN })
 }
 
 fn at<'a>(value: &'a Value, name: &str) -> &'a Value {
--- a/crates/craneknot-coordinator/src/lib.rs
+++ b/crates/craneknot-coordinator/src/lib.rs
@@ -5,6 +5,7 @@
 //! report counts ([`intake`]), when a stream is sent something and what a refusal leads to ([`session`]), when a
 //! message leaves the channel ([`channel`]). Each is a module of its own, with the clock passed in.
 
+pub mod ask;
 pub mod book;
 pub mod channel;
 pub mod desk;
--- a/crates/craneknot-model/src/bound.rs
+++ b/crates/craneknot-model/src/bound.rs
@@ -87,8 +87,7 @@
     for (server, planned) in plan.servers.iter().enumerate() {
         let allowed = script.classes.iter().enumerate().filter(|(_, class)| {
             let group = &planned.group;
-            (class.only_zones.is_empty() || class.only_zones.contains(&group.zone))
-                && (class.only_kinds.is_empty() || class.only_kinds.contains(&group.kind))
+            class.allows(&group.zone, &group.kind)
         });
         let pool = pools.entry(allowed.map(|(class, _)| class).collect()).or_insert(vec![0.0; slots]);
         pool.iter_mut().zip(&capacity[server]).for_each(|(sum, one)| *sum += one);
@@ -159,11 +158,7 @@
 
     fn capacity(script: &Script, class: usize) -> f64 {
         let class = &script.classes[class];
-        let fits = |zone: &String, kind: &String| {
-            (class.only_zones.is_empty() || class.only_zones.contains(zone))
-                && (class.only_kinds.is_empty() || class.only_kinds.contains(kind))
-        };
-        let groups = script.servers.iter().filter(|group| fits(&group.zone, &group.kind));
+        let groups = script.servers.iter().filter(|group| class.allows(&group.zone, &group.kind));
         groups.map(|group| f64::from(group.count) * f64::from(group.cores) * group.speed).sum()
     }
 
--- a/crates/craneknot-model/src/fit.rs
+++ b/crates/craneknot-model/src/fit.rs
@@ -97,19 +97,18 @@
     let mut under_way: BTreeMap<u32, BTreeSet<(i64, usize)>> = BTreeMap::new();
     let mut found = Vec::new();
     for (number, (begin, end, server, class, how)) in tries.iter().enumerate() {
+        let Some(planned) = plan.servers.get(*server as usize) else { continue };
         let there = under_way.entry(*server).or_default();
         while there.first().is_some_and(|(until, _)| until < begin) {
             there.pop_first();
         }
-        let cores = plan.servers.get(*server as usize).map_or(0, |planned| usize::from(planned.group.cores));
-        let free = there.len() < cores;
+        let free = there.len() < usize::from(planned.group.cores);
         there.insert((*end, number));
         let whole = spoilt.get(server).is_none_or(|first| (*begin as f64) < first * 1e6);
         let took = (end - begin) as f64 * 1e-6 - hops.secs();
         if !free || *how == How::Unrun || !whole || took <= 0.0 {
             continue;
         }
-        let Some(planned) = plan.servers.get(*server as usize) else { continue };
         let since = started.get(server).into_iter().flatten().rfind(|at| *at <= begin);
         let age = since.map(|since| (begin - since) as f64 * 1e-6).filter(|age| *age < AGE_MOST);
         let work = match how {
--- a/crates/craneknot-model/src/world/agents.rs
+++ b/crates/craneknot-model/src/world/agents.rs
@@ -131,7 +131,7 @@
     /// Tells a stream's agent which coordinator is in charge.
     pub(super) fn point_to(&mut self, stream: StreamId, to: &str) {
         let Some(proxy) = self.owners.get(&stream).copied() else { return };
-        if let Some(to) = to.rsplit_once('-').and_then(|(_, place)| place.parse().ok()) {
+        if let Some(to) = coordinator_named(to) {
             self.set(self.now + HOP, Event::SentOn { proxy, stream, to });
         }
     }
--- a/crates/craneknot-model/src/world/coordinators.rs
+++ b/crates/craneknot-model/src/world/coordinators.rs
@@ -1,13 +1,15 @@
 //! Coordinators: their desks' turns, probes, the list, and in a shared fleet their datagrams.
 
-use craneknot_settings::{MemberSettings, SharedSettings, Span};
-
 use super::*;
 
 impl World<'_> {
     pub(super) fn start_desk(&mut self, coordinator: usize) {
         let mut settings = coordinator_settings(self.script, coordinator);
-        settings.shared = self.script.shared.as_ref().map(|shared| self.members(coordinator, shared.lease));
+        // Datagrams go by the members' names here; their places say nothing.
+        let places: Vec<SocketAddr> = (0..self.desks.len()).map(address).collect();
+        let shared = self.script.shared.as_ref();
+        settings.shared =
+            shared.map(|shared| shared_settings(coordinator, &places, address(coordinator), shared.lease));
         let seed = settings.seed.unwrap_or(0) ^ self.ask.chance;
         let mut desk = Desk::new(&settings, seed, self.now);
         if settings.shared.is_some() {
@@ -26,21 +28,6 @@
         self.wake_desk(coordinator);
     }
 
-    /// The members of a shared fleet; where their datagrams go is told by their names here.
-    fn members(&self, of: usize, lease: Span) -> SharedSettings {
-        let member = |coordinator: usize| MemberSettings {
-            name: format!("coordinator-{coordinator}"),
-            datagrams: address(coordinator),
-        };
-        SharedSettings {
-            members: (0..self.desks.len()).map(member).collect(),
-            datagrams: address(of),
-            store: format!("coordinator-{of}.store").into(),
-            lease,
-            drift: 0.01,
-        }
-    }
-
     /// The coordinator that says that it leads, in the latest term; the first that runs where none does.
     pub(super) fn leader(&self) -> Option<usize> {
         let runs = || self.desks.iter().enumerate().filter_map(|(place, desk)| Some((place, desk.as_ref()?)));
@@ -94,9 +81,8 @@
     }
 
     fn post(&mut self, from: usize, to: &str, text: Vec<u8>) {
-        let to = to.rsplit_once('-').and_then(|(_, place)| place.parse().ok());
-        let Some(to) = to.filter(|to| *to < self.desks.len()) else { return };
-        if !self.mute.contains(&from) && !self.deaf.contains(&to) {
+        let Some(to) = coordinator_named(to).filter(|to| *to < self.desks.len()) else { return };
+        if !self.cuts.lose(from, to) {
             self.soon(Event::Mail { to, text });
         }
     }
--- a/crates/craneknot-model/src/world/mod.rs
+++ b/crates/craneknot-model/src/world/mod.rs
@@ -6,7 +6,7 @@
 mod troubles;
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BinaryHeap};
 use std::net::{Ipv4Addr, SocketAddr};
 
 use craneknot::interface::{LoadReport, Nanos, ProbeOutcome, ServerId};
@@ -18,9 +18,12 @@
 use craneknot_rehearsal::auditor;
 use craneknot_rehearsal::caller::{Answer, Caller, Next, Operation};
 use craneknot_rehearsal::chooser::{Chooser, Tried};
-use craneknot_rehearsal::conduct::{coordinator_settings, terms};
+use craneknot_rehearsal::conduct::{
+    coordinator_named, coordinator_settings, shared_settings, terms, FIRST_TABLES, REDIAL, SETTLE, SILENT,
+    STATUS_EVERY,
+};
 use craneknot_rehearsal::machine::{Arrival, Job, Machine, Make};
-use craneknot_rehearsal::plan::{FleetAct, Plan, ProxyAct, ServerAct, ServerPlan, Shows};
+use craneknot_rehearsal::plan::{Cuts, FleetAct, Plan, ProxyAct, ServerAct, ServerPlan, Shows, Struck};
 use craneknot_rehearsal::record::{merge, EndedAs, Log, Record, What};
 use craneknot_rehearsal::sums::Sums;
 use craneknot_rehearsal::{Report, Script};
@@ -38,9 +41,6 @@
 const HOP: Nanos = Nanos(70_000); // ns; at least, one way between any two on one machine; half as much more on average: 0.11 ms measured on sockets
 /// What a try takes on its way there and back, on average.
 pub const ROUND_TRIP: Nanos = Nanos(3 * HOP.0);
-const FIRST_TABLES: Nanos = Nanos::from_millis(1_500); // ms; from the agents' start to the first operation
-const SETTLE: Nanos = Nanos::from_millis(2_500); // ms; after the last operation
-const SILENT: Nanos = Nanos::from_millis(2_000); // ms; an agent whose report has no answer for so long dials anew
 const STILL: Nanos = Nanos::from_millis(20); // ms; what comes to a coordinator that stands still is looked at again after it
 const NOTICE: Nanos = Nanos::from_millis(1); // ms; until the end of a process shows at the other end
 
@@ -184,11 +184,8 @@
     disks: Vec<Disk>,
     /// What each coordinator hears while it stands still.
     unread: Vec<Vec<Vec<u8>>>,
-    /// Coordinators whose datagrams get lost: those that they send, those that they get.
-    mute: BTreeSet<usize>,
-    deaf: BTreeSet<usize>,
-    /// Which coordinator led when a leader was struck.
-    struck: BTreeMap<usize, usize>,
+    cuts: Cuts,
+    struck: Struck,
     servers: Vec<Server>,
     proxies: Vec<Proxy>,
     owners: BTreeMap<StreamId, usize>,
@@ -281,7 +278,7 @@
             let seed = chance.wrapping_mul(31).wrapping_add(place as u64);
             let mut order: Vec<usize> = (0..count).map(|k| (k + place) % count).collect();
             order.sort_by_key(|coordinator| plan.coordinator_zones[*coordinator] != *zone);
-            let (least, most) = (Nanos::from_millis(150), Nanos::from_millis(1_500));
+            let (least, most) = REDIAL;
             Proxy {
                 zone: script.zones.iter().position(|other| other == zone).unwrap_or(0),
                 up: true,
@@ -312,9 +309,8 @@
             stalled: vec![false; count],
             disks: (0..count).map(|_| Disk::default()).collect(),
             unread: vec![Vec::new(); count],
-            mute: BTreeSet::new(),
-            deaf: BTreeSet::new(),
-            struck: BTreeMap::new(),
+            cuts: Cuts::default(),
+            struck: Struck::default(),
             servers: plan.servers.iter().enumerate().map(server).collect(),
             proxies: plan.proxy_zones.iter().enumerate().map(proxy).collect(),
             owners: BTreeMap::new(),
@@ -441,7 +437,7 @@
             Event::Answered { number, answer } => self.answered(number, answer),
             Event::ServerAct(place) => self.server_act(place),
             Event::ProxyAct(place) => self.proxy_act(place),
-            Event::FleetAct(place) => self.fleet_act(place),
+            Event::FleetAct(place) => self.fleet_act(self.plan.fleet_acts[place].1.clone()),
             Event::Rate(place) => self.factor = self.plan.rates[place].1,
             Event::Noticed => self.fronts = None,
             Event::LookAtQueues => {
@@ -455,7 +451,7 @@
                     let (lines, most) = (status.channel_lines, status.channel_most);
                     self.log.add(self.now, What::Queue { coordinator, lines, most });
                 }
-                self.set(self.now + Nanos::from_millis(200), Event::Queue);
+                self.set(self.now + STATUS_EVERY, Event::Queue);
             }
         }
     }
--- a/crates/craneknot-model/src/world/operations.rs
+++ b/crates/craneknot-model/src/world/operations.rs
@@ -112,9 +112,10 @@
         let mut seen = Vec::new();
         for (server, shows) in self.shows.iter().enumerate() {
             let group = &self.plan.servers[server].group;
-            let allowed = (rules.only_zones.is_empty() || rules.only_zones.contains(&group.zone))
-                && (rules.only_kinds.is_empty() || rules.only_kinds.contains(&group.kind));
-            if !allowed || tried.contains(&server) || !matches!(shows, Shows::Up(_)) {
+            if !rules.allows(&group.zone, &group.kind)
+                || tried.contains(&server)
+                || !matches!(shows, Shows::Up(_))
+            {
                 continue;
             }
             let held = &self.servers[server];
--- a/crates/craneknot-model/src/world/troubles.rs
+++ b/crates/craneknot-model/src/world/troubles.rs
@@ -59,8 +59,8 @@
         }
     }
 
-    pub(super) fn fleet_act(&mut self, place: usize) {
-        match self.plan.fleet_acts[place].1.clone() {
+    pub(super) fn fleet_act(&mut self, act: FleetAct) {
+        match act {
             FleetAct::List { server, shows } => {
                 self.shows[server] = shows;
                 if self.roster.is_some() {
@@ -95,39 +95,12 @@
                 self.end_stream(proxy);
                 self.redial(proxy);
             }
-            FleetAct::KillLeader(slot) => {
-                if let Some(leader) = self.leader() {
-                    self.struck.insert(slot, leader);
-                    self.kill_desk(leader);
-                }
-            }
-            FleetAct::StartLeader(slot) => {
-                if let Some(leader) = self.struck.remove(&slot) {
-                    self.raise_desk(leader);
-                }
-            }
-            FleetAct::StallLeader(slot) => {
-                if let Some(leader) = self.leader() {
-                    self.struck.insert(slot, leader);
-                    self.stall_desk(leader, true);
-                }
-            }
-            FleetAct::ContinueLeader(slot) => {
-                if let Some(leader) = self.struck.remove(&slot) {
-                    self.stall_desk(leader, false);
+            FleetAct::Leader { slot, strike } => {
+                if let Some(act) = self.struck.resolve(slot, strike, self.leader()) {
+                    self.fleet_act(act);
                 }
             }
-            FleetAct::Cut { coordinator, sends, gets } => {
-                let set = |of: &mut BTreeSet<usize>, on: bool| {
-                    if on {
-                        of.insert(coordinator);
-                    } else {
-                        of.remove(&coordinator);
-                    }
-                };
-                set(&mut self.mute, sends);
-                set(&mut self.deaf, gets);
-            }
+            FleetAct::Cut { coordinator, sends, gets } => self.cuts.set(coordinator, sends, gets),
             FleetAct::KillAgent(proxy) => {
                 self.end_stream(proxy);
                 self.proxies[proxy].agent = false;
--- a/crates/craneknot-rehearsal/src/conduct.rs
+++ b/crates/craneknot-rehearsal/src/conduct.rs
@@ -23,7 +23,7 @@
 use tracing::{info, warn};
 
 use crate::auditor::{self, ClassTerms, ServerTerms, Terms};
-use crate::plan::{FleetAct, Plan, Shows};
+use crate::plan::{Cuts, FleetAct, Plan, Shows, Struck};
 use crate::proxies::{self, agent_ready, proxy_folder, proxy_name, ready_address};
 use crate::record::{merge, Log, Record, What};
 use crate::recording::Recording;
@@ -35,10 +35,12 @@
 const ROSTER: &str = "servers.json";
 const DISK: RealDisk = RealDisk { sync: false };
 const READY_WITHIN: Duration = Duration::from_secs(20); // until a process must listen
-const FIRST_TABLES: Nanos = Nanos::from_millis(1_500); // ms; from the agents' start to the first operation
-const SETTLE: Nanos = Nanos::from_millis(2_500); // ms; after the last operation, for what is under way
+pub const FIRST_TABLES: Nanos = Nanos::from_millis(1_500); // ms; from the agents' start to the first operation
+pub const SETTLE: Nanos = Nanos::from_millis(2_500); // ms; after the last operation, for what is under way
 const PROXIES_MOST: usize = 200; // a rehearsal raises an agent's process for each
-const STATUS_EVERY: Nanos = Nanos::from_millis(200); // ms; between two looks at a coordinator's queue
+pub const REDIAL: (Nanos, Nanos) = (Nanos::from_millis(150), Nanos::from_millis(1_500)); // ms; an agent's shortest and longest wait
+pub const SILENT: Nanos = Nanos::from_millis(2_000); // ms; an agent whose report has no answer for so long dials anew
+pub const STATUS_EVERY: Nanos = Nanos::from_millis(200); // ms; between two looks at a coordinator's queue
 
 fn loopback() -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
@@ -142,8 +144,7 @@
     status: BTreeMap<usize, serde_json::Value>,
     begin: Nanos,
     mail: Mail,
-    /// Which coordinator led when a leader was struck.
-    struck: BTreeMap<usize, usize>,
+    struck: Struck,
 }
 
 /// Sockets between coordinators: what one sends to another goes through one of them, and may get lost there.
@@ -154,15 +155,14 @@
     ways: Vec<(usize, usize)>,
     /// Where each coordinator's datagrams come in, as far as it runs.
     places: BTreeMap<usize, SocketAddr>,
-    mute: BTreeSet<usize>,
-    deaf: BTreeSet<usize>,
+    cuts: Cuts,
 }
 
 impl Mail {
     /// Passes on what has come on a way.
     fn pass(&self, way: usize) {
         let (from, to) = self.ways[way];
-        let lost = self.mute.contains(&from) || self.deaf.contains(&to);
+        let lost = self.cuts.lose(from, to);
         let mut buffer = vec![0; 64 * 1024];
         while let Ok((length, _)) = self.sockets[way].recv_from(&mut buffer) {
             if let Some(place) = self.places.get(&to).filter(|_| !lost) {
@@ -172,6 +172,35 @@
     }
 }
 
+pub fn coordinator_name(coordinator: usize) -> String {
+    format!("coordinator-{coordinator}")
+}
+
+/// The coordinator of that name.
+pub fn coordinator_named(name: &str) -> Option<usize> {
+    name.strip_prefix("coordinator-")?.parse().ok()
+}
+
+/// What a coordinator of a shared fleet is told of it: where each one's datagrams go, and where its own come in.
+pub fn shared_settings(
+    of: usize,
+    places: &[SocketAddr],
+    datagrams: SocketAddr,
+    lease: Span,
+) -> SharedSettings {
+    let member = |(coordinator, place): (usize, &SocketAddr)| MemberSettings {
+        name: coordinator_name(coordinator),
+        datagrams: *place,
+    };
+    SharedSettings {
+        members: places.iter().enumerate().map(member).collect(),
+        datagrams,
+        store: PathBuf::from(format!("{}.store", coordinator_name(of))),
+        lease,
+        drift: 0.01,
+    }
+}
+
 /// Settings of a coordinator of the script.
 pub fn coordinator_settings(script: &Script, coordinator: usize) -> CoordinatorSettings {
     let mut channel = script.channel.clone();
@@ -180,7 +209,7 @@
         channel.lines_per_second /= 100.0;
     }
     CoordinatorSettings {
-        name: format!("coordinator-{coordinator}"),
+        name: coordinator_name(coordinator),
         listen: loopback(),
         ready_file: Some(PathBuf::from(format!("coordinator-{coordinator}.ready.json"))),
         seed: Some(script.seed.wrapping_add(coordinator as u64)),
@@ -208,8 +237,7 @@
     let class = |class: &craneknot_settings::ClassSettings| {
         let fits = |place: &usize| {
             let group = &plan.servers[*place].group;
-            (class.only_zones.is_empty() || class.only_zones.contains(&group.zone))
-                && (class.only_kinds.is_empty() || class.only_kinds.contains(&group.kind))
+            class.allows(&group.zone, &group.kind)
         };
         ClassTerms {
             name: class.name.clone(),
@@ -360,7 +388,7 @@
             status: BTreeMap::new(),
             begin: Nanos(0),
             mail: Mail::default(),
-            struck: BTreeMap::new(),
+            struck: Struck::default(),
         };
         stage.write_roster()?;
         for coordinator in 0..script.coordinators as usize {
@@ -413,18 +441,16 @@
 
     /// The members of a shared fleet as one of them is told: every other one behind a socket of ours.
     fn members(&mut self, of: usize, lease: Span) -> io::Result<SharedSettings> {
-        let mut members = Vec::new();
+        let mut places = Vec::new();
         for to in 0..self.script.coordinators as usize {
             let socket = UdpSocket::bind(loopback())?;
             socket.set_nonblocking(true)?;
-            members
-                .push(MemberSettings { name: format!("coordinator-{to}"), datagrams: socket.local_addr()? });
+            places.push(socket.local_addr()?);
             self.reactor.watch(&socket, self.mail.sockets.len())?;
             self.mail.sockets.push(socket);
             self.mail.ways.push((of, to));
         }
-        let store = PathBuf::from(format!("coordinator-{of}.store"));
-        Ok(SharedSettings { members, datagrams: loopback(), store, lease, drift: 0.01 })
+        Ok(shared_settings(of, &places, loopback(), lease))
     }
 
     /// The coordinator that says that it leads, in the latest term; the first that runs where none does.
@@ -472,7 +498,7 @@
         order.sort_by_key(|coordinator| self.plan.coordinator_zones[*coordinator] != zone);
         let relays = order.into_iter().map(|c| {
             let address = self.relays.add(&mut self.reactor, proxy, c)?;
-            Ok(CoordinatorAddress::Named { name: format!("coordinator-{c}"), address })
+            Ok(CoordinatorAddress::Named { name: coordinator_name(c), address })
         });
         let settings = AgentSettings {
             nodes: vec![NodeSettings {
@@ -484,9 +510,9 @@
             coordinators: relays.collect::<io::Result<_>>()?,
             listen: loopback(),
             ready_file: Some(agent_ready(self.folder, proxy)),
-            redial_least: Span::millis(150),
-            redial_most: Span::millis(1_500),
-            silent_after: Span::millis(2_000),
+            redial_least: Span(REDIAL.0),
+            redial_most: Span(REDIAL.1),
+            silent_after: Span(SILENT),
             sync: true,
             seed: Some(self.script.seed.wrapping_add(1_000 + proxy as u64)),
         };
@@ -536,7 +562,7 @@
                     }
                     Happened::Timer(Due::End) => return Ok(()),
                     Happened::Timer(Due::Status) => self.ask_status(),
-                    Happened::Timer(Due::Act(place)) => self.act(place)?,
+                    Happened::Timer(Due::Act(place)) => self.act(self.plan.fleet_acts[place].1.clone())?,
                     Happened::Timer(Due::Ready(coordinator)) => self.look_for(coordinator),
                     Happened::Ready(way) => self.mail.pass(way),
                     Happened::Connected { .. } | Happened::Flushed { .. } | Happened::Signal(_) => {}
@@ -556,9 +582,9 @@
         }
     }
 
-    fn act(&mut self, place: usize) -> io::Result<()> {
+    fn act(&mut self, act: FleetAct) -> io::Result<()> {
         let now = self.reactor.now();
-        match self.plan.fleet_acts[place].1.clone() {
+        match act {
             FleetAct::List { server, shows } => {
                 self.shows[server] = shows;
                 self.write_roster()?;
@@ -594,39 +620,12 @@
                 }
                 self.start_agent(proxy)?;
             }
-            FleetAct::KillLeader(slot) => {
-                if let Some(leader) = self.leader() {
-                    self.struck.insert(slot, leader);
-                    self.kill_coordinator(leader);
+            FleetAct::Leader { slot, strike } => {
+                if let Some(act) = self.struck.resolve(slot, strike, self.leader()) {
+                    self.act(act)?;
                 }
             }
-            FleetAct::StartLeader(slot) => {
-                if let Some(leader) = self.struck.remove(&slot) {
-                    self.raise_coordinator(leader)?;
-                }
-            }
-            FleetAct::StallLeader(slot) => {
-                if let Some(leader) = self.leader() {
-                    self.struck.insert(slot, leader);
-                    self.stall_coordinator(leader, true);
-                }
-            }
-            FleetAct::ContinueLeader(slot) => {
-                if let Some(leader) = self.struck.remove(&slot) {
-                    self.stall_coordinator(leader, false);
-                }
-            }
-            FleetAct::Cut { coordinator, sends, gets } => {
-                let set = |of: &mut BTreeSet<usize>, on: bool| {
-                    if on {
-                        of.insert(coordinator);
-                    } else {
-                        of.remove(&coordinator);
-                    }
-                };
-                set(&mut self.mail.mute, sends);
-                set(&mut self.mail.deaf, gets);
-            }
+            FleetAct::Cut { coordinator, sends, gets } => self.mail.cuts.set(coordinator, sends, gets),
             FleetAct::KillAgent(proxy) => {
                 if let Some(process) = self.agents.remove(&proxy) {
                     process.kill();
--- a/crates/craneknot-rehearsal/src/measure.rs
+++ b/crates/craneknot-rehearsal/src/measure.rs
@@ -4,8 +4,8 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::fs;
-use std::io::{self, Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -13,6 +13,7 @@
 use std::time::{Duration, Instant};
 
 use craneknot::interface::Nanos;
+use craneknot_coordinator::ask::{ask, Within};
 use craneknot_coordinator::roster::{Entry, Roster, ServerState};
 use craneknot_reactor::{Clock, SteadyClock};
 use craneknot_settings::{
@@ -184,13 +185,8 @@
 
 /// Asks a coordinator for its status; the spans it keeps begin anew.
 fn status(address: SocketAddr) -> io::Result<serde_json::Value> {
-    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(5))?;
-    stream.set_read_timeout(Some(Duration::from_secs(10)))?;
-    stream.write_all(b"GET /status?spans=anew HTTP/1.1\r\nhost: c\r\nconnection: close\r\n\r\n")?;
-    let mut text = String::new();
-    stream.read_to_string(&mut text)?;
-    let body = text.split_once("\r\n\r\n").map_or("", |(_, body)| body);
-    serde_json::from_str(body).map_err(io::Error::other)
+    let within = Within { connect: Duration::from_secs(5), read: Duration::from_secs(10) };
+    ask(address, "/status?spans=anew", within)
 }
 
 /// CPU of a process so far, in seconds of one core.
--- a/crates/craneknot-rehearsal/src/plan.rs
+++ b/crates/craneknot-rehearsal/src/plan.rs
@@ -1,6 +1,6 @@
 //! What will happen when: a script's troubles drawn from its seed into single acts, before anything starts.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use craneknot::interface::Nanos;
@@ -71,11 +71,11 @@
     /// Ended, and started from the next version of the program.
     UpgradeCoordinator(usize),
     UpgradeAgent(usize),
-    /// Whoever leads, by the number of the act that ends it.
-    KillLeader(usize),
-    StartLeader(usize),
-    StallLeader(usize),
-    ContinueLeader(usize),
+    /// Whoever leads is struck; the same slot ends it for the one that was.
+    Leader {
+        slot: usize,
+        strike: Strike,
+    },
     /// Datagrams of some coordinator get lost: those it sends, those it gets.
     Cut {
         coordinator: usize,
@@ -86,6 +86,60 @@
     StartAgent(usize),
 }
 
+/// What is done to the one that leads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Strike {
+    Kill,
+    Start,
+    Stall,
+    Continue,
+}
+
+/// Which coordinator led when a leader was struck, by slot.
+#[derive(Default)]
+pub struct Struck(BTreeMap<usize, usize>);
+
+impl Struck {
+    /// The same as an act on one coordinator; nothing where none runs, or none was struck.
+    pub fn resolve(&mut self, slot: usize, strike: Strike, leader: Option<usize>) -> Option<FleetAct> {
+        let begins = matches!(strike, Strike::Kill | Strike::Stall);
+        let coordinator = if begins { leader } else { self.0.remove(&slot) }?;
+        if begins {
+            self.0.insert(slot, coordinator);
+        }
+        Some(match strike {
+            Strike::Kill => FleetAct::KillCoordinator(coordinator),
+            Strike::Start => FleetAct::StartCoordinator(coordinator),
+            Strike::Stall => FleetAct::StallCoordinator(coordinator, true),
+            Strike::Continue => FleetAct::StallCoordinator(coordinator, false),
+        })
+    }
+}
+
+/// Coordinators whose datagrams get lost: those that they send, those that they get.
+#[derive(Default)]
+pub struct Cuts {
+    mute: BTreeSet<usize>,
+    deaf: BTreeSet<usize>,
+}
+
+impl Cuts {
+    pub fn set(&mut self, coordinator: usize, sends: bool, gets: bool) {
+        for (of, lost) in [(&mut self.mute, sends), (&mut self.deaf, gets)] {
+            if lost {
+                of.insert(coordinator);
+            } else {
+                of.remove(&coordinator);
+            }
+        }
+    }
+
+    /// Whether what one sends another gets lost.
+    pub fn lose(&self, from: usize, to: usize) -> bool {
+        self.mute.contains(&from) || self.deaf.contains(&to)
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Shows {
     Up(Option<Nanos>),
@@ -344,11 +398,12 @@
             TroubleKind::LeaderKilled | TroubleKind::LeaderStalled => {
                 let slot = self.plan.leaders;
                 self.plan.leaders += 1;
-                let (strike, end_act) = match trouble.kind {
-                    TroubleKind::LeaderKilled => (FleetAct::KillLeader(slot), FleetAct::StartLeader(slot)),
-                    _ => (FleetAct::StallLeader(slot), FleetAct::ContinueLeader(slot)),
+                let (strike, end_strike) = match trouble.kind {
+                    TroubleKind::LeaderKilled => (Strike::Kill, Strike::Start),
+                    _ => (Strike::Stall, Strike::Continue),
                 };
-                self.plan.fleet_acts.extend([(at, strike), (end, end_act)]);
+                let act = |strike| FleetAct::Leader { slot, strike };
+                self.plan.fleet_acts.extend([(at, act(strike)), (end, act(end_strike))]);
             }
             TroubleKind::CoordinatorCut | TroubleKind::CoordinatorMute => {
                 let coordinator = self.rng.random_range(0..self.script.coordinators as usize);
--- a/crates/craneknot-settings/src/coordinator.rs
+++ b/crates/craneknot-settings/src/coordinator.rs
@@ -59,6 +59,14 @@
     pub home_only: bool,
 }
 
+impl ClassSettings {
+    /// Whether it may run on a server of that zone and kind.
+    pub fn allows(&self, zone: &String, kind: &String) -> bool {
+        (self.only_zones.is_empty() || self.only_zones.contains(zone))
+            && (self.only_kinds.is_empty() || self.only_kinds.contains(kind))
+    }
+}
+
 /// The figures of the rules.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
