Two builds of the decisions compared, ledgers of coordinators, slow channels in the model

A coordinator with /ledger in its settings keeps what its decisions are told, in gzip members that a kill at any byte cannot spoil but the last (test: every cut); model feed makes a recording of several.

--- a/crates/craneknot-cli/src/model.rs
+++ b/crates/craneknot-cli/src/model.rs
@@ -4,11 +4,14 @@
 use std::path::{Path, PathBuf};
 
 use clap::{Args, Subcommand};
+use craneknot_coordinator::ledger::{self, Told};
 use craneknot_model::experiment::{self, Asked, Axis, Outcome, Single};
+use craneknot_model::hosted::Build;
 use craneknot_model::plot::{self, Input};
 use craneknot_model::world::{play_whole, Ask, ROUND_TRIP};
-use craneknot_model::{fit, hunt};
+use craneknot_model::{feed, fit, hunt};
 use craneknot_rehearsal::recording::Recording;
+use craneknot_rehearsal::Script;
 use tracing::error;
 
 use crate::{keep, pretty, script_of, system, Failed};
@@ -28,12 +31,15 @@
     /// Plays baselines and the bound beside ours.
     #[arg(long)]
     baselines: bool,
+    /// Tells the wall time of coordinators' turns and the age of what they know.
+    #[arg(long)]
+    cost: bool,
 }
 
 impl From<Runs> for Asked {
     fn from(runs: Runs) -> Self {
-        let Runs { least, most, narrow, baselines } = runs;
-        Asked { least, most, narrow, baselines }
+        let Runs { least, most, narrow, baselines, cost } = runs;
+        Asked { least, most, narrow, baselines, cost }
     }
 }
 
@@ -53,6 +59,9 @@
         /// The first seed's run is written there as a recording.
         #[arg(long)]
         record: Option<PathBuf>,
+        /// A `craneknot-wirehost` of any commit: its decisions are played in place of this program's own.
+        #[arg(long)]
+        build: Option<PathBuf>,
         /// Where the outcome is written, as JSON.
         #[arg(long)]
         out: Option<PathBuf>,
@@ -60,7 +69,14 @@
     /// Two scripts on the same random numbers: the second's service less the first's.
     Compare {
         one: PathBuf,
-        other: PathBuf,
+        /// Left out: the same, under another build.
+        other: Option<PathBuf>,
+        /// A `craneknot-wirehost` of any commit that decides in the first; left out: this program.
+        #[arg(long)]
+        first_build: Option<PathBuf>,
+        /// The same for the second.
+        #[arg(long)]
+        second_build: Option<PathBuf>,
         #[command(flatten)]
         runs: Runs,
         #[arg(long)]
@@ -83,6 +99,20 @@
         #[arg(long)]
         out: Option<PathBuf>,
     },
+    /// Makes a recording of coordinators' ledgers: traffic as they counted it, servers as their lists told them.
+    Feed {
+        /// Ledgers of one span of time, of all coordinators.
+        #[arg(required = true)]
+        ledgers: Vec<PathBuf>,
+        /// The servers, proxies and channel, which no ledger tells whole.
+        #[arg(long)]
+        script: PathBuf,
+        /// Draws the moments within the spans that counts are of.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long)]
+        out: PathBuf,
+    },
     /// Draws recordings and outcomes of experiments on one HTML page.
     Plot {
         #[arg(required = true)]
@@ -106,6 +136,14 @@
     },
 }
 
+/// A coordinator's ledger.
+pub fn ledger_of(file: &Path) -> Result<Told, Failed> {
+    ledger::read(file).map_err(|fault| {
+        eprintln!("{}: {fault}", file.display());
+        Failed::Settings
+    })
+}
+
 fn recording_of(file: &Path) -> Result<Recording, Failed> {
     Recording::read(file).map_err(|fault| {
         eprintln!("{}: {fault}", file.display());
@@ -113,6 +151,16 @@
     })
 }
 
+/// A build by its program's path; hosted decisions know no shared fleet, whose bindings their lines cannot tell.
+fn build_of(program: Option<PathBuf>, scripts: &[&Script]) -> Result<Build, Failed> {
+    let Some(program) = program else { return Ok(Build::Own) };
+    if let Some(script) = scripts.iter().find(|script| script.shared.is_some()) {
+        eprintln!("script {:?}: /shared: a hosted build knows no shared fleet; leave it out", script.name);
+        return Err(Failed::Settings);
+    }
+    Ok(Build::Hosted(program))
+}
+
 fn told(single: &Single) {
     let broken = single.broken.as_ref().map_or(String::new(), |first| format!("; a rule broke: {first}"));
     eprintln!("seed {}: service {:.4}{broken}", single.seed, single.service);
@@ -123,6 +171,12 @@
     for arm in &outcome.arms {
         println!("{}: service {}", arm.name, arm.service);
         println!("  worst 10 s {}, p99 {} ms", arm.worst_window, arm.p99_ms);
+        for cost in arm.singles.iter().filter_map(|single| single.cost).take(1) {
+            let ((half, most), (age, oldest)) = (cost.turn_us, cost.age_s);
+            println!(
+                "  a turn {half:.0} us (99 of 100: {most:.0}), what it learns {age:.2} s old ({oldest:.2})"
+            );
+        }
         for (name, estimate) in &arm.beside {
             let fell: usize = arm.singles.iter().filter_map(|single| single.beside_fell.get(name)).sum();
             let note = if fell > 0 { format!(", {fell} cold servers pushed over") } else { String::new() };
@@ -133,8 +187,12 @@
         println!("{} less {}: service {}", difference.arm, difference.less, difference.service);
     }
     if let Some(forecast) = &outcome.forecast {
-        let word = if forecast.inside { "inside" } else { "outside" };
-        println!("forecast of one run: {}; measured {:.4}, {word}", forecast.next, forecast.measured);
+        let measured = match (forecast.measured, forecast.inside) {
+            (Some(value), Some(true)) => format!("; measured {value:.4}, inside"),
+            (Some(value), Some(false)) => format!("; measured {value:.4}, outside"),
+            (Some(_) | None, _) => String::new(),
+        };
+        println!("forecast of one run: {}{measured}", forecast.next);
     }
     keep(out, outcome)?;
     match outcome.broken().next() {
@@ -168,7 +226,7 @@
 
 pub fn act(act: Act) -> Result<(), Failed> {
     match act {
-        Act::Run { script, seed, runs, replay, record, out } => {
+        Act::Run { script, seed, runs, replay, record, build, out } => {
             let recording = replay.as_deref().map(recording_of).transpose()?;
             let read = match (&script, &recording) {
                 (None, Some(recording)) => recording.head.script.clone(),
@@ -182,13 +240,17 @@
             }
             let outcome = match &recording {
                 Some(recording) => experiment::replay(recording, &read, runs.into(), told),
-                None => experiment::run(&read, runs.into(), told),
+                None => experiment::run(&read, &build_of(build, &[&read])?, runs.into(), told),
             };
             finish(&outcome, out.as_deref())
         }
-        Act::Compare { one, other, runs, out } => {
-            let (one, other) = (script_of(Some(&one), None)?, script_of(Some(&other), None)?);
-            finish(&experiment::compare(&one, &other, runs.into(), told), out.as_deref())
+        Act::Compare { one, other, first_build, second_build, runs, out } => {
+            let first = script_of(Some(&one), None)?;
+            let second = other.as_deref().map_or(Ok(first.clone()), |other| script_of(Some(other), None))?;
+            let scripts = [&first, &second];
+            let builds = (build_of(first_build, &scripts)?, build_of(second_build, &scripts)?);
+            let (first, second) = ((&first, &builds.0), (&second, &builds.1));
+            finish(&experiment::compare(first, second, runs.into(), told), out.as_deref())
         }
         Act::Sweep { script, axes, runs, out } => {
             let read = script_of(Some(&script), None)?;
@@ -213,6 +275,23 @@
             println!("{}", pretty(&fitted));
             keep(out.as_deref(), &fitted.script)
         }
+        Act::Feed { ledgers, script, seed, out } => {
+            let script = script_of(Some(&script), None)?;
+            let told = ledgers.iter().map(|file| ledger_of(file)).collect::<Result<Vec<Told>, Failed>>()?;
+            let fed = feed::recording(&told, &script, seed).map_err(|cause| {
+                eprintln!("{cause}");
+                Failed::Settings
+            })?;
+            if fed.torn > 0 {
+                eprintln!("{} ledgers end in a part that was cut short: left out", fed.torn);
+            }
+            if fed.missing > 0 {
+                eprintln!("{} lines are missing: the disk did not take them", fed.missing);
+            }
+            let length = fed.recording.head.script.length;
+            println!("{} operations in {length}, {} tries without an answer", fed.arrived, fed.unanswered);
+            fed.recording.write(&out).map_err(system)
+        }
         Act::Plot { files, out } => {
             let inputs = files.iter().map(|file| input_of(file)).collect::<Result<Vec<Input>, Failed>>()?;
             let page = plot::page(&inputs).map_err(|cause| {
--- a/crates/craneknot-coordinator/src/desk.rs
+++ b/crates/craneknot-coordinator/src/desk.rs
@@ -21,6 +21,7 @@
 use crate::channel::Channel;
 use crate::ids::Ids;
 use crate::intake::{Intake, Unheard};
+use crate::ledger::{Head, Ledger};
 use crate::roster::{Judge, Refusal};
 use crate::session::{Answer, Asked, Outcome, Session};
 
@@ -33,6 +34,18 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct StreamId(pub u64);
 
+/// Who decides: the decisions of this program, or others that are tried in their place.
+pub trait Decide: Send {
+    /// Takes in what has come and gives the orders of this moment.
+    fn step(&mut self, now: Nanos, events: &[Event]) -> Vec<Order>;
+}
+
+impl Decide for Controller {
+    fn step(&mut self, now: Nanos, events: &[Event]) -> Vec<Order> {
+        Controller::step(self, now, events)
+    }
+}
+
 /// What the owner is to do.
 #[derive(Debug)]
 pub enum Output {
@@ -174,7 +187,7 @@
 }
 
 pub struct Desk {
-    controller: Controller,
+    decider: Box<dyn Decide>,
     settings: Settings,
     names: Names,
     name: String,
@@ -183,6 +196,7 @@
     book: Book,
     channel: Channel<(StreamId, Message)>,
     intake: Intake,
+    ledger: Option<Ledger>,
     judge: Judge,
     streams: BTreeMap<StreamId, Stream>,
     of_proxy: BTreeMap<ProxyId, StreamId>,
@@ -216,6 +230,15 @@
 impl Desk {
     /// `seed` is that of the decisions' random numbers; `now` also tells this start from earlier ones.
     pub fn new(settings: &CoordinatorSettings, seed: u64, now: Nanos) -> Self {
+        Self::deciding(settings, now, |decisions| Box::new(Controller::new(decisions.clone(), seed, now)))
+    }
+
+    /// With others to decide, made from what the decisions are told at their start.
+    pub fn deciding(
+        settings: &CoordinatorSettings,
+        now: Nanos,
+        decider: impl FnOnce(&Settings) -> Box<dyn Decide>,
+    ) -> Self {
         let (names, decisions) = settings.decisions();
         let channel = Channel::new(decisions.channel_lines_per_second);
         let source = format!("{}-{}", settings.name, now.0 / 1_000_000);
@@ -227,13 +250,14 @@
             settings.fleet.lb_policy.clone(),
         );
         Desk {
-            controller: Controller::new(decisions.clone(), seed, now),
+            decider: decider(&decisions),
             name: settings.name.clone(),
             source,
             ids: Ids::default(),
             book,
             channel,
             intake: Intake::new(names.classes.clone()),
+            ledger: settings.ledger.as_ref().map(|_| Ledger::new(Head::of(settings, now))),
             judge: Judge::new(decisions.drain_grace),
             names,
             flush_at: now + decisions.report_period,
@@ -547,7 +571,12 @@
 
     fn step(&mut self, now: Nanos) {
         self.moment += 1;
-        let orders = self.controller.step(now, &std::mem::take(&mut self.events));
+        let events = std::mem::take(&mut self.events);
+        let orders = self.decider.step(now, &events);
+        if let Some(ledger) = &mut self.ledger {
+            ledger.told(now, &events, &self.names);
+            ledger.ordered(now, &orders);
+        }
         for order in &orders {
             match order {
                 Order::Wake { after } => {
@@ -654,6 +683,21 @@
         self.judge.next_at().is_some_and(|at| at <= now)
     }
 
+    /// How often the decisions were asked.
+    pub fn steps(&self) -> u64 {
+        self.moment
+    }
+
+    /// What is to be kept of what the decisions were told.
+    pub fn ledger(&mut self) -> Option<&mut Ledger> {
+        self.ledger.as_mut()
+    }
+
+    /// When what reports brought goes to the decisions next.
+    pub fn flushes_at(&self) -> Nanos {
+        self.flush_at
+    }
+
     pub fn report_period(&self) -> Nanos {
         self.settings.report_period
     }
--- a/crates/craneknot-coordinator/src/lib.rs
+++ b/crates/craneknot-coordinator/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! What is decided here is the program's own: what a list of servers that came is worth ([`roster`]), what a
 //! report counts ([`intake`]), when a stream is sent something and what a refusal leads to ([`session`]), when a
-//! message leaves the channel ([`channel`]). Each is a module of its own, with the clock passed in.
+//! message leaves the channel ([`channel`]). [`ledger`] keeps what was told. Each is a module of its own, with the clock passed in.
 
 pub mod ask;
 pub mod book;
@@ -11,6 +11,7 @@
 pub mod desk;
 pub mod ids;
 pub mod intake;
+pub mod ledger;
 pub mod probes;
 pub mod roster;
 pub mod session;
--- a/crates/craneknot-coordinator/src/shell.rs
+++ b/crates/craneknot-coordinator/src/shell.rs
@@ -25,6 +25,7 @@
 
 use crate::desk::{self, Desk, Output, Refused, StreamId};
 use crate::intake::Unheard;
+use crate::ledger::LedgerFile;
 use crate::probes::{self, Probes};
 use crate::roster::Refusal;
 use crate::session::{Answer, Outcome};
@@ -57,6 +58,8 @@
 
 enum Due {
     Turn,
+    /// The ledger is written.
+    Keep,
     Sweep,
 }
 
@@ -86,6 +89,7 @@
     turn_at: Option<Nanos>,
     read_roster: bool,
     shared: Option<SharedEnd>,
+    ledger: Option<LedgerFile>,
     /// Read again when asked to.
     file: Option<PathBuf>,
 }
@@ -191,7 +195,13 @@
         }
         info!(coordinator = %settings.name, %address, "listening");
         reactor.set_timer(now, Due::Sweep);
+        let ledger = settings.ledger.as_ref();
+        let ledger = ledger.map(|ledger| LedgerFile::new(folder.join(&ledger.file), ledger));
+        if ledger.is_some() {
+            reactor.set_timer(now, Due::Keep);
+        }
         Ok(Shell {
+            ledger,
             probes: Probes::new(settings.probes.time_out.0),
             folder: folder.to_owned(),
             settings,
@@ -255,6 +265,7 @@
             match self.round() {
                 Ok(true) => {}
                 Ok(false) => {
+                    self.write_ledger();
                     self.reactor.unlisten(self.listener);
                     self.peers.keys().for_each(|conn| self.reactor.finish(*conn));
                     return Ended::Asked;
@@ -291,6 +302,7 @@
                 }
                 Happened::Timer(Due::Turn) => self.turn_at = None,
                 Happened::Timer(Due::Sweep) => self.sweep(),
+                Happened::Timer(Due::Keep) => self.keep_ledger(),
                 Happened::Ready(DATAGRAMS) => self.read_datagrams(),
                 Happened::Ready(_) => {
                     self.watch.changes()?;
@@ -356,6 +368,23 @@
         }
     }
 
+    fn keep_ledger(&mut self) {
+        self.write_ledger();
+        if let Some(settings) = &self.settings.ledger {
+            let at = self.reactor.now() + settings.every.0;
+            self.reactor.set_timer(at, Due::Keep);
+        }
+    }
+
+    fn write_ledger(&mut self) {
+        let now = self.reactor.now();
+        if let (Some(file), Some(ledger)) = (&mut self.ledger, self.desk.ledger()) {
+            if let Err(cause) = file.write(ledger, now) {
+                warn!(%cause, "the ledger cannot be written; it waits in memory for a while");
+            }
+        }
+    }
+
     fn take_roster(&mut self, now: Nanos) {
         let text = match self.source.read() {
             Ok(text) => text,
--- a/crates/craneknot-model/src/experiment.rs
+++ b/crates/craneknot-model/src/experiment.rs
@@ -13,7 +13,8 @@
 
 use crate::baseline::Who;
 use crate::bound;
-use crate::world::{play_whole, Ask};
+use crate::hosted::Build;
+use crate::world::{play_whole, Ask, Cost};
 
 pub const FORMAT: &str = "craneknot-outcome-1";
 
@@ -74,6 +75,8 @@
     pub narrow: f64,
     /// Whether baselines and the bound are played beside ours.
     pub baselines: bool,
+    /// Whether the time of turns and the age of knowledge are told; wall times differ from run to run.
+    pub cost: bool,
 }
 
 /// One run.
@@ -95,6 +98,30 @@
     /// Cold servers that baselines pushed over: they are held to no rule, and may be better off for it.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub beside_fell: BTreeMap<String, usize>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cost: Option<CostFigures>,
+}
+
+/// What coordinators' turns cost on this machine, and how old what they knew was.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CostFigures {
+    /// Wall time of a turn, us: half of them, 99 of 100.
+    pub turn_us: (f64, f64),
+    /// From the middle of the span that a report tells of to the turn that takes it in, s: half of them, 99 of 100.
+    pub age_s: (f64, f64),
+}
+
+impl CostFigures {
+    fn of(cost: &Cost) -> Option<Self> {
+        let both = |mut values: Vec<f64>| {
+            values.sort_by(f64::total_cmp);
+            let at = |part: f64| values.get(((values.len() as f64 - 1.0) * part) as usize).copied();
+            at(0.5).zip(at(0.99))
+        };
+        let turn_us = both(cost.turns.iter().map(|turn| turn.as_secs_f64() * 1e6).collect())?;
+        let age_s = both(cost.ages.iter().map(|age| age.secs()).collect())?;
+        Some(CostFigures { turn_us, age_s })
+    }
 }
 
 impl Single {
@@ -114,6 +141,7 @@
             broken: report.rules.values().find_map(|verdict| verdict.first.clone()),
             beside: BTreeMap::new(),
             beside_fell: BTreeMap::new(),
+            cost: None,
         }
     }
 }
@@ -126,6 +154,9 @@
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub put: BTreeMap<String, serde_json::Value>,
     pub script: Script,
+    /// Whose decisions, where not this program's own.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub build: Option<String>,
     pub service: Estimate,
     pub worst_window: Estimate,
     pub p99_ms: Estimate,
@@ -153,6 +184,7 @@
             name,
             put,
             script,
+            build: None,
             service: estimate(|single| single.service),
             worst_window: estimate(|single| single.worst_window),
             p99_ms: estimate(|single| single.p99_ms),
@@ -174,10 +206,11 @@
 /// What a forecast of a recorded run came to.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Forecast {
-    pub measured: f64,
+    /// Nothing where the recording does not tell.
+    pub measured: Option<f64>,
     /// Where the service of one run falls, 19 times of 20.
     pub next: Estimate,
-    pub inside: bool,
+    pub inside: Option<bool>,
 }
 
 /// One file with all that is needed to play it again.
@@ -214,9 +247,13 @@
 fn single(script: &Script, ask: Ask, baselines: bool) -> Single {
     let played = play_whole(script, ask);
     let mut single = Single::of(script, &played.report);
+    single.cost = ask.cost.then(|| CostFigures::of(&played.cost)).flatten();
+    if let Some(cause) = &played.fault {
+        single.broken = Some(format!("no rule, but the run: {cause}"));
+    }
     if baselines {
         for who in Who::BASELINES {
-            let played = play_whole(script, Ask { who, ..ask });
+            let played = play_whole(script, Ask { who, build: None, cost: false, ..ask });
             single.beside.insert(who.title().to_owned(), played.report.service.service);
             let fell =
                 played.records.iter().filter(|record| matches!(record.what, What::Fell { .. })).count();
@@ -260,24 +297,49 @@
     Script { seed: script.seed.wrapping_add(number), ..script.clone() }
 }
 
+/// The build's name, where it is not this program's own.
+fn told(build: &Build) -> Option<String> {
+    match build {
+        Build::Own | Build::OwnCoarse => None,
+        Build::Hosted(program) => Some(program.display().to_string()),
+    }
+}
+
 /// Plays the script with one seed after another until the bars are narrow enough.
-pub fn run(script: &Script, asked: Asked, mut progress: impl FnMut(&Single)) -> Outcome {
-    let one = |number| single(&seeded(script, number), Ask::default(), asked.baselines);
-    let told = |batch: &[Single]| batch.iter().for_each(&mut progress);
-    let singles = runs(asked, one, |single| single.service, told);
-    Outcome::new(vec![Arm::of(script.name.clone(), BTreeMap::new(), script.clone(), singles)])
+pub fn run(script: &Script, build: &Build, asked: Asked, mut progress: impl FnMut(&Single)) -> Outcome {
+    let ask = Ask { build: Some(build), cost: asked.cost, ..Ask::default() };
+    let one = |number| single(&seeded(script, number), ask, asked.baselines);
+    let report = |batch: &[Single]| batch.iter().for_each(&mut progress);
+    let singles = runs(asked, one, |single| single.service, report);
+    let arm = Arm::of(script.name.clone(), BTreeMap::new(), script.clone(), singles);
+    Outcome::new(vec![Arm { build: told(build), ..arm }])
 }
 
-/// Two scripts on common random numbers, until the difference's bars are narrow enough.
-pub fn compare(one: &Script, other: &Script, asked: Asked, mut progress: impl FnMut(&Single)) -> Outcome {
+/// Two scripts, or one under two builds of the decisions, on common random numbers, until the difference's bars are narrow
+/// enough. Beside a hosted build this program's own are told moments as coarsely as it.
+pub fn compare(
+    (one, first): (&Script, &Build),
+    (other, second): (&Script, &Build),
+    asked: Asked,
+    mut progress: impl FnMut(&Single),
+) -> Outcome {
     let names = match one.name == other.name {
         true => (format!("{}, first", one.name), format!("{}, second", other.name)),
         false => (one.name.clone(), other.name.clone()),
     };
     let other = Script { seed: one.seed, ..other.clone() };
+    let coarse = [first, second].iter().any(|build| matches!(build, Build::Hosted(_)));
+    let as_told = |build: &Build| match build {
+        Build::Own if coarse => Build::OwnCoarse,
+        Build::Own | Build::OwnCoarse | Build::Hosted(_) => build.clone(),
+    };
+    let (first, second) = (as_told(first), as_told(second));
     let both = |number| {
-        let play = |script: &Script| single(&seeded(script, number), Ask::default(), asked.baselines);
-        (play(one), play(&other))
+        let play = |script: &Script, build: &Build| {
+            let ask = Ask { build: Some(build), cost: asked.cost, ..Ask::default() };
+            single(&seeded(script, number), ask, asked.baselines)
+        };
+        (play(one, &first), play(&other, &second))
     };
     let gain = |(first, second): &(Single, Single)| second.service - first.service;
     let pairs = runs(asked, both, gain, |batch| {
@@ -287,11 +349,11 @@
         })
     });
     let service = Estimate::of(&pairs.iter().map(gain).collect::<Vec<f64>>());
-    let (first, second): (Vec<Single>, Vec<Single>) = pairs.into_iter().unzip();
+    let (singles, others): (Vec<Single>, Vec<Single>) = pairs.into_iter().unzip();
     let difference = Difference { arm: names.1.clone(), less: names.0.clone(), service };
     let mut outcome = Outcome::new(vec![
-        Arm::of(names.0, BTreeMap::new(), one.clone(), first),
-        Arm::of(names.1, BTreeMap::new(), other, second),
+        Arm { build: told(&first), ..Arm::of(names.0, BTreeMap::new(), one.clone(), singles) },
+        Arm { build: told(&second), ..Arm::of(names.1, BTreeMap::new(), other, others) },
     ]);
     outcome.differences.push(difference);
     outcome
@@ -363,7 +425,8 @@
     for (cell, script) in cells.into_iter().zip(scripts) {
         let name =
             cell.iter().map(|(pointer, value)| format!("{pointer}={value}")).collect::<Vec<_>>().join(" ");
-        let one = |number| single(&seeded(&script, number), Ask::default(), asked.baselines);
+        let ask = Ask { cost: asked.cost, ..Ask::default() };
+        let one = |number| single(&seeded(&script, number), ask, asked.baselines);
         let told = |batch: &[Single]| batch.iter().for_each(|single| progress(&name, single));
         let singles = runs(asked, one, |single| single.service, told);
         arms.push(Arm::of(name, cell, script, singles));
@@ -401,7 +464,7 @@
     let singles = runs(asked, one, |single| single.service, told);
     let next = Estimate::of_next(&singles.iter().map(|single| single.service).collect::<Vec<f64>>());
     let measured = recording.head.service;
-    let inside = next.half_width.is_some_and(|half| (measured - next.mean).abs() <= half);
+    let inside = measured.zip(next.half_width).map(|(value, half)| (value - next.mean).abs() <= half);
     let mut outcome =
         Outcome::new(vec![Arm::of(script.name.clone(), BTreeMap::new(), script.clone(), singles)]);
     outcome.forecast = Some(Forecast { measured, next, inside });
@@ -417,7 +480,7 @@
 mod tests {
     use super::*;
 
-    const ASKED: Asked = Asked { least: 2, most: 2, narrow: 1.0, baselines: false };
+    const ASKED: Asked = Asked { least: 2, most: 2, narrow: 1.0, baselines: false, cost: false };
 
     fn short() -> Script {
         Script { length: Span::millis(6_000), troubles: Vec::new(), ..Script::built_in().unwrap() }
@@ -445,10 +508,12 @@
 
     #[test]
     fn two_settings_that_are_the_same_differ_by_exactly_nothing() {
-        let outcome = compare(&short(), &short(), ASKED, |_| {});
+        let (script, own) = (short(), Build::Own);
+        let twice = || compare((&script, &own), (&script, &own), ASKED, |_| {});
+        let outcome = twice();
         let Estimate { mean, half_width, .. } = outcome.differences[0].service;
         assert_eq!((mean, half_width), (0.0, Some(0.0)));
-        assert_eq!(outcome, compare(&short(), &short(), ASKED, |_| {}));
+        assert_eq!(outcome, twice());
     }
 
     #[test]
@@ -472,7 +537,7 @@
     #[test]
     fn baselines_stand_beside_and_none_passes_the_bound() {
         let script = Script { length: Span::millis(10_000), ..Script::built_in().unwrap() };
-        let outcome = run(&script, Asked { baselines: true, ..ASKED }, |_| {});
+        let outcome = run(&script, &Build::Own, Asked { baselines: true, ..ASKED }, |_| {});
         let single = &outcome.arms[0].singles[0];
         let bound = single.beside["bound"];
         assert_eq!(single.beside.len(), Who::BASELINES.len() + 1);
--- a/crates/craneknot-model/src/plot.rs
+++ b/crates/craneknot-model/src/plot.rs
@@ -6,7 +6,7 @@
 use plotters::coord::Shift;
 use plotters::prelude::*;
 
-use crate::experiment::{number_of, Arm, Estimate, Outcome};
+use crate::experiment::{number_of, Arm, CostFigures, Estimate, Outcome};
 use crate::timeline::{Second, Timeline};
 
 const SIZE: (u32, u32) = (960, 260); // pixels of a chart
@@ -226,11 +226,10 @@
         )?);
     }
     if let Some(forecast) = outcome.forecast {
-        let measured = Estimate { mean: forecast.measured, half_width: None, runs: 1 };
-        let both = [
-            ("forecast of one run".to_owned(), forecast.next, true),
-            ("measured".to_owned(), measured, false),
-        ];
+        let mut both = vec![("forecast of one run".to_owned(), forecast.next, true)];
+        if let Some(mean) = forecast.measured {
+            both.push(("measured".to_owned(), Estimate { mean, half_width: None, runs: 1 }, false));
+        }
         charts.push(bars("Forecast against the recorded run", &both)?);
     }
     let swept =
@@ -244,6 +243,20 @@
         charts.push(curve("Lines sent a second", &outcome.arms, |arm| {
             vec![("all coordinators".to_owned(), arm.lines_per_second)]
         })?);
+        // As far as it was asked for.
+        let cost = |pick: fn(&CostFigures) -> (f64, f64)| {
+            move |arm: &Arm| {
+                let of = |part: fn((f64, f64)) -> f64| {
+                    let figures = arm.singles.iter().filter_map(|single| single.cost.as_ref());
+                    Estimate::of(&figures.map(|cost| part(pick(cost))).collect::<Vec<f64>>())
+                };
+                vec![("half".to_owned(), of(|both| both.0)), ("99 of 100".to_owned(), of(|both| both.1))]
+            }
+        };
+        if outcome.arms.iter().all(|arm| arm.singles.iter().all(|single| single.cost.is_some())) {
+            charts.push(curve("Time of a coordinator's turn, us", &outcome.arms, cost(|c| c.turn_us))?);
+            charts.push(curve("Age of what a turn learns, s", &outcome.arms, cost(|c| c.age_s))?);
+        }
         charts.push(curve("99th percentile of answers, ms", &outcome.arms, |arm| {
             vec![("ours".to_owned(), arm.p99_ms)]
         })?);
@@ -263,11 +276,11 @@
             Input::Recording(name, recording) => {
                 let Recording { head, lines } = recording.as_ref();
                 let note = format!(
-                    "{} ({}), seed {}: service {:.4}, {} lines, every rule kept: {}",
+                    "{} ({}), seed {}: service {}, {} lines, every rule kept: {}",
                     head.script.name,
                     head.source,
                     head.script.seed,
-                    head.service,
+                    head.service.map_or("not known".to_owned(), |service| format!("{service:.4}")),
                     lines.len(),
                     head.passed
                 );
@@ -292,6 +305,7 @@
 mod tests {
     use super::*;
     use crate::experiment::{run, sweep, Asked};
+    use crate::hosted::Build;
     use crate::world::{play_whole, Ask};
     use craneknot_rehearsal::Script;
     use craneknot_settings::Span;
@@ -302,8 +316,8 @@
             Script { length: Span::millis(6_000), troubles: Vec::new(), ..Script::built_in().unwrap() };
         let played = play_whole(&script, Ask::default());
         let recording = Recording::of("model", &script, played.begin, &played.records, &played.report);
-        let asked = Asked { least: 2, most: 2, narrow: 1.0, baselines: true };
-        let one = run(&script, asked, |_| {});
+        let asked = Asked { least: 2, most: 2, narrow: 1.0, baselines: true, cost: true };
+        let one = run(&script, &Build::Own, asked, |_| {});
         let axes = ["/clients/rate=50,100".parse().unwrap()];
         let swept = sweep(&script, &axes, Asked { baselines: false, ..asked }, |_, _| {}).unwrap();
         let inputs = [
@@ -312,7 +326,7 @@
             Input::Outcome("swept".to_owned(), Box::new(swept)),
         ];
         let page = page(&inputs).unwrap();
-        assert_eq!(page.matches("<svg").count(), 6 + 1 + 5);
+        assert_eq!(page.matches("<svg").count(), 6 + 1 + 7);
         assert!(page.contains("a &lt;b&gt;") && page.contains("random over all"));
         let outside = page.matches("http").count() - page.matches("http://www.w3.org/2000/svg").count();
         assert_eq!(outside, 0);
--- a/crates/craneknot-model/src/world/agents.rs
+++ b/crates/craneknot-model/src/world/agents.rs
@@ -120,6 +120,7 @@
     pub(super) fn end_stream(&mut self, proxy: usize) {
         let Some((coordinator, stream)) = self.proxies[proxy].stream.take() else { return };
         self.proxies[proxy].unanswered = None;
+        self.under_way[proxy] = START;
         self.owners.remove(&stream);
         self.log.add(self.now, What::Left { proxy, coordinator });
         if let Some(desk) = &mut self.desks[coordinator] {
@@ -206,6 +207,14 @@
         if self.stalled[coordinator] {
             return self.set(self.now + STILL, Event::Reported { proxy, coordinator, report });
         }
+        if self.ask.cost {
+            // Classes of one report tell of one span.
+            let closed = report.node.as_ref().and_then(|node| node.metadata.get(CLOSED_AT)?.as_u64());
+            let span =
+                report.cluster_stats.iter().map(|class| class.load_report_interval.0).fold(0.0, f64::max);
+            let middle = |closed: u64| Nanos(closed.saturating_mul(1_000_000)) - Nanos::from_secs(span / 2.0);
+            self.untaken[coordinator].extend(closed.filter(|_| span > 0.0).map(middle));
+        }
         if let Some(desk) = &mut self.desks[coordinator] {
             let _ = desk.report(self.now, &report);
             self.proxies[proxy].unanswered = None;
--- a/crates/craneknot-model/src/world/coordinators.rs
+++ b/crates/craneknot-model/src/world/coordinators.rs
@@ -7,11 +7,14 @@
         let mut settings = coordinator_settings(self.script, coordinator);
         // Datagrams go by the members' names here; their places say nothing.
         let places: Vec<SocketAddr> = (0..self.desks.len()).map(address).collect();
+        settings.ledger = self.ask.ledgers.then(|| LedgerSettings::at("ledger.gz"));
         let shared = self.script.shared.as_ref();
         settings.shared =
             shared.map(|shared| shared_settings(coordinator, &places, address(coordinator), shared.lease));
         let seed = settings.seed.unwrap_or(0) ^ self.ask.chance;
-        let mut desk = Desk::new(&settings, seed, self.now);
+        let own = Build::Own;
+        let (build, fault, now) = (self.ask.build.unwrap_or(&own), &self.fault, self.now);
+        let mut desk = Desk::deciding(&settings, now, |decisions| build.start(decisions, seed, now, fault));
         if settings.shared.is_some() {
             let disk = &self.disks[coordinator];
             desk.share(&settings, disk.saved.clone(), seed, self.now);
@@ -101,7 +104,18 @@
             return;
         }
         let Some(desk) = &mut self.desks[coordinator] else { return };
+        let begun = Instant::now();
+        let (flushes, steps) = (desk.flushes_at() <= self.now, desk.steps());
         let outputs = desk.turn(self.now);
+        if self.ask.cost {
+            if desk.steps() > steps {
+                self.cost.turns.push(begun.elapsed());
+            }
+            if flushes {
+                let middles = std::mem::take(&mut self.untaken[coordinator]);
+                self.cost.ages.extend(middles.into_iter().map(|middle| self.now - middle));
+            }
+        }
         let at = desk.next_at().max(self.now + Nanos(1_000));
         self.desk_at[coordinator] = at;
         self.set(at, Event::Desk(coordinator));
@@ -118,7 +132,10 @@
                         }
                     };
                     // In order on one connection: no spread.
-                    self.set(self.now + HOP, Event::ToAgent { proxy, stream, kind, response });
+                    let slow = self.script.delays.map_or(Nanos(0), |delays| delays.draw(&mut self.rng));
+                    let at = (self.now + HOP + slow).max(self.under_way[proxy]);
+                    self.under_way[proxy] = at;
+                    self.set(at, Event::ToAgent { proxy, stream, kind, response });
                 }
                 Output::Break { stream, .. } => {
                     if let Some(proxy) = self.owners.get(&stream).copied() {
--- a/crates/craneknot-model/src/world/mod.rs
+++ b/crates/craneknot-model/src/world/mod.rs
@@ -8,11 +8,13 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
 
 use craneknot::interface::{LoadReport, Nanos, ProbeOutcome, ServerId};
 use craneknot_agent::dial::{Dial, Effect, Sign, State};
 use craneknot_agent::hold::{Holding, Verdict};
 use craneknot_coordinator::desk::{body, Desk, Output, Refused, StreamId};
+use craneknot_coordinator::ledger::{Ledger, Told as LedgerTold};
 use craneknot_coordinator::session::Answer as Told;
 use craneknot_fleet::raft::Saved;
 use craneknot_rehearsal::auditor;
@@ -27,6 +29,7 @@
 use craneknot_rehearsal::record::{merge, EndedAs, Log, Record, What};
 use craneknot_rehearsal::sums::Sums;
 use craneknot_rehearsal::{Report, Script};
+use craneknot_settings::LedgerSettings;
 use craneknot_xds::discovery::{DiscoveryRequest, DiscoveryResponse, Kind, Locality, Node, Status};
 use craneknot_xds::load::{LoadStatsRequest, Seconds, CLOSED_AT};
 use craneknot_xds::orca;
@@ -36,6 +39,7 @@
 
 use crate::baseline::{self, Seen, Who};
 use crate::bound::Asked;
+use crate::hosted::{Build, Fault};
 
 const START: Nanos = Nanos::from_millis(1_000_000_000); // ms; the date at which a run begins
 const HOP: Nanos = Nanos(70_000); // ns; at least, one way between any two on one machine; half as much more on average: 0.11 ms measured on sockets
@@ -208,6 +212,12 @@
     asked: Vec<Asked>,
     /// What all proxies know of servers' queues, where the choice is by late knowledge.
     late: Vec<f64>,
+    fault: Fault,
+    cost: Cost,
+    /// Middles of spans that reports at each coordinator tell of, until its next flush.
+    untaken: Vec<Vec<Nanos>>,
+    /// When what was sent last to each proxy arrives, where channels are slow: messages keep their order.
+    under_way: Vec<Nanos>,
 }
 
 fn address(server: usize) -> SocketAddr {
@@ -228,6 +238,13 @@
     pub arrivals: Option<&'a [(Nanos, usize, usize)]>,
     /// Draws all but the troubles anew, whose draw is by the script's seed alone.
     pub chance: u64,
+    /// Whose decisions are played; nothing: this program's.
+    pub build: Option<&'a Build>,
+    /// Whether the cost of turns and the age of what they know are kept; they are no part of the report, since clocks
+    /// differ from run to run.
+    pub cost: bool,
+    /// Whether coordinators keep ledgers.
+    pub ledgers: bool,
 }
 
 /// Plays a script.
@@ -242,6 +259,20 @@
     pub asked: Vec<Asked>,
     /// When the first operation may come.
     pub begin: Nanos,
+    /// What decisions of another process failed by: the run is worth nothing.
+    pub fault: Option<String>,
+    pub cost: Cost,
+    /// Of each coordinator that kept one until the end.
+    pub ledgers: Vec<LedgerTold>,
+}
+
+/// What turns cost, and how old their knowledge was.
+#[derive(Clone, Debug, Default)]
+pub struct Cost {
+    /// Wall time of each turn in which a coordinator's decisions were asked, answers to its streams included.
+    pub turns: Vec<Duration>,
+    /// Of each report that a turn took in: from the middle of the span that it tells of to that turn.
+    pub ages: Vec<Nanos>,
 }
 
 /// Plays a script as asked.
@@ -251,7 +282,8 @@
     let begin = START + FIRST_TABLES;
     let Some(caller) = Caller::new(script, script.seed ^ ask.chance ^ 0xca11) else {
         let report = Report::new(script, 0.0, auditor::judge(&terms, &[]), Vec::new());
-        return Played { report, records: Vec::new(), asked: Vec::new(), begin };
+        let (records, asked, cost) = (Vec::new(), Vec::new(), Cost::default());
+        return Played { report, records, asked, begin, fault: None, cost, ledgers: Vec::new() };
     };
     let mut world = World::new(script, plan, caller, ask);
     let (stop, end) = (world.begin + script.length.0, world.begin + script.length.0 + SETTLE);
@@ -260,7 +292,9 @@
     let records = merge(vec![world.log]);
     let judgement = auditor::judge(&terms, &records);
     let report = Report::new(script, script.length.0.secs(), judgement, status);
-    Played { report, records, asked: world.asked, begin }
+    let ledgers =
+        world.desks.iter_mut().flatten().filter_map(|desk| desk.ledger().map(Ledger::finish)).collect();
+    Played { report, records, asked: world.asked, begin, fault: world.fault.get(), cost: world.cost, ledgers }
 }
 
 impl<'a> World<'a> {
@@ -333,6 +367,10 @@
             given: 0,
             asked: Vec::new(),
             late: Vec::new(),
+            fault: Fault::default(),
+            cost: Cost::default(),
+            untaken: vec![Vec::new(); count],
+            under_way: vec![START; plan.proxy_zones.len()],
             script,
             plan,
         };
--- a/crates/craneknot-rehearsal/src/conduct.rs
+++ b/crates/craneknot-rehearsal/src/conduct.rs
@@ -118,6 +118,8 @@
 enum Due {
     Act(usize),
     Status,
+    /// Bytes that took their time arrive.
+    Deliver,
     /// Look whether a coordinator that was started listens.
     Ready(usize),
     End,
@@ -224,6 +226,7 @@
         probes: ProbeSettings { enabled: true, path: "/healthz".to_owned(), time_out: script.probe_time_out },
         streams: StreamSettings::default(),
         shared: None,
+        ledger: None,
     }
 }
 
@@ -376,7 +379,7 @@
             shows: shows.collect(),
             plan,
             reactor,
-            relays: Relays::default(),
+            relays: Relays::new(script.delays, script.seed ^ 0xde1a),
             log: Log::default(),
             servers,
             version: 0,
@@ -553,7 +556,9 @@
                         self.relays.accept(&mut self.reactor, listener, conn);
                     }
                     Happened::Came { conn } if self.relays.has(conn) => {
-                        self.relays.came(&mut self.reactor, &mut self.log, conn);
+                        if let Some(at) = self.relays.came(&mut self.reactor, &mut self.log, conn) {
+                            self.reactor.set_timer(at, Due::Deliver);
+                        }
                     }
                     Happened::Came { conn } => self.read_status(conn),
                     Happened::Closed { conn, .. } => {
@@ -562,6 +567,7 @@
                     }
                     Happened::Timer(Due::End) => return Ok(()),
                     Happened::Timer(Due::Status) => self.ask_status(),
+                    Happened::Timer(Due::Deliver) => self.relays.deliver(&mut self.reactor, &mut self.log),
                     Happened::Timer(Due::Act(place)) => self.act(self.plan.fleet_acts[place].1.clone())?,
                     Happened::Timer(Due::Ready(coordinator)) => self.look_for(coordinator),
                     Happened::Ready(way) => self.mail.pass(way),
--- a/crates/craneknot-rehearsal/src/measure.rs
+++ b/crates/craneknot-rehearsal/src/measure.rs
@@ -129,6 +129,7 @@
         probes: ProbeSettings { enabled: false, path: "/healthz".to_owned(), time_out: Span::millis(500) },
         streams: StreamSettings::default(),
         shared: None,
+        ledger: None,
     }
 }
 
--- a/crates/craneknot-rehearsal/src/recording.rs
+++ b/crates/craneknot-rehearsal/src/recording.rs
@@ -84,10 +84,12 @@
     pub format: String,
     /// The program that made it.
     pub version: String,
-    /// `sockets` or `model`.
+    /// `sockets`, `model` or `ledgers`.
     pub source: String,
     pub script: Script,
-    pub service: f64,
+    /// Nothing: whoever recorded it cannot tell which answers came within the goal.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<f64>,
     pub passed: bool,
 }
 
@@ -179,7 +181,7 @@
             version: env!("CARGO_PKG_VERSION").to_owned(),
             source: source.to_owned(),
             script: script.clone(),
-            service: report.service.service,
+            service: Some(report.service.service),
             passed: report.passed(),
         };
         Recording { head, lines }
@@ -298,7 +300,7 @@
             version: "0".to_owned(),
             source: "model".to_owned(),
             script: Script::built_in().unwrap(),
-            service: 0.5,
+            service: Some(0.5),
             passed: true,
         };
         let lines = (0..500).map(|k| Line::Asked(k * 1_000 - 3, 0, 1)).chain([
--- a/crates/craneknot-rehearsal/src/relay.rs
+++ b/crates/craneknot-rehearsal/src/relay.rs
@@ -5,9 +5,14 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use bytes::Bytes;
+use craneknot::interface::Nanos;
 use craneknot_reactor::{ConnId, ListenerId, Reactor};
 
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
+
 use crate::record::{Log, What};
+use crate::script::Delays;
 
 struct Pipe {
     other: Option<ConnId>,
@@ -20,16 +25,36 @@
     waiting: Vec<Bytes>,
 }
 
-#[derive(Default)]
 pub struct Relays {
     listeners: BTreeMap<ListenerId, (usize, usize)>,
     pipes: HashMap<ConnId, Pipe>,
     /// Where coordinators listen, as far as they run.
     coordinators: BTreeMap<usize, SocketAddr>,
     cut: BTreeSet<(usize, usize)>,
+    delays: Option<Delays>,
+    rng: Pcg32,
+    /// What is on its way to an agent, by when it arrives and in order.
+    under_way: BTreeMap<(Nanos, u64), (ConnId, Bytes)>,
+    /// When the last of it arrives, by the coordinator's end.
+    last: HashMap<ConnId, Nanos>,
+    sent: u64,
 }
 
 impl Relays {
+    pub fn new(delays: Option<Delays>, seed: u64) -> Self {
+        Relays {
+            listeners: BTreeMap::new(),
+            pipes: HashMap::new(),
+            coordinators: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            delays,
+            rng: Pcg32::seed_from_u64(seed),
+            under_way: BTreeMap::new(),
+            last: HashMap::new(),
+            sent: 0,
+        }
+    }
+
     /// Listens for one proxy's agent, in one coordinator's place.
     pub fn add<T>(
         &mut self,
@@ -70,38 +95,62 @@
         self.pipes.insert(near, pipe);
     }
 
-    /// Bytes came in on one end.
-    pub fn came<T>(&mut self, reactor: &mut Reactor<T>, log: &mut Log, conn: ConnId) {
-        let Some(pipe) = self.pipes.get_mut(&conn) else { return };
-        let Some(input) = reactor.input(conn) else { return };
+    /// Bytes came in on one end; where they take their time, when they arrive at the other.
+    pub fn came<T>(&mut self, reactor: &mut Reactor<T>, log: &mut Log, conn: ConnId) -> Option<Nanos> {
+        let pipe = self.pipes.get_mut(&conn)?;
+        let input = reactor.input(conn)?;
         let bytes = input.split().freeze();
         reactor.taken(conn);
         if self.cut.contains(&(pipe.proxy, pipe.coordinator)) {
             // Lost on the way: neither end learns of it.
-            return;
+            return None;
         }
         let asks = |bytes: &[u8]| bytes.windows(14).any(|part| part == b"/v3/discovery:");
         if pipe.near && !pipe.joined && asks(&bytes) {
             pipe.joined = true;
             log.add(reactor.now(), What::Joined { proxy: pipe.proxy, coordinator: pipe.coordinator });
         }
-        match pipe.other {
-            Some(other) => {
-                if reactor.send(other, [bytes]).is_err() {
-                    self.closed(reactor, log, conn);
-                    reactor.close(conn);
-                }
+        match (pipe.other, self.delays.filter(|_| !pipe.near)) {
+            (Some(_), Some(delays)) => {
+                let drawn = reactor.now() + delays.draw(&mut self.rng);
+                let last = self.last.entry(conn).or_default();
+                *last = drawn.max(*last);
+                self.sent += 1;
+                self.under_way.insert((*last, self.sent), (conn, bytes));
+                return Some(*last);
             }
-            None => pipe.waiting.push(bytes),
+            (Some(_), None) => self.pass(reactor, log, conn, bytes),
+            (None, _) => pipe.waiting.push(bytes),
+        }
+        None
+    }
+
+    /// Passes on what has arrived by now.
+    pub fn deliver<T>(&mut self, reactor: &mut Reactor<T>, log: &mut Log) {
+        let now = reactor.now();
+        while let Some(first) = self.under_way.first_entry().filter(|first| first.key().0 <= now) {
+            let (conn, bytes) = first.remove();
+            self.pass(reactor, log, conn, bytes);
+        }
+    }
+
+    fn pass<T>(&mut self, reactor: &mut Reactor<T>, log: &mut Log, conn: ConnId, bytes: Bytes) {
+        // One that has ended since takes what was under way with it.
+        let Some(other) = self.pipes.get(&conn).and_then(|pipe| pipe.other) else { return };
+        if reactor.send(other, [bytes]).is_err() {
+            self.closed(reactor, log, conn);
+            reactor.close(conn);
         }
     }
 
     /// One end is gone: so is the other.
     pub fn closed<T>(&mut self, reactor: &mut Reactor<T>, log: &mut Log, conn: ConnId) {
         let Some(pipe) = self.pipes.remove(&conn) else { return };
+        self.last.remove(&conn);
         let other = pipe.other.and_then(|other| Some((other, self.pipes.remove(&other)?)));
         let joined = pipe.joined || other.as_ref().is_some_and(|(_, pipe)| pipe.joined);
         if let Some((other, _)) = other {
+            self.last.remove(&other);
             reactor.reset(other);
         }
         if joined && !self.cut.contains(&(pipe.proxy, pipe.coordinator)) {
--- a/crates/craneknot-rehearsal/src/script.rs
+++ b/crates/craneknot-rehearsal/src/script.rs
@@ -2,10 +2,13 @@
 
 use std::path::Path;
 
+use craneknot::interface::Nanos;
 use craneknot_settings::{
     parse, ChannelSettings, Check, ClassSettings, FleetSettings, LevelUnit, Problem, Problems, RuleSettings,
     Span,
 };
+use rand::Rng;
+use rand_distr::{Distribution, Exp1};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -239,6 +242,28 @@
     /// The coordinators share one fleet and take over from one another; left out: each keeps to its own proxies.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub shared: Option<SharedFleet>,
+    /// How long what leaves a coordinator's channel is on its way; left out: as long as this machine takes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub delays: Option<Delays>,
+}
+
+/// Ways between coordinators and proxies that take their time; what is sent to one proxy arrives in order.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Delays {
+    /// Mean of what a message takes beside the shortest.
+    pub mean: Span,
+    /// The shortest.
+    #[serde(default)]
+    pub least: Span,
+}
+
+impl Delays {
+    /// How long one message takes.
+    pub fn draw(&self, rng: &mut impl Rng) -> Nanos {
+        let spread: f64 = Exp1.sample(rng);
+        self.least.0 + Nanos::from_secs(self.mean.0.secs() * spread)
+    }
 }
 
 /// Coordinators that share one fleet.
--- a/crates/craneknot-settings/src/coordinator.rs
+++ b/crates/craneknot-settings/src/coordinator.rs
@@ -258,6 +258,47 @@
     /// Left out: it shares its fleet with no one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub shared: Option<SharedSettings>,
+    /// Left out: nothing is kept.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ledger: Option<LedgerSettings>,
+}
+
+/// Where what the coordinator is told is kept, for the model and the solver.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct LedgerSettings {
+    /// Gzipped JSON lines; old ones are moved aside as `.1`, `.2`, the newest first. Relative to the settings' folder.
+    pub file: PathBuf,
+    /// How often it is written.
+    #[serde(default = "five_seconds")]
+    pub every: Span,
+    /// A file this large is moved aside.
+    #[schemars(range(min = 1))]
+    #[serde(default = "mebibytes_64")]
+    pub most_bytes: u64,
+    /// Old files kept.
+    #[schemars(range(max = 1000))]
+    #[serde(default = "eight")]
+    pub kept: u32,
+}
+
+impl LedgerSettings {
+    /// The usual ones for a file.
+    pub fn at(file: impl Into<PathBuf>) -> Self {
+        LedgerSettings { file: file.into(), every: five_seconds(), most_bytes: mebibytes_64(), kept: eight() }
+    }
+}
+
+fn five_seconds() -> Span {
+    Span::millis(5_000)
+}
+
+fn mebibytes_64() -> u64 {
+    64 * 1024 * 1024
+}
+
+fn eight() -> u32 {
+    8
 }
 
 /// Zones, kinds and classes by their names.
@@ -295,6 +336,10 @@
         self.zones.get(usize::from(zone.0)).map_or("", String::as_str)
     }
 
+    pub fn kind_name(&self, kind: KindId) -> &str {
+        self.kinds.get(usize::from(kind.0)).map_or("", String::as_str)
+    }
+
     pub fn class(&self, name: &str) -> Option<usize> {
         self.classes.iter().position(|known| known == name)
     }
@@ -448,6 +493,7 @@
                 "give the span that message_limit is for",
             ));
         }
+        found.extend(self.ledger.iter().filter_map(|ledger| positive("/ledger/every", ledger.every)));
         if let Some(shared) = &self.shared {
             found
                 .extend(doubles("/shared/members", shared.members.iter().map(|member| member.name.as_str())));
