--- a/crates/craneknot-cli/src/main.rs
+++ b/crates/craneknot-cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The `craneknot` program.
 
 mod model;
+mod solve;
 mod status;
 
 use std::fs;
@@ -110,6 +111,8 @@
         #[command(subcommand)]
         act: model::Act,
     },
+    /// Finds servers' weights from a coordinator's ledger, or explains those of one that runs.
+    Solve(solve::Solve),
     /// Asks coordinators how they are: streams, what waits, and in a shared fleet members, leases and epochs.
     Status {
         /// Where they listen.
@@ -249,10 +252,11 @@
             }
         }
         Command::Model { act } => model::act(act),
+        Command::Solve(asked) => solve::solve(&asked),
         Command::Status { coordinators, json } => {
             let mut failed = false;
             for address in coordinators {
-                match status::ask(address) {
+                match status::ask(address, "/status") {
                     Ok(status) if json => println!("{status}"),
                     Ok(status) => print!("{}", status::text(address, &status)),
                     Err(cause) => {
--- a/crates/craneknot-cli/src/model.rs
+++ b/crates/craneknot-cli/src/model.rs
@@ -59,6 +59,9 @@
         /// The first seed's run is written there as a recording.
         #[arg(long)]
         record: Option<PathBuf>,
+        /// The ledgers that coordinators would keep of the first seed's run are written into that folder.
+        #[arg(long)]
+        ledgers: Option<PathBuf>,
         /// A `craneknot-wirehost` of any commit: its decisions are played in place of this program's own.
         #[arg(long)]
         build: Option<PathBuf>,
@@ -226,12 +229,20 @@
 
 pub fn act(act: Act) -> Result<(), Failed> {
     match act {
-        Act::Run { script, seed, runs, replay, record, build, out } => {
+        Act::Run { script, seed, runs, replay, record, ledgers, build, out } => {
             let recording = replay.as_deref().map(recording_of).transpose()?;
             let read = match (&script, &recording) {
                 (None, Some(recording)) => recording.head.script.clone(),
                 (script, _) => script_of(script.as_deref(), seed)?,
             };
+            if let Some(folder) = ledgers {
+                fs::create_dir_all(&folder).map_err(system)?;
+                let played = play_whole(&read, Ask { ledgers: true, ..Ask::default() });
+                for told in &played.ledgers {
+                    let file = folder.join(format!("{}.ledger.gz", told.head.coordinator));
+                    ledger::write(&file, told).map_err(system)?;
+                }
+            }
             if let Some(path) = record {
                 let played = play_whole(&read, Ask::default());
                 let recording = Recording::of("model", &read, played.begin, &played.records, &played.report);
--- a/crates/craneknot-cli/src/status.rs
+++ b/crates/craneknot-cli/src/status.rs
@@ -10,9 +10,9 @@
 
 const WITHIN: Duration = Duration::from_secs(3); // for an answer
 
-/// Asks for the status, as JSON.
-pub fn ask(address: SocketAddr) -> io::Result<Value> {
-    craneknot_coordinator::ask::ask(address, "/status", Within { connect: WITHIN, read: WITHIN })
+/// Asks for the status, as JSON, at `/status` or with more of it.
+pub fn ask(address: SocketAddr, path: &str) -> io::Result<Value> {
+    craneknot_coordinator::ask::ask(address, path, Within { connect: WITHIN, read: WITHIN })
 }
 
 fn at<'a>(value: &'a Value, name: &str) -> &'a Value {
--- a/crates/craneknot-cli/tests/rehearse.rs
+++ b/crates/craneknot-cli/tests/rehearse.rs
@@ -48,7 +48,8 @@
     ];
     let report = play(&short(14, troubles));
     assert!(report.passed(), "{}", report.lines());
-    for rule in Rule::ALL {
+    // Capacities are judged where a script asks for it, as `weights.json` does.
+    for rule in Rule::ALL.into_iter().filter(|rule| *rule != Rule::WithinCapacity) {
         assert!(report.rules[&rule].checks > 0, "{rule:?} was never looked at");
     }
     assert!(report.service.swaps > 20 && report.service.service > 0.8, "{}", report.lines());
--- a/crates/craneknot-coordinator/src/ask.rs
+++ b/crates/craneknot-coordinator/src/ask.rs
@@ -6,7 +6,7 @@
 
 use serde_json::Value;
 
-const LARGEST: u64 = 1024 * 1024; // bytes of an answer
+const LARGEST: u64 = 16 * 1024 * 1024; // bytes of an answer; weights of some ten thousand servers
 
 /// How long to wait for a connection, and for what comes on it.
 #[derive(Clone, Copy)]
--- a/crates/craneknot-coordinator/src/desk.rs
+++ b/crates/craneknot-coordinator/src/desk.rs
@@ -13,6 +13,8 @@
 use craneknot_fleet::wire::Datagram;
 use craneknot_fleet::MemberId;
 use craneknot_settings::{CoordinatorSettings, Names};
+use craneknot_solver::explain::{explain, Explanation};
+use craneknot_solver::steer::{Change, Steer};
 use craneknot_xds::discovery::{epoch_of, print_of, source_in, DiscoveryRequest, Kind, Node};
 use craneknot_xds::load::LoadStatsRequest;
 use serde::Serialize;
@@ -24,6 +26,7 @@
 use crate::ledger::{Head, Ledger};
 use crate::roster::{Judge, Refusal};
 use crate::session::{Answer, Asked, Outcome, Session};
+use crate::weights;
 
 const NAMES_MOST: usize = 1_024; // resources one request may name: more than any proxy follows
 const RATE_MOST: f64 = 1e6; // operations a second that a proxy may say it usually gets
@@ -197,6 +200,7 @@
     channel: Channel<(StreamId, Message)>,
     intake: Intake,
     ledger: Option<Ledger>,
+    steer: Option<Steer>,
     judge: Judge,
     streams: BTreeMap<StreamId, Stream>,
     of_proxy: BTreeMap<ProxyId, StreamId>,
@@ -240,6 +244,7 @@
         decider: impl FnOnce(&Settings) -> Box<dyn Decide>,
     ) -> Self {
         let (names, decisions) = settings.decisions();
+        let steer = settings.solver.as_ref().map(|_| Steer::new(weights::of(settings, &decisions), now));
         let channel = Channel::new(decisions.channel_lines_per_second);
         let source = format!("{}-{}", settings.name, now.0 / 1_000_000);
         let book = Book::new(
@@ -259,6 +264,7 @@
             intake: Intake::new(names.classes.clone()),
             ledger: settings.ledger.as_ref().map(|_| Ledger::new(Head::of(settings, now))),
             judge: Judge::new(decisions.drain_grace),
+            steer,
             names,
             flush_at: now + decisions.report_period,
             settings: decisions,
@@ -571,10 +577,15 @@
 
     fn step(&mut self, now: Nanos) {
         self.moment += 1;
-        let events = std::mem::take(&mut self.events);
-        let orders = self.decider.step(now, &events);
+        let mut events = std::mem::take(&mut self.events);
         if let Some(ledger) = &mut self.ledger {
             ledger.told(now, &events, &self.names);
+        }
+        if let Some(steer) = &mut self.steer {
+            steer.step(now, &mut events);
+        }
+        let orders = self.decider.step(now, &events);
+        if let Some(ledger) = &mut self.ledger {
             ledger.ordered(now, &orders);
         }
         for order in &orders {
@@ -683,6 +694,16 @@
         self.judge.next_at().is_some_and(|at| at <= now)
     }
 
+    /// Weights that have changed since the last time.
+    pub fn weight_changes(&mut self) -> Vec<Change> {
+        self.steer.as_mut().map(Steer::news).unwrap_or_default()
+    }
+
+    /// Why servers have the weights they have, where these are found here.
+    pub fn explain(&self, now: Nanos) -> Option<Explanation> {
+        self.steer.as_ref().map(|steer| explain(steer, now, &weights::Named(&self.names)))
+    }
+
     /// How often the decisions were asked.
     pub fn steps(&self) -> u64 {
         self.moment
--- a/crates/craneknot-coordinator/src/ledger.rs
+++ b/crates/craneknot-coordinator/src/ledger.rs
@@ -347,6 +347,16 @@
     }
 }
 
+/// Writes a whole ledger as one file.
+pub fn write(path: &Path, told: &Told) -> io::Result<()> {
+    let mut text = Vec::new();
+    push(&mut text, &told.head)?;
+    told.lines.iter().try_for_each(|line| push(&mut text, line))?;
+    let mut member = GzEncoder::new(Vec::new(), Compression::default());
+    member.write_all(&text)?;
+    fs::write(path, member.finish()?)
+}
+
 fn push(text: &mut Vec<u8>, value: &impl Serialize) -> io::Result<()> {
     serde_json::to_writer(&mut *text, value)?;
     text.push(b'\n');
--- a/crates/craneknot-coordinator/src/lib.rs
+++ b/crates/craneknot-coordinator/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod session;
 pub mod shell;
 pub mod source;
+pub mod weights;
--- a/crates/craneknot-coordinator/src/shell.rs
+++ b/crates/craneknot-coordinator/src/shell.rs
@@ -361,6 +361,19 @@
                 }
             }
         }
+        for change in self.desk.weight_changes() {
+            info!(
+                server = change.server,
+                from = change.from,
+                to = change.to,
+                cause = ?change.cause,
+                capacity = change.capacity,
+                deviation = change.deviation,
+                loss = change.loss,
+                tilt = change.tilt,
+                "a weight changed"
+            );
+        }
         let at = if self.read_roster { now } else { self.desk.next_at() };
         if self.turn_at.is_none_or(|set| at < set) {
             self.turn_at = Some(at);
@@ -491,6 +504,9 @@
                     "records": health.records, "bytes": health.bytes, "writes": health.writes, "failed": health.failed
                 });
             }
+            if message.uri().query() == Some("weights") {
+                status["weights"] = serde_json::to_value(self.desk.explain(now)).unwrap_or_default();
+            }
             let body = serde_json::to_vec(&status).unwrap_or_default();
             if message.uri().query() == Some("spans=anew") {
                 self.desk.forget_spans();
--- a/crates/craneknot-model/src/world/agents.rs
+++ b/crates/craneknot-model/src/world/agents.rs
@@ -102,7 +102,8 @@
                     let held = &mut self.proxies[proxy];
                     let (kind, text) = (staged.kind, staged.text.clone());
                     next = held.holding.commit(staged);
-                    match held.chooser.take_up(kind, text.as_bytes(), &number) {
+                    let server = |text: &str| self.addresses.server(text);
+                    match held.chooser.take_up(kind, text.as_bytes(), &server) {
                         Ok(()) => {
                             let (lines, epoch) = (held.chooser.lines(), held.chooser.epoch());
                             self.log.add(self.now, What::Swapped { proxy, lines, epoch });
@@ -173,7 +174,8 @@
         let interval = Seconds((self.now - held.sums_since).secs());
         held.sums_since = self.now;
         let sums = std::mem::take(&mut held.sums);
-        let place = |server: usize| (address(server), self.plan.servers[server].group.zone.as_str());
+        let place =
+            |server: usize| (self.addresses.of(server), self.plan.servers[server].group.zone.as_str());
         let cluster_stats = sums.report(interval, &self.script.classes, &place);
         self.proxies[proxy].waits.add(&LoadStatsRequest { node: None, cluster_stats });
     }
--- a/crates/craneknot-model/src/world/coordinators.rs
+++ b/crates/craneknot-model/src/world/coordinators.rs
@@ -2,15 +2,20 @@
 
 use super::*;
 
+/// Where a coordinator's datagrams go, for its settings.
+fn member_address(coordinator: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 10_000 + coordinator as u16))
+}
+
 impl World<'_> {
     pub(super) fn start_desk(&mut self, coordinator: usize) {
         let mut settings = coordinator_settings(self.script, coordinator);
         // Datagrams go by the members' names here; their places say nothing.
-        let places: Vec<SocketAddr> = (0..self.desks.len()).map(address).collect();
+        let places: Vec<SocketAddr> = (0..self.desks.len()).map(member_address).collect();
         settings.ledger = self.ask.ledgers.then(|| LedgerSettings::at("ledger.gz"));
         let shared = self.script.shared.as_ref();
-        settings.shared =
-            shared.map(|shared| shared_settings(coordinator, &places, address(coordinator), shared.lease));
+        settings.shared = shared
+            .map(|shared| shared_settings(coordinator, &places, member_address(coordinator), shared.lease));
         let seed = settings.seed.unwrap_or(0) ^ self.ask.chance;
         let own = Build::Own;
         let (build, fault, now) = (self.ask.build.unwrap_or(&own), &self.fault, self.now);
@@ -156,7 +161,9 @@
     }
 
     pub(super) fn probed(&mut self, coordinator: usize, server: ServerId, since: Nanos) {
-        let Some(held) = number(&server.0).and_then(|place| self.servers.get(place)) else { return };
+        let Some(held) = self.addresses.server(&server.0).and_then(|place| self.servers.get(place)) else {
+            return;
+        };
         let mute = held.silent || held.hangs;
         if mute && self.now - since < self.script.probe_time_out.0 {
             let at = since + self.script.probe_time_out.0;
@@ -185,7 +192,10 @@
 
     pub(super) fn list(&mut self) {
         self.version += 1;
-        let (roster, listed) = self.plan.roster(self.version, self.begin, &self.shows, &address);
+        let (roster, listed) = {
+            let address = |server| self.addresses.of(server);
+            self.plan.roster(self.version, self.begin, &self.shows, &address)
+        };
         self.roster = serde_json::to_vec(&roster).ok();
         self.log.add(self.now, What::Rostered { servers: listed });
         (0..self.desks.len()).for_each(|coordinator| self.read_roster(coordinator));
--- a/crates/craneknot-model/src/world/mod.rs
+++ b/crates/craneknot-model/src/world/mod.rs
@@ -33,7 +33,7 @@
 use craneknot_xds::discovery::{DiscoveryRequest, DiscoveryResponse, Kind, Locality, Node, Status};
 use craneknot_xds::load::{LoadStatsRequest, Seconds, CLOSED_AT};
 use craneknot_xds::orca;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 
@@ -114,6 +114,8 @@
         number: u64,
         answer: Answer,
     },
+    /// A coordinator's process starts.
+    Raise(usize),
     ServerAct(usize),
     ProxyAct(usize),
     FleetAct(usize),
@@ -212,6 +214,7 @@
     asked: Vec<Asked>,
     /// What all proxies know of servers' queues, where the choice is by late knowledge.
     late: Vec<f64>,
+    addresses: Addresses,
     fault: Fault,
     cost: Cost,
     /// Middles of spans that reports at each coordinator tell of, until its next flush.
@@ -220,12 +223,31 @@
     under_way: Vec<Nanos>,
 }
 
-fn address(server: usize) -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::LOCALHOST, 10_000 + server as u16))
+const FIRST_PORT: u16 = 1_024; // ports below it are the system's
+
+/// Servers' addresses. A system gives ports in no order, and the decisions deal servers by their names: so they are drawn.
+struct Addresses {
+    ports: Vec<u16>,
+    servers: BTreeMap<u16, usize>,
 }
 
-fn number(text: &str) -> Option<usize> {
-    text.rsplit_once(':')?.1.parse::<usize>().ok()?.checked_sub(10_000)
+impl Addresses {
+    fn draw(servers: usize, seed: u64) -> Self {
+        let mut ports: Vec<u16> = (FIRST_PORT..=u16::MAX).collect();
+        let (drawn, _) = ports.partial_shuffle(&mut Pcg32::seed_from_u64(seed), servers);
+        let ports = drawn.to_vec();
+        let servers = ports.iter().enumerate().map(|(server, port)| (*port, server)).collect();
+        Addresses { ports, servers }
+    }
+
+    fn of(&self, server: usize) -> SocketAddr {
+        let port = self.ports.get(server).copied().unwrap_or_default();
+        SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+    }
+
+    fn server(&self, text: &str) -> Option<usize> {
+        self.servers.get(&text.rsplit_once(':')?.1.parse().ok()?).copied()
+    }
 }
 
 /// How a script is to be played.
@@ -333,7 +355,7 @@
             }
         };
         let mut world = World {
-            now: START,
+            now: START - script.report_period.0,
             begin: START + FIRST_TABLES,
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
@@ -367,6 +389,7 @@
             given: 0,
             asked: Vec::new(),
             late: Vec::new(),
+            addresses: Addresses::draw(plan.servers.len(), chance ^ 0xadd2),
             fault: Fault::default(),
             cost: Cost::default(),
             untaken: vec![Vec::new(); count],
@@ -376,7 +399,12 @@
         };
         world.list();
         if ask.who == Who::Ours {
-            (0..count).for_each(|coordinator| world.start_desk(coordinator));
+            // Coordinators stand before the first agent dials, each since a moment of its own: else what they look at and when
+            // would stand in step with troubles.
+            for coordinator in 0..count {
+                let spread = Nanos(world.rng.random_range(0..script.report_period.0 .0.max(1)));
+                world.set(world.now + spread, Event::Raise(coordinator));
+            }
         } else {
             world.set(world.now, Event::LookAtQueues);
         }
@@ -385,7 +413,7 @@
             let at = world.proxies[proxy].dial.next_at().unwrap_or(world.now);
             world.set(at, Event::Dial(proxy));
             let spread = Nanos(world.rng.random_range(0..script.report_period.0 .0.max(1)));
-            world.set(world.now + spread, Event::Report(proxy));
+            world.set(START + spread, Event::Report(proxy));
         }
         let begin = world.begin;
         for place in 0..world.plan.server_acts.len() {
@@ -400,7 +428,7 @@
         for place in 0..world.plan.rates.len() {
             world.set(begin + world.plan.rates[place].0, Event::Rate(place));
         }
-        world.set(world.now, Event::Queue);
+        world.set(START, Event::Queue);
         world
     }
 
@@ -473,6 +501,7 @@
             Event::TryOver(number) => self.ended(number, Tried::Failed),
             Event::ClientOver(number) => self.answered(number, Answer::Silent),
             Event::Answered { number, answer } => self.answered(number, answer),
+            Event::Raise(coordinator) => self.raise_desk(coordinator),
             Event::ServerAct(place) => self.server_act(place),
             Event::ProxyAct(place) => self.proxy_act(place),
             Event::FleetAct(place) => self.fleet_act(self.plan.fleet_acts[place].1.clone()),
--- a/crates/craneknot-model/src/world/operations.rs
+++ b/crates/craneknot-model/src/world/operations.rs
@@ -202,7 +202,10 @@
         }
         let report = orca::LoadReport {
             cpu_utilization: Some(self.servers[server].machine.busy(self.now)),
-            named_metrics: BTreeMap::new(),
+            named_metrics: BTreeMap::from([
+                ("inflight".to_owned(), self.servers[server].machine.held() as f64),
+                ("service_ms".to_owned(), self.servers[server].machine.service() * 1e3),
+            ]),
         };
         let held = &mut self.proxies[proxy];
         if tried == Tried::Good {
--- a/crates/craneknot-model/src/world/troubles.rs
+++ b/crates/craneknot-model/src/world/troubles.rs
@@ -26,7 +26,10 @@
             ServerAct::Silence => self.servers[server].silent = true,
             ServerAct::Errors(share) => self.servers[server].errors = share,
             ServerAct::Hang(on) => self.servers[server].hangs = on,
-            ServerAct::Slow(factor) => self.servers[server].machine.slow = factor,
+            ServerAct::Slow(factor) => {
+                self.servers[server].machine.slow = factor;
+                self.log.add(self.now, What::Slowed { server, factor });
+            }
             ServerAct::LoseAnswers(share) => self.servers[server].loses = share,
         }
     }
--- a/crates/craneknot-rehearsal/src/auditor.rs
+++ b/crates/craneknot-rehearsal/src/auditor.rs
@@ -20,7 +20,10 @@
     pub lines_limit: f64,
     pub classes: Vec<ClassTerms>,
     pub servers: Vec<ServerTerms>,
-    pub proxies: usize,
+    /// The zone of each.
+    pub proxies: Vec<usize>,
+    /// How long coordinators may take to settle; nothing: capacities are not judged.
+    pub settle: Option<Nanos>,
 }
 
 #[derive(Clone, Debug)]
@@ -37,6 +40,7 @@
     /// Work a second when warm, s.
     pub capacity: f64,
     pub cell: i64,
+    pub zone: usize,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
@@ -50,10 +54,11 @@
     Placement,
     NoTornRead,
     NoOlderEpoch,
+    WithinCapacity,
 }
 
 impl Rule {
-    pub const ALL: [Rule; 8] = [
+    pub const ALL: [Rule; 9] = [
         Rule::NobodyBare,
         Rule::NoEffectTwice,
         Rule::DrainsKept,
@@ -62,6 +67,7 @@
         Rule::Placement,
         Rule::NoTornRead,
         Rule::NoOlderEpoch,
+        Rule::WithinCapacity,
     ];
 
     pub fn title(self) -> &'static str {
@@ -74,6 +80,7 @@
             Rule::Placement => "only where allowed",
             Rule::NoTornRead => "no torn table read",
             Rule::NoOlderEpoch => "no order of a former coordinator",
+            Rule::WithinCapacity => "no server over its capacity",
         }
     }
 }
@@ -129,6 +136,9 @@
     pub unled_p50_ms: f64,
     pub unled_p99_ms: f64,
     pub unled_most_ms: f64,
+    /// Tries, and those of them that went from one zone to another.
+    pub sent: u64,
+    pub crossed: u64,
 }
 
 #[derive(Clone, Debug, Default, Serialize)]
@@ -172,7 +182,21 @@
     pushed: bool,
 }
 
+/// Work that came to a server in the second under way.
+#[derive(Clone, Copy, Default)]
+struct Load {
+    slot: u64,
+    work: f64,
+    /// Part of its speed that it has.
+    speed: f64,
+    /// When it started; nothing: long ago.
+    started: Option<Nanos>,
+    /// It was down, or changed its speed, within the second.
+    changed: bool,
+}
+
 const SERVERS_KNOW: f64 = 2.0 / 3.0; // share of the work, from senders that knew, that makes a fall a break
+const SLOT: Nanos = Nanos::from_millis(1_000); // ms; the span in which a server must not be sent more than it can do
 const WINDOW: Nanos = Nanos::from_millis(10_000); // ms; the span of the worst window
 
 struct Audit<'a> {
@@ -183,6 +207,9 @@
     proxies: Vec<Proxy>,
     coordinators: BTreeMap<usize, Coordinator>,
     cold: Vec<Cold>,
+    loads: Vec<Load>,
+    /// Until then coordinators settle.
+    settles: Nanos,
     ran: HashMap<(OpId, u32), (usize, u32)>,
     /// Runs of an operation, whatever the client's attempt.
     ran_ever: HashMap<OpId, u32>,
@@ -202,7 +229,9 @@
         judgement: Judgement::default(),
         list: vec![Told::default(); terms.servers.len()],
         list_gone: false,
-        proxies: (0..terms.proxies).map(|_| Proxy::default()).collect(),
+        proxies: terms.proxies.iter().map(|_| Proxy::default()).collect(),
+        loads: vec![Load { speed: 1.0, ..Load::default() }; terms.servers.len()],
+        settles: Nanos(0),
         coordinators: BTreeMap::new(),
         cold: terms.servers.iter().map(|_| Cold::default()).collect(),
         ran: HashMap::new(),
@@ -215,7 +244,9 @@
         now: Nanos(0),
         begin: records.first().map_or(Nanos(0), |record| record.at),
     };
-    Rule::ALL.into_iter().for_each(|rule| {
+    // Not every script has capacities judged.
+    let judged = |rule: &Rule| *rule != Rule::WithinCapacity || terms.settle.is_some();
+    Rule::ALL.into_iter().filter(judged).for_each(|rule| {
         audit.judgement.rules.insert(rule, Verdict::default());
     });
     for record in records {
@@ -223,6 +254,7 @@
         audit.take(&record.what);
     }
     audit.look_for_bare();
+    (0..terms.servers.len()).for_each(|server| audit.close_second(server));
     audit.close()
 }
 
@@ -328,18 +360,30 @@
                         .broken(|| format!("operation {} of {name} came to server {server} {moment}", op.0));
                 }
                 self.push(*server, *proxy, work.secs());
+                self.load(*server, work.secs());
             }
             What::Ran { server, op, attempt, class } => self.ran(*server, *op, *attempt, *class),
             What::Started { server } => {
                 self.cold[*server] = Cold { since: Some(self.now), ..Cold::default() };
+                self.changed(*server, 1.0, Some(self.now));
                 self.rule(Rule::NoColdPushedOver).check();
             }
-            What::Stopped { server } => self.cold[*server] = Cold::default(),
+            What::Stopped { server } => {
+                self.cold[*server] = Cold::default();
+                self.changed(*server, 1.0, None);
+            }
+            What::Slowed { server, factor } => {
+                let started = self.loads[*server].started;
+                self.changed(*server, 1.0 / factor.max(1e-9), started);
+            }
             // The machine's own word; the work that came is weighed here anew.
             What::Fell { .. } => {}
             What::Tried { .. } => {}
             What::Asked { op, class, .. } => {
                 self.judgement.service.asked += 1;
+                if self.judgement.service.asked == 1 {
+                    self.settles = self.settles.max(self.now + self.terms.settle.unwrap_or_default());
+                }
                 self.asked_at.insert(*op, self.now);
                 let importance = self.terms.classes[*class].importance;
                 self.window(self.now).0 += importance;
@@ -395,6 +439,9 @@
         let moment = self.moment();
         let told = self.told(proxy, server);
         let now = self.now;
+        let crosses = self.terms.proxies[proxy] != self.terms.servers[server].zone;
+        self.judgement.service.sent += 1;
+        self.judgement.service.crossed += u64::from(crosses);
         let name = &self.terms.classes[class].name;
         let verdict = self.rule(Rule::DrainsKept);
         verdict.check();
@@ -483,6 +530,54 @@
         }
     }
 
+    /// What a server can do has changed: coordinators settle anew.
+    fn changed(&mut self, server: usize, speed: f64, started: Option<Nanos>) {
+        self.close_second(server);
+        let load = &mut self.loads[server];
+        (load.speed, load.started, load.changed) = (speed, started, true);
+        self.settles = self.now + self.terms.settle.unwrap_or_default();
+    }
+
+    fn load(&mut self, server: usize, work: f64) {
+        if self.terms.settle.is_none() {
+            return;
+        }
+        let slot = (self.now - self.begin).0 / SLOT.0;
+        if slot != self.loads[server].slot {
+            self.close_second(server);
+            let load = &mut self.loads[server];
+            (load.slot, load.work, load.changed) = (slot, 0.0, false);
+        }
+        self.loads[server].work += work;
+    }
+
+    /// A second is over at a server: was more sent than it can do?
+    fn close_second(&mut self, server: usize) {
+        let load = self.loads[server];
+        let begun = self.begin + Nanos(load.slot * SLOT.0);
+        let cold = load.started.is_some_and(|started| begun - started < self.terms.warm_after);
+        let settling = begun < self.settles && !cold;
+        if self.terms.settle.is_none() || load.work <= 0.0 || load.changed || settling {
+            return;
+        }
+        // A cold one has at least this much by the middle of the second.
+        let age = load.started.map(|started| (begun + Nanos(SLOT.0 / 2) - started).secs());
+        let part = age.map_or(1.0, |age| (age / self.terms.warm_after.secs().max(1e-9)).min(1.0));
+        let warmth = self.terms.cold_share + (1.0 - self.terms.cold_share) * part;
+        let able = self.terms.servers[server].capacity * warmth * load.speed * SLOT.secs();
+        let at = (begun - self.begin).secs();
+        self.loads[server].work = 0.0;
+        let verdict = self.rule(Rule::WithinCapacity);
+        verdict.check();
+        verdict.near(load.work / able.max(1e-9));
+        if load.work > able {
+            let cold = if cold { ", cold," } else { "" };
+            verdict.broken(|| {
+                format!("server {server}{cold} was sent {:.2} s of work for {able:.2} in the second from {at:.0} s", load.work)
+            });
+        }
+    }
+
     /// For each joined proxy and class: how long it has had no line though an open warm server was listed.
     fn look_for_bare(&mut self) {
         self.look_for_bare_among(0..self.proxies.len());
--- a/crates/craneknot-rehearsal/src/conduct.rs
+++ b/crates/craneknot-rehearsal/src/conduct.rs
@@ -227,6 +227,7 @@
         streams: StreamSettings::default(),
         shared: None,
         ledger: None,
+        solver: script.solver.clone(),
     }
 }
 
@@ -249,9 +250,11 @@
             allowed: (0..plan.servers.len()).filter(fits).collect(),
         }
     };
+    let zone_of = |name: &String| script.zones.iter().position(|zone| zone == name).unwrap_or(usize::MAX);
     let server = |server: &crate::plan::ServerPlan| ServerTerms {
         capacity: f64::from(server.group.cores) * server.group.speed,
         cell: server.cell,
+        zone: zone_of(&server.group.zone),
     };
     Terms {
         bare_limit: script.rules.bare_limit.0,
@@ -263,7 +266,8 @@
         lines_limit: script.channel.lines_limit,
         classes: script.classes.iter().map(class).collect(),
         servers: plan.servers.iter().map(server).collect(),
-        proxies: plan.proxy_zones.len(),
+        proxies: plan.proxy_zones.iter().map(zone_of).collect(),
+        settle: script.capacity.map(|rule| rule.settle.0),
     }
 }
 
--- a/crates/craneknot-rehearsal/src/measure.rs
+++ b/crates/craneknot-rehearsal/src/measure.rs
@@ -130,6 +130,7 @@
         streams: StreamSettings::default(),
         shared: None,
         ledger: None,
+        solver: None,
     }
 }
 
--- a/crates/craneknot-rehearsal/src/plan.rs
+++ b/crates/craneknot-rehearsal/src/plan.rs
@@ -11,7 +11,7 @@
 
 use crate::machine::Make;
 use crate::record::Listed;
-use crate::script::{Script, ServerGroup, Trouble, TroubleKind};
+use crate::script::{Script, ServerGroup, Trouble, TroubleKind, Weights};
 
 /// A server that stands or will stand, with its place in the script's groups.
 #[derive(Clone, Debug)]
@@ -159,6 +159,9 @@
     pub rates: Vec<(Nanos, f64)>,
     /// Times a leader is struck.
     pub leaders: usize,
+    /// What the list says of weights.
+    pub weights: Weights,
+    pub seed: u64,
     /// The zone a coordinator stands in.
     pub coordinator_zones: Vec<String>,
 }
@@ -180,7 +183,7 @@
 
 impl Plan {
     pub fn draw(script: &Script) -> Plan {
-        let mut plan = Plan::default();
+        let mut plan = Plan { weights: script.weights, seed: script.seed, ..Plan::default() };
         let mut cells = 0;
         for group in &script.servers {
             for place in 0..usize::from(group.count) {
@@ -220,6 +223,19 @@
         }
     }
 
+    fn listed_weight(&self, server: usize) -> f64 {
+        let group = &self.servers[server].group;
+        let truth = f64::from(group.cores) * group.speed;
+        match self.weights {
+            Weights::True => truth,
+            Weights::Equal => 1.0,
+            Weights::Rough => {
+                let off = Pcg32::seed_from_u64(self.seed ^ server as u64).random_range(-1.0..=1.0f64);
+                (truth * off.exp2() * 100.0).round() / 100.0
+            }
+        }
+    }
+
     /// The list of servers as they show, and the same for the record; starts are told since `begin`.
     pub fn roster(
         &self,
@@ -241,7 +257,7 @@
                 zone: planned.group.zone.clone(),
                 kind: planned.group.kind.clone(),
                 cell: planned.cell,
-                weight: Some(f64::from(planned.group.cores) * planned.group.speed),
+                weight: Some(self.listed_weight(server)),
                 started: started.map(Nanos::secs),
                 state,
             });
--- a/crates/craneknot-rehearsal/src/record.rs
+++ b/crates/craneknot-rehearsal/src/record.rs
@@ -105,6 +105,11 @@
         attempt: u32,
         class: usize,
     },
+    /// The server runs so many times slower from now on; 1: as usual.
+    Slowed {
+        server: usize,
+        factor: f64,
+    },
     /// A server has started; nothing of it is warm yet.
     Started {
         server: usize,
--- a/crates/craneknot-rehearsal/src/recording.rs
+++ b/crates/craneknot-rehearsal/src/recording.rs
@@ -166,6 +166,7 @@
                 What::Rostered { .. }
                 | What::RosterGone
                 | What::Stalled { .. }
+                | What::Slowed { .. }
                 | What::Joined { .. }
                 | What::Left { .. }
                 | What::Torn { .. }
--- a/crates/craneknot-rehearsal/src/report.rs
+++ b/crates/craneknot-rehearsal/src/report.rs
@@ -81,6 +81,10 @@
             "service {:.3} by importance, worst 10 s {:.3}; answers p50 {:.0} ms, p99 {:.0} ms; {} table swaps, {} torn reads, {} run twice",
             s.service, s.worst_window, s.latency_p50_ms, s.latency_p99_ms, s.swaps, s.torn_reads, s.never_twice_run_twice
         );
+        if s.crossed > 0 {
+            let part = 100.0 * s.crossed as f64 / s.sent.max(1) as f64;
+            let _ = writeln!(text, "{} of {} tries crossed zones ({part:.1}%)", s.crossed, s.sent);
+        }
         if s.unled > 0 {
             let _ = writeln!(
                 text,
--- a/crates/craneknot-rehearsal/src/script.rs
+++ b/crates/craneknot-rehearsal/src/script.rs
@@ -5,7 +5,7 @@
 use craneknot::interface::Nanos;
 use craneknot_settings::{
     parse, ChannelSettings, Check, ClassSettings, FleetSettings, LevelUnit, Problem, Problems, RuleSettings,
-    Span,
+    SolverSettings, Span,
 };
 use rand::Rng;
 use rand_distr::{Distribution, Exp1};
@@ -242,11 +242,48 @@
     /// The coordinators share one fleet and take over from one another; left out: each keeps to its own proxies.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub shared: Option<SharedFleet>,
+    /// Coordinators find servers' weights by themselves; left out: they go by the list.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub solver: Option<SolverSettings>,
+    /// What the list says of servers' weights.
+    #[serde(default, skip_serializing_if = "Weights::are_true")]
+    pub weights: Weights,
+    /// The auditor judges whether servers stay within their capacities; left out: it does not.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub capacity: Option<CapacityRule>,
     /// How long what leaves a coordinator's channel is on its way; left out: as long as this machine takes.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub delays: Option<Delays>,
 }
 
+/// What the list says of servers' weights.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Weights {
+    /// What each can do, exactly: the best that could be written by hand.
+    #[default]
+    True,
+    /// The same for all.
+    Equal,
+    /// What each can do, off by up to half or twice, by chance: as hand-set weights are after a year.
+    Rough,
+}
+
+impl Weights {
+    fn are_true(&self) -> bool {
+        *self == Weights::True
+    }
+}
+
+/// No server is sent more work in any second than it can do then.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct CapacityRule {
+    /// After the start, and after any server starts, ends or changes its speed, coordinators may take so long; a cold server
+    /// is never sent more.
+    pub settle: Span,
+}
+
 /// Ways between coordinators and proxies that take their time; what is sent to one proxy arrives in order.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -332,6 +369,7 @@
                 .enumerate()
                 .filter_map(|(k, group)| zone(format!("/proxies/{k}/zone"), &group.zone)),
         );
+        found.extend(self.solver.iter().flat_map(|solver| solver.check("/solver", &self.zones)));
         for (k, demand) in self.clients.demand.iter().enumerate() {
             if !self.classes.iter().any(|class| class.name == demand.class) {
                 let what = format!("class {:?} is not among /classes", demand.class);
--- a/crates/craneknot-rehearsal/src/servers.rs
+++ b/crates/craneknot-rehearsal/src/servers.rs
@@ -321,7 +321,10 @@
             ServerAct::Silence => self.servers[server].silent = true,
             ServerAct::Errors(share) => self.servers[server].errors = share,
             ServerAct::Hang(on) => self.servers[server].hangs = on,
-            ServerAct::Slow(factor) => self.servers[server].machine.slow = factor,
+            ServerAct::Slow(factor) => {
+                self.servers[server].machine.slow = factor;
+                self.log.add(now, What::Slowed { server, factor });
+            }
             ServerAct::LoseAnswers(share) => self.servers[server].loses = share,
         }
         Ok(())
--- a/crates/craneknot-settings/src/coordinator.rs
+++ b/crates/craneknot-settings/src/coordinator.rs
@@ -261,6 +261,75 @@
     /// Left out: nothing is kept.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ledger: Option<LedgerSettings>,
+    /// Left out: servers are weighed as listed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub solver: Option<SolverSettings>,
+}
+
+/// What an operation costs that goes from a proxy of one zone to a server of another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct CrossingSettings {
+    pub from: String,
+    pub to: String,
+    /// In mean service times.
+    #[schemars(range(min = 0.0, max = 1000.0))]
+    pub cost: f64,
+}
+
+/// Weights found from what the fleet shows, in place of listed ones.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct SolverSettings {
+    /// Deviations of a server's estimated capacity that are kept free; left out: the solver's own.
+    #[schemars(range(min = 0.0, max = 4.0))]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub margin: Option<f64>,
+    /// Share by which a weight must differ to be sent; left out: the solver's own.
+    #[schemars(range(min = 0.0, max = 2.0))]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub churn: Option<f64>,
+    /// Cost of a crossing, in mean service times, where `crossings` has no other; left out: the solver's own.
+    #[schemars(range(min = 0.0, max = 1000.0))]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub crossing: Option<f64>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crossings: Vec<CrossingSettings>,
+}
+
+impl SolverSettings {
+    /// What is wrong with it in a fleet of these zones; `place` is its own pointer.
+    pub fn check(&self, place: &str, zones: &[String]) -> Vec<Problem> {
+        let mut found = Vec::new();
+        for (k, crossing) in self.crossings.iter().enumerate() {
+            for (end, zone) in [("from", &crossing.from), ("to", &crossing.to)] {
+                if !zones.contains(zone) {
+                    let what = format!("zone {zone:?} is not among the fleet's zones");
+                    let at = format!("{place}/crossings/{k}/{end}");
+                    found.push(Problem::new(at, what, "name one of those, or add it there"));
+                }
+            }
+            let again = |other: &CrossingSettings| other.from == crossing.from && other.to == crossing.to;
+            if self.crossings.iter().take(k).any(again) {
+                let what = format!("{} to {} is listed twice", crossing.from, crossing.to);
+                found.push(Problem::new(format!("{place}/crossings/{k}"), what, "remove one"));
+            }
+        }
+        found
+    }
+
+    /// Costs by zone of the proxy and of the server.
+    pub fn costs(&self, zones: &[String], usual: f64) -> Vec<Vec<f64>> {
+        let cost = |from: &String, to: &String| {
+            let told = self.crossings.iter().find(|one| one.from == *from && one.to == *to);
+            match told {
+                Some(told) => told.cost,
+                None if from == to => 0.0,
+                None => self.crossing.unwrap_or(usual),
+            }
+        };
+        zones.iter().map(|from| zones.iter().map(|to| cost(from, to)).collect()).collect()
+    }
 }
 
 /// Where what the coordinator is told is kept, for the model and the solver.
@@ -493,6 +562,7 @@
                 "give the span that message_limit is for",
             ));
         }
+        found.extend(self.solver.iter().flat_map(|solver| solver.check("/solver", &self.fleet.zones)));
         found.extend(self.ledger.iter().filter_map(|ledger| positive("/ledger/every", ledger.every)));
         if let Some(shared) = &self.shared {
             found
--- a/crates/craneknot-settings/src/lib.rs
+++ b/crates/craneknot-settings/src/lib.rs
@@ -9,8 +9,8 @@
 pub use agent::{AgentSettings, CoordinatorAddress, NodeSettings};
 pub use check::{load, parse, schema_text, Check, Problem, Problems};
 pub use coordinator::{
-    ChannelSettings, ClassSettings, CoordinatorSettings, FleetSettings, LedgerSettings, LevelUnit,
-    MemberSettings, Names, ProbeSettings, Repeats, RosterSettings, RuleSettings, SharedSettings,
-    StreamSettings,
+    ChannelSettings, ClassSettings, CoordinatorSettings, CrossingSettings, FleetSettings, LedgerSettings,
+    LevelUnit, MemberSettings, Names, ProbeSettings, Repeats, RosterSettings, RuleSettings, SharedSettings,
+    SolverSettings, StreamSettings,
 };
 pub use span::Span;
--- /dev/null
+++ b/crates/craneknot-solver/tests/fleet.rs
@@ -0,0 +1,408 @@
+//! The estimator and the steer on servers whose capacities are known here and hidden from them: queues of a few cores, played
+//! second by second, with what a report would tell of them.
+
+mod queue;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use craneknot::interface::*;
+use craneknot_solver::estimate::{Doubt, Estimator, Met, Told, WarmUp};
+use craneknot_solver::steer::{Cause, Settings, State, Steer, CHURN, CROSSING, MARGIN};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+
+use queue::{Queue, PERIOD};
+
+const WARM: WarmUp = WarmUp { cold_share: 0.2, warm_after: Nanos::from_millis(8_000) };
+
+fn id(number: usize) -> ServerId {
+    ServerId(Arc::from(format!("10.0.0.{number}:80").as_str()))
+}
+
+fn told(kind: u16, weight: f64, started: Option<f64>) -> Told {
+    Told { kind: KindId(kind), weight, started: started.map(Nanos::from_secs) }
+}
+
+/// Plays queues at their rates; calls with the moment after each period.
+fn play(
+    estimator: &mut Estimator,
+    queues: &mut [Queue],
+    rates: &[f64],
+    seconds: (f64, f64),
+    seed: u64,
+    mut look: impl FnMut(f64, &Estimator),
+) {
+    let mut rng = Pcg32::seed_from_u64(seed);
+    let mut at = seconds.0;
+    while at < seconds.1 {
+        for (number, queue) in queues.iter_mut().enumerate() {
+            if let Some(met) = queue.play(at, rates[number], &mut rng) {
+                estimator.hear(Nanos::from_secs(at + PERIOD), &id(number), &met);
+            }
+        }
+        at += PERIOD;
+        estimator.observe(Nanos::from_secs(at));
+        look(at, estimator);
+    }
+}
+
+fn found(estimator: &Estimator, at: f64, number: usize) -> f64 {
+    estimator.capacity(Nanos::from_secs(at), &id(number)).unwrap().middle
+}
+
+#[test]
+fn capacities_are_found_at_low_and_high_fill_and_intervals_hold_them() {
+    let (mut inside, mut all, mut worst) = (0, 0, 0.0f64);
+    for seed in 0..12 {
+        for (fill, error) in [(0.15, 0.2), (0.4, 0.15), (0.7, 0.15), (0.95, 0.15)] {
+            let mut queues =
+                vec![Queue::new(1, 1.5), Queue::new(2, 1.0), Queue::new(4, 0.8), Queue::new(8, 2.0)];
+            let mut estimator = Estimator::new(WARM);
+            (0..4).for_each(|number| estimator.list(Nanos(0), &id(number), told(number as u16, 1.0, None)));
+            let rates: Vec<f64> = queues.iter().map(|queue| fill * queue.capacity()).collect();
+            play(&mut estimator, &mut queues, &rates, (0.0, 30.0), seed, |_, _| {});
+            for (number, queue) in queues.iter().enumerate() {
+                let capacity = estimator.capacity(Nanos::from_secs(30.0), &id(number)).unwrap();
+                let away = (capacity.middle / queue.capacity()).ln().abs();
+                worst = worst.max(away);
+                assert!(away < 2.0 * error, "seed {seed}, fill {fill}, server {number}: {capacity:?}");
+                let (low, high) = capacity.interval();
+                inside += usize::from((low..=high).contains(&queue.capacity()));
+                all += 1;
+            }
+        }
+    }
+    // 19 of 20 are claimed; reports are smoothed and so are not independent.
+    assert!(inside as f64 >= 0.85 * all as f64, "{inside} of {all}, worst {worst}");
+}
+
+#[test]
+fn a_halved_server_is_found_out_within_five_seconds() {
+    let mut queues = vec![Queue::new(2, 1.0)];
+    let mut estimator = Estimator::new(WARM);
+    estimator.list(Nanos(0), &id(0), told(0, 1.0, None));
+    play(&mut estimator, &mut queues, &[40.0], (0.0, 20.0), 5, |_, _| {});
+    assert!((found(&estimator, 20.0, 0) / 100.0).ln().abs() < 0.25);
+    queues[0].speed = 0.5;
+    play(&mut estimator, &mut queues, &[40.0], (20.0, 25.0), 6, |_, _| {});
+    let halved = found(&estimator, 25.0, 0);
+    assert!((halved / 50.0).ln().abs() < 0.3, "{halved}");
+}
+
+/// It does all the work and a third of the answers get lost: its word on its load is good, its use is less.
+#[test]
+fn a_server_that_drops_answers_is_worth_less_by_what_it_drops() {
+    let mut queues = vec![Queue::new(2, 1.0)];
+    queues[0].drops = 0.33;
+    let mut estimator = Estimator::new(WARM);
+    estimator.list(Nanos(0), &id(0), told(0, 1.0, None));
+    play(&mut estimator, &mut queues, &[40.0], (0.0, 20.0), 7, |_, _| {});
+    let capacity = estimator.capacity(Nanos::from_secs(20.0), &id(0)).unwrap();
+    assert!((capacity.loss - 0.33).abs() < 0.12, "{capacity:?}");
+    assert!(capacity.sure(0.0) < 0.8 * capacity.middle);
+}
+
+/// It says that it is idle while answers come late: its word is not believed, and that is said.
+#[test]
+fn a_server_that_lies_is_doubted() {
+    let mut queues = vec![Queue::new(2, 1.0), Queue::new(2, 1.0)];
+    let mut estimator = Estimator::new(WARM);
+    (0..2).for_each(|number| estimator.list(Nanos(0), &id(number), told(0, 1.0, None)));
+    play(&mut estimator, &mut queues, &[40.0, 40.0], (0.0, 10.0), 8, |_, _| {});
+    (queues[1].lies, queues[1].speed) = (true, 0.3);
+    play(&mut estimator, &mut queues, &[40.0, 40.0], (10.0, 16.0), 9, |_, _| {});
+    assert_eq!(estimator.doubt(&id(1)), Some(Doubt::IdleAndLate));
+    assert_eq!(estimator.doubt(&id(0)), None);
+    // Believed, it would carry ten times what it does.
+    assert!(found(&estimator, 16.0, 1) < 150.0, "{}", found(&estimator, 16.0, 1));
+}
+
+/// A new server is no blank: it is what its kind is, until more is known.
+#[test]
+fn a_newcomer_begins_where_its_kind_stands() {
+    let mut queues: Vec<Queue> = (0..6).map(|k| Queue::new(if k < 3 { 1 } else { 4 }, 1.0)).collect();
+    let mut estimator = Estimator::new(WARM);
+    let kind = |number: usize| u16::from(number >= 3);
+    (0..6).for_each(|number| estimator.list(Nanos(0), &id(number), told(kind(number), 1.0, None)));
+    let rates: Vec<f64> = queues.iter().map(|queue| 0.5 * queue.capacity()).collect();
+    play(&mut estimator, &mut queues, &rates, (0.0, 15.0), 10, |_, _| {});
+    estimator.list(Nanos::from_secs(15.0), &id(9), told(1, 1.0, Some(15.0)));
+    let capacity = estimator.capacity(Nanos::from_secs(15.0), &id(9)).unwrap();
+    assert!((capacity.middle / 200.0).ln().abs() < 0.25, "{capacity:?}");
+    assert!((0.1..0.5).contains(&capacity.deviation), "{capacity:?}");
+    assert_eq!(capacity.seen, 0);
+}
+
+/// Without any word of the servers' own, times and what passes tell full ones, and idle ones are left as listed.
+#[test]
+fn mute_servers_are_told_by_times_when_they_are_full() {
+    let mut queues = vec![Queue::new(2, 1.0), Queue::new(2, 2.0)];
+    queues.iter_mut().for_each(|queue| queue.tells = false);
+    let mut estimator = Estimator::new(WARM);
+    (0..2).for_each(|number| estimator.list(Nanos(0), &id(number), told(number as u16, 1.0, None)));
+    play(&mut estimator, &mut queues, &[30.0, 60.0], (0.0, 10.0), 11, |_, _| {});
+    play(&mut estimator, &mut queues, &[96.0, 190.0], (10.0, 40.0), 12, |_, _| {});
+    for (number, truth) in [(0, 100.0f64), (1, 200.0)] {
+        let found = found(&estimator, 40.0, number);
+        assert!((found / truth).ln().abs() < 0.45, "{found} for {truth}");
+    }
+}
+
+/// Four tries say little, and what they say is not taken for more.
+#[test]
+fn estimates_of_four_tries_stay_wide() {
+    let mut estimator = Estimator::new(WARM);
+    estimator.list(Nanos(0), &id(0), told(0, 1.0, None));
+    let report = LoadReport { busy: Some(0.1), held: Some(0.2), service: None };
+    let met = Met { tries: 4, unanswered: 0, latency: Nanos::from_millis(20), report };
+    estimator.hear(Nanos::from_secs(0.5), &id(0), &met);
+    estimator.observe(Nanos::from_secs(2.6));
+    let capacity = estimator.capacity(Nanos::from_secs(2.6), &id(0)).unwrap();
+    assert!(capacity.deviation > 0.4, "{capacity:?}");
+}
+
+fn settings(zones: usize) -> Settings {
+    let class = |importance, only: &[u16]| ClassSettings {
+        latency_goal: Nanos::from_millis(400),
+        hard_stop: Nanos::from_millis(1_500),
+        importance,
+        repeats: Repeats::Safe,
+        only_zones: only.iter().map(|zone| ZoneId(*zone)).collect(),
+        only_kinds: Vec::new(),
+        home_only: false,
+    };
+    Settings {
+        classes: vec![class(1.0, &[]), class(3.0, &[0])],
+        zones,
+        warm_up: WARM,
+        proxies: 1,
+        margin: MARGIN,
+        churn: CHURN,
+        crossing: (0..zones)
+            .map(|a| (0..zones).map(|b| if a == b { 0.0 } else { CROSSING }).collect())
+            .collect(),
+    }
+}
+
+fn listing(number: usize, zone: u16, weight: f64, started: Option<f64>) -> Listing {
+    Listing {
+        server: id(number),
+        zone: ZoneId(zone),
+        kind: KindId(0),
+        cell: CellId(0),
+        weight: Some(weight),
+        started: started.map(Nanos::from_secs),
+        readiness: Readiness::Ready,
+    }
+}
+
+/// Weights as the decisions would hold them, by what comes out of a steer.
+#[derive(Default)]
+struct Held(BTreeMap<ServerId, f64>);
+
+impl Held {
+    fn take(&mut self, events: &[Event]) -> usize {
+        let mut changes = 0;
+        for event in events {
+            let Event::List { entries, .. } = event else { continue };
+            for entry in entries.iter() {
+                let weight = entry.weight.unwrap();
+                assert!(weight.is_finite() && weight > 0.0, "{entry:?}");
+                changes += usize::from(self.0.insert(entry.server.clone(), weight) != Some(weight));
+            }
+        }
+        changes
+    }
+}
+
+/// Plays servers under a steer whose weights split the traffic; how many weights changed.
+fn steered(
+    steer: &mut Steer,
+    held: &mut Held,
+    queues: &mut [Queue],
+    rate: f64,
+    seconds: (f64, f64),
+    rng: &mut Pcg32,
+) -> usize {
+    let mut at = seconds.0;
+    let mut changes = 0;
+    while at < seconds.1 {
+        let sum: f64 = (0..queues.len()).map(|number| held.0[&id(number)]).sum();
+        let mut events = Vec::new();
+        for (number, queue) in queues.iter_mut().enumerate() {
+            let met = queue.play(at, rate * held.0[&id(number)] / sum, rng);
+            events.extend(met.map(|met| Event::Heard {
+                server: id(number),
+                zone: ZoneId(0),
+                tries: met.tries,
+                unanswered: met.unanswered,
+                span: Nanos::from_secs(PERIOD),
+                latency: met.latency,
+                report: met.report,
+            }));
+        }
+        let arrived = (rate * PERIOD) as u64;
+        events.push(Event::Demand {
+            proxy: ProxyId(0),
+            class: ClassId(0),
+            arrived,
+            unanswered: 0,
+            span: Nanos::from_secs(PERIOD),
+        });
+        at += PERIOD;
+        let before = events.len();
+        steer.step(Nanos::from_secs(at), &mut events);
+        changes += held.take(&events[before..]);
+    }
+    changes
+}
+
+fn begin(queues: &[Queue]) -> (Steer, Held) {
+    let mut steer = Steer::new(settings(1), Nanos(0));
+    let mut held = Held::default();
+    let entries: Arc<[Listing]> = (0..queues.len()).map(|number| listing(number, 0, 1.0, None)).collect();
+    let mut events = vec![
+        Event::ProxyJoined { proxy: ProxyId(0), zone: ZoneId(0), usual_rate: 1.0 },
+        Event::List { scope: ListScope::Whole, entries },
+    ];
+    steer.step(Nanos(1), &mut events);
+    held.take(&events);
+    (steer, held)
+}
+
+/// Listed alike, found out to be unlike: the smallest begins with far too much and a long queue; once that is gone no server is
+/// fuller than the others by much, and then weights rest.
+#[test]
+fn weights_follow_capacities_and_rest_when_nothing_changes() {
+    for seed in 0..4 {
+        let mut queues = vec![Queue::new(1, 0.8), Queue::new(2, 1.0), Queue::new(4, 1.0), Queue::new(2, 2.0)];
+        let whole: f64 = queues.iter().map(Queue::capacity).sum();
+        let (mut steer, mut held) = begin(&queues);
+        let mut rng = Pcg32::seed_from_u64(seed);
+        steered(&mut steer, &mut held, &mut queues, 0.5 * whole, (0.0, 25.0), &mut rng);
+        let sum: f64 = held.0.values().sum();
+        for (number, queue) in queues.iter().enumerate() {
+            let fill = 0.5 * whole * held.0[&id(number)] / sum / queue.capacity();
+            assert!((0.25..0.75).contains(&fill), "seed {seed}: server {number} at {fill}");
+        }
+        let changes = steered(&mut steer, &mut held, &mut queues, 0.5 * whole, (25.0, 85.0), &mut rng);
+        assert!(changes <= 12, "seed {seed}: {changes} changes in a minute in which nothing changed");
+    }
+}
+
+#[test]
+fn a_halved_server_loses_half_its_weight_and_gets_it_back() {
+    let mut queues = vec![Queue::new(4, 1.0), Queue::new(4, 1.0), Queue::new(4, 1.0)];
+    let (mut steer, mut held) = begin(&queues);
+    let mut rng = Pcg32::seed_from_u64(3);
+    steered(&mut steer, &mut held, &mut queues, 240.0, (0.0, 20.0), &mut rng);
+    queues[1].speed = 0.5;
+    steered(&mut steer, &mut held, &mut queues, 240.0, (20.0, 28.0), &mut rng);
+    let part = held.0[&id(1)] / held.0[&id(0)];
+    assert!((0.35..0.7).contains(&part), "{part}");
+    assert!(steer
+        .history()
+        .any(|change| change.cause == Cause::Changed && change.server == id(1).0.to_string()));
+    queues[1].speed = 1.0;
+    steered(&mut steer, &mut held, &mut queues, 240.0, (28.0, 45.0), &mut rng);
+    let part = held.0[&id(1)] / held.0[&id(0)];
+    assert!((0.75..1.3).contains(&part), "{part}");
+}
+
+/// Two coordinators that see a large and a small part of the same traffic find the same weights.
+#[test]
+fn coordinators_that_see_different_parts_find_the_same() {
+    let mut queues = [Queue::new(1, 1.0), Queue::new(4, 1.0)];
+    let mut rng = Pcg32::seed_from_u64(4);
+    let mut estimators = [Estimator::new(WARM), Estimator::new(WARM)];
+    for estimator in &mut estimators {
+        (0..2).for_each(|number| estimator.list(Nanos(0), &id(number), told(number as u16, 1.0, None)));
+    }
+    for step in 0..60 {
+        let at = step as f64 * PERIOD;
+        for (number, queue) in queues.iter_mut().enumerate() {
+            let Some(met) = queue.play(at, 0.5 * queue.capacity(), &mut rng) else { continue };
+            let now = Nanos::from_secs(at + PERIOD);
+            estimators[0].hear(now, &id(number), &met);
+            estimators[1].hear(now, &id(number), &Met { tries: met.tries / 5, ..met });
+        }
+        estimators.iter_mut().for_each(|one| drop(one.observe(Nanos::from_secs(at + PERIOD))));
+    }
+    for number in 0..2 {
+        let (one, other) = (found(&estimators[0], 30.0, number), found(&estimators[1], 30.0, number));
+        assert!((one / other).ln().abs() < 0.25, "{one} and {other}");
+    }
+}
+
+/// Events of every sort in any order: no panic, every weight stands above nothing, and the same events give the same weights.
+#[test]
+fn random_events_never_bring_a_weight_that_cannot_be() {
+    for seed in 0..60 {
+        let run = || {
+            let mut rng = Pcg32::seed_from_u64(seed);
+            let mut steer = Steer::new(settings(2), Nanos(0));
+            let mut held = Held::default();
+            let mut now = Nanos(0);
+            for _ in 0..400 {
+                now = now + Nanos(rng.random_range(0..900_000_000));
+                let number = rng.random_range(0..8usize);
+                let wild =
+                    |rng: &mut Pcg32| [0.0, f64::NAN, f64::INFINITY, -1.0, 0.3, 1e9][rng.random_range(0..6)];
+                let event = match rng.random_range(0..6) {
+                    0 => {
+                        let mut one = listing(number, rng.random_range(0..3), wild(&mut rng), None);
+                        one.readiness = [Readiness::Ready, Readiness::Draining, Readiness::Removed]
+                            [rng.random_range(0..3)];
+                        one.started = rng.random_bool(0.5).then_some(now);
+                        let scope =
+                            [ListScope::Whole, ListScope::Changes, ListScope::Failed][rng.random_range(0..3)];
+                        Event::List { scope, entries: [one].into() }
+                    }
+                    1 => Event::ProxyJoined {
+                        proxy: ProxyId(rng.random_range(0..4)),
+                        zone: ZoneId(rng.random_range(0..3)),
+                        usual_rate: wild(&mut rng),
+                    },
+                    2 => Event::ProxyLeft { proxy: ProxyId(rng.random_range(0..4)) },
+                    3 => Event::Demand {
+                        proxy: ProxyId(rng.random_range(0..4)),
+                        class: ClassId(rng.random_range(0..4)),
+                        arrived: rng.random_range(0..1_000_000),
+                        unanswered: 0,
+                        span: Nanos(rng.random_range(0..2_000_000_000)),
+                    },
+                    _ => Event::Heard {
+                        server: id(number),
+                        zone: ZoneId(0),
+                        tries: rng.random_range(0..200),
+                        unanswered: rng.random_range(0..300),
+                        span: Nanos(0),
+                        latency: Nanos(rng.random_range(0..2_000_000_000)),
+                        report: LoadReport {
+                            busy: Some(wild(&mut rng)),
+                            held: Some(wild(&mut rng)),
+                            service: None,
+                        },
+                    },
+                };
+                let mut events = vec![event];
+                let before = events.len();
+                steer.step(now, &mut events);
+                held.take(&events[before..]);
+            }
+            held.0.into_iter().collect::<Vec<_>>()
+        };
+        assert_eq!(run(), run(), "seed {seed}");
+    }
+}
+
+#[test]
+fn before_anything_is_known_weights_are_as_listed() {
+    let mut steer = Steer::new(settings(1), Nanos(0));
+    let entries: Arc<[Listing]> = [listing(0, 0, 0.7, None)].into();
+    let mut events = vec![Event::List { scope: ListScope::Whole, entries: entries.clone() }];
+    steer.step(Nanos::from_secs(9.0), &mut events);
+    assert_eq!(events, [Event::List { scope: ListScope::Whole, entries }]);
+    assert_eq!(steer.weight_of(&id(0)).map(|held| held.2), Some(State::Listed));
+}
