--- a/crates/craneknot-cli/src/solve.rs
+++ b/crates/craneknot-cli/src/solve.rs
@@ -8,7 +8,7 @@
 use craneknot::interface::*;
 use craneknot_coordinator::ledger::{Line, Shown, Told};
 use craneknot_coordinator::weights;
-use craneknot_settings::{ClassSettings as NamedClass, CrossingSettings, Names, SolverSettings};
+use craneknot_settings::{CrossingSettings, Names, SolverSettings};
 use craneknot_solver::estimate::Met;
 use craneknot_solver::explain::{explain, Explanation};
 use craneknot_solver::steer::{self, Steer};
@@ -61,16 +61,7 @@
         names.zone(zone);
     });
     names.classes = head.classes.iter().map(|class| class.name.clone()).collect();
-    let mut class = |class: &NamedClass| ClassSettings {
-        latency_goal: class.latency_goal.0,
-        hard_stop: class.hard_stop.0,
-        importance: class.importance,
-        repeats: class.repeats.into(),
-        only_zones: class.only_zones.iter().map(|zone| names.zone(zone)).collect(),
-        only_kinds: class.only_kinds.iter().map(|kind| names.kind(kind)).collect(),
-        home_only: class.home_only,
-    };
-    let classes = head.classes.iter().map(&mut class).collect();
+    let classes = head.classes.iter().map(|class| class.decided(&mut names)).collect();
     let most = |line: &Line| match line {
         Line::Joined(_, zones) => Some(zones.iter().sum::<u32>()),
         _ => None,
--- a/crates/craneknot-settings/src/coordinator.rs
+++ b/crates/craneknot-settings/src/coordinator.rs
@@ -60,6 +60,19 @@
 }
 
 impl ClassSettings {
+    /// As the decisions are told of it, zones and kinds by their places among the names.
+    pub fn decided(&self, names: &mut Names) -> interface::ClassSettings {
+        interface::ClassSettings {
+            latency_goal: self.latency_goal.0,
+            hard_stop: self.hard_stop.0,
+            importance: self.importance,
+            repeats: self.repeats.into(),
+            only_zones: self.only_zones.iter().map(|zone| names.zone(zone)).collect(),
+            only_kinds: self.only_kinds.iter().map(|kind| names.kind(kind)).collect(),
+            home_only: self.home_only,
+        }
+    }
+
     /// Whether it may run on a server of that zone and kind.
     pub fn allows(&self, zone: &String, kind: &String) -> bool {
         (self.only_zones.is_empty() || self.only_zones.contains(zone))
@@ -443,16 +456,7 @@
             kinds: fleet.kinds.clone(),
             classes: fleet.classes.iter().map(|class| class.name.clone()).collect(),
         };
-        let mut class = |class: &ClassSettings| interface::ClassSettings {
-            latency_goal: class.latency_goal.0,
-            hard_stop: class.hard_stop.0,
-            importance: class.importance,
-            repeats: class.repeats.into(),
-            only_zones: class.only_zones.iter().map(|zone| names.zone(zone)).collect(),
-            only_kinds: class.only_kinds.iter().map(|kind| names.kind(kind)).collect(),
-            home_only: class.home_only,
-        };
-        let classes = fleet.classes.iter().map(&mut class).collect();
+        let classes = fleet.classes.iter().map(|class| class.decided(&mut names)).collect();
         let settings = interface::Settings {
             classes,
             controllers: fleet.coordinators,
