--- a/crates/craneknot-solver/src/steer.rs
+++ b/crates/craneknot-solver/src/steer.rs
@@ -17,6 +17,7 @@
 
 const SOLVE_EVERY: Nanos = Nanos::from_millis(2_000); // ms; a few reports must have come
 const SETTLE: Nanos = Nanos::from_millis(4_000); // ms; after a start weights stand as listed: a first look is chance
+const SURE: f64 = 0.25; // deviation of an estimate under which it is worth more than what was listed
 const HOLD: Nanos = Nanos::from_millis(4_000); // ms; a difference lasts so long before it is acted on
 const JUMP: f64 = 0.4; // difference of the logarithm that is acted on at once: half or one and a half times
 const JUMP_SURE: f64 = 2.5; // deviations of the estimate beyond which it is: while one is being found again it may be chance
@@ -362,7 +363,7 @@
     /// Signs that hold, the strongest first.
     fn sign(&self, now: Nanos, entry: &Entry, away: f64, worth: f64, capacity: &Capacity) -> Vec<Sign> {
         let mut signs = Vec::new();
-        if capacity.seen > 0 || self.unit.is_some() {
+        if capacity.seen > 0 && capacity.deviation <= SURE {
             signs.push(Sign::Settled);
         }
         if away > JUMP.max(JUMP_SURE * capacity.deviation) {
