Solver looks at ready batches alone; loads of an explanation worked out once

Read over once more: at every step of a coordinator the estimator copied the names of all servers to find the few with a batch ready, an explanation worked out the whole split anew for each server, and the solver's settings were put together in two places. Each is done once now.

--- a/crates/craneknot-cli/src/solve.rs
+++ b/crates/craneknot-cli/src/solve.rs
@@ -66,18 +66,8 @@
         Line::Joined(_, zones) => Some(zones.iter().sum::<u32>()),
         _ => None,
     };
-    let settings = steer::Settings {
-        classes,
-        zones: head.zones.len(),
-        warm_up: craneknot_solver::estimate::WarmUp {
-            cold_share: head.rules.cold_share,
-            warm_after: head.rules.warm_after.0,
-        },
-        proxies: told.lines.iter().filter_map(most).max().unwrap_or(1),
-        margin: solver.margin.unwrap_or(steer::MARGIN),
-        churn: solver.churn.unwrap_or(steer::CHURN),
-        crossing: solver.costs(&head.zones, steer::CROSSING),
-    };
+    let proxies = told.lines.iter().filter_map(most).max().unwrap_or(1);
+    let settings = weights::settings_of(solver, &head.zones, classes, &head.rules, proxies);
     (names, settings)
 }
 
--- a/crates/craneknot-coordinator/src/weights.rs
+++ b/crates/craneknot-coordinator/src/weights.rs
@@ -1,7 +1,7 @@
 //! The weights' solver as the settings have it, and its words for zones, kinds and classes.
 
-use craneknot::interface::{KindId, Settings, ZoneId};
-use craneknot_settings::{CoordinatorSettings, Names, SolverSettings};
+use craneknot::interface::{ClassSettings, KindId, Settings, ZoneId};
+use craneknot_settings::{CoordinatorSettings, Names, RuleSettings, SolverSettings};
 use craneknot_solver::estimate::WarmUp;
 use craneknot_solver::explain;
 use craneknot_solver::steer;
@@ -9,16 +9,23 @@
 /// What a solver is told at its start.
 pub fn of(settings: &CoordinatorSettings, decisions: &Settings) -> steer::Settings {
     let solver = settings.solver.clone().unwrap_or_default();
-    settings_of(&solver, &settings.fleet.zones, decisions)
+    let (zones, classes) = (&settings.fleet.zones, decisions.classes.clone());
+    settings_of(&solver, zones, classes, &settings.rules, decisions.proxies)
 }
 
 /// The same without a coordinator.
-pub fn settings_of(solver: &SolverSettings, zones: &[String], decisions: &Settings) -> steer::Settings {
+pub fn settings_of(
+    solver: &SolverSettings,
+    zones: &[String],
+    classes: Vec<ClassSettings>,
+    rules: &RuleSettings,
+    proxies: u32,
+) -> steer::Settings {
     steer::Settings {
-        classes: decisions.classes.clone(),
+        classes,
         zones: zones.len(),
-        warm_up: WarmUp { cold_share: decisions.cold_share, warm_after: decisions.warm_after },
-        proxies: decisions.proxies,
+        warm_up: WarmUp { cold_share: rules.cold_share, warm_after: rules.warm_after.0 },
+        proxies,
         margin: solver.margin.unwrap_or(steer::MARGIN),
         churn: solver.churn.unwrap_or(steer::CHURN),
         crossing: solver.costs(zones, steer::CROSSING),
--- a/crates/craneknot-solver/src/estimate.rs
+++ b/crates/craneknot-solver/src/estimate.rs
@@ -133,6 +133,16 @@
     held: f64,
 }
 
+impl Batch {
+    /// Full, or old enough, with tries enough for an observation.
+    fn is_ready(&self, now: Nanos) -> bool {
+        let Some(since) = self.since else { return false };
+        let age = now - since;
+        let full = age >= BATCH_SPAN || self.good >= BATCH_TRIES && age >= Nanos(BATCH_SPAN.0 / 4);
+        full && self.good >= BATCH_LEAST
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Server {
     told: Told,
@@ -264,7 +274,9 @@
 
     /// Takes observations of the batches that are full or old enough; the servers whose estimates moved.
     pub fn observe(&mut self, now: Nanos) -> Vec<ServerId> {
-        let ids: Vec<ServerId> = self.servers.keys().cloned().collect();
+        // It is called at every step of a coordinator: most find no batch that is full or old.
+        let ready = self.servers.iter().filter(|(_, server)| server.batch.is_ready(now));
+        let ids: Vec<ServerId> = ready.map(|(id, _)| id.clone()).collect();
         let moved: Vec<ServerId> = ids.into_iter().filter(|id| self.observe_one(now, id)).collect();
         if !moved.is_empty() {
             self.learn_kinds();
@@ -277,13 +289,10 @@
         let batch = server.batch;
         let Some(since) = batch.since else { return false };
         let age = now - since;
-        if age < BATCH_SPAN && batch.good < BATCH_TRIES || age < Nanos(BATCH_SPAN.0 / 4) {
-            return false;
-        }
         let late = batch.latency
             > LIE * batch.good as f64 * self.best.get(&server.told.kind).unwrap_or(&f64::INFINITY);
         let thin = batch.told > 0 && batch.held < BATCH_HELD && age < BATCH_LONG && !late;
-        if batch.good < BATCH_LEAST || thin {
+        if thin {
             // It waits for more.
             return false;
         }
--- a/crates/craneknot-solver/src/explain.rs
+++ b/crates/craneknot-solver/src/explain.rs
@@ -1,8 +1,9 @@
 //! Why a server has its weight, what binds, and what one more server of a kind would bring.
 
+use std::collections::BTreeMap;
 use std::fmt::Write;
 
-use craneknot::interface::{KindId, Nanos, ZoneId};
+use craneknot::interface::{KindId, Nanos, ServerId, ZoneId};
 use serde::{Deserialize, Serialize};
 
 use crate::estimate::Doubt;
@@ -69,12 +70,9 @@
 /// Explains the weights as they stand.
 pub fn explain(steer: &Steer, now: Nanos, names: &dyn Names) -> Explanation {
     let estimator = steer.estimator();
-    let planned = |id: &craneknot::interface::ServerId| {
-        let (fleet, plan, ids) = steer.plan()?;
-        let place = ids.iter().position(|other| other == id)?;
-        plan.by_server(fleet).get(place).copied()
-    };
-    let one = |id: &craneknot::interface::ServerId| {
+    let loads = steer.plan().map(|(fleet, plan, ids)| ids.iter().zip(plan.by_server(fleet)));
+    let planned: BTreeMap<&ServerId, f64> = loads.into_iter().flatten().collect();
+    let one = |id: &ServerId| {
         let (weight, listed, state, doubt) = steer.weight_of(id)?;
         let (listing, found) = (steer.listing(id)?, estimator.capacity(now, id)?);
         Some(Of {
@@ -89,7 +87,7 @@
             observations: found.seen,
             loss: found.loss,
             warmth: steer.settings().warm_up.warmth(now, listing.started),
-            planned: planned(id).unwrap_or(0.0),
+            planned: planned.get(id).copied().unwrap_or(0.0),
             doubt: doubt.map(|doubt| match doubt {
                 Doubt::IdleAndLate => "it says that it is idle, and answers late".to_owned(),
                 Doubt::Nothing => "it says that it does nothing, and answers".to_owned(),
