--- a/crates/craneknot-cli/src/main.rs
+++ b/crates/craneknot-cli/src/main.rs
@@ -12,6 +12,7 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 use craneknot_coordinator::shell::{Ended, Shell};
+use craneknot_node::shell::NoStart;
 use craneknot_reactor::SteadyClock;
 use craneknot_rehearsal::conduct::{Kept, Programs};
 use craneknot_rehearsal::Script;
@@ -69,6 +70,11 @@
         /// Its settings, a JSON file.
         settings: PathBuf,
     },
+    /// Runs a coordinator on the users' platform.
+    Node {
+        /// Its configuration, a JSON file; left out: the one that the variable NODE_CONFIG names.
+        config: Option<PathBuf>,
+    },
     /// Runs an agent beside one proxy or several.
     Agent {
         /// Its settings, a JSON file.
@@ -208,6 +214,25 @@
                 Ended::Failed(cause) => Err(system(cause)),
             }
         }
+        Command::Node { config } => {
+            let Some(file) = config.or_else(|| std::env::var_os("NODE_CONFIG").map(PathBuf::from)) else {
+                eprintln!("craneknot: name the configuration, or set NODE_CONFIG to its path");
+                return Err(Failed::Settings);
+            };
+            let clock = Arc::new(SteadyClock::new());
+            let mut shell = craneknot_node::shell::Shell::new(&file, clock).map_err(|cause| match cause {
+                NoStart::Config(what) => {
+                    eprintln!("craneknot: {what}");
+                    Failed::Settings
+                }
+                NoStart::System(cause) => system(cause),
+            })?;
+            shell.heed(&[SIGINT, SIGTERM]).map_err(system)?;
+            match shell.run() {
+                craneknot_node::shell::Ended::Asked => Ok(()),
+                craneknot_node::shell::Ended::Failed(cause) => Err(system(cause)),
+            }
+        }
         Command::Agent { settings } => {
             let read: AgentSettings = load(&settings).map_err(wrong)?;
             let clock = Arc::new(SteadyClock::new());
--- a/crates/craneknot-http/src/reader.rs
+++ b/crates/craneknot-http/src/reader.rs
@@ -357,6 +357,13 @@
         Ok(whole.map(|(head, body)| head.map(|()| body)))
     }
 
+    /// Takes what has come of a body that is not whole yet, with its status: for one that never ends. After a
+    /// taking the limit on the body counts anew.
+    pub fn take_part(&mut self) -> Option<(StatusCode, Bytes)> {
+        let status = self.0.head.as_ref()?.status();
+        Some((status, self.0.body.split().freeze()))
+    }
+
     /// How long a message that is not whole yet has been coming in.
     pub fn partial_for(&self, now: Nanos) -> Nanos {
         self.0.since.map_or(Nanos(0), |since| now - since)
--- /dev/null
+++ b/crates/craneknot-node/src/door.rs
@@ -0,0 +1,164 @@
+//! Who may speak at the coordinator's address. A peer that dials is a guest until it names the zone it collects
+//! for; a guest has little time and little room, and is told why it is turned away.
+
+use std::collections::BTreeMap;
+
+use bytes::{Buf, BytesMut};
+use craneknot::interface::Nanos;
+use craneknot_platform::lines::{self, Message, Report, Unread};
+use craneknot_settings::given::GivenNames;
+
+const GUEST_TIME: Nanos = Nanos::from_millis(1_500); // ms; the platform asks for one second at least
+const GUEST_ROOM: usize = 4 * 1024; // bytes of a guest's message: a joining is far shorter
+const GUEST_PART: usize = 4; // of all descriptors one in so many is for guests; the oldest give way
+
+/// A connection that a peer dialled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct GuestId(pub u64);
+
+/// What a peer is, as far as it has said.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Standing {
+    Guest,
+    Collector,
+}
+
+/// What is to be done with a connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Service {
+    Answer(GuestId),
+    /// A report was left out: why, and what it was.
+    Note(String, String),
+    /// It may send messages of the full length from now on.
+    Widen(GuestId),
+    /// Told why, and closed.
+    Reject(GuestId, String),
+    /// Closed without a word: nothing is written to a collector.
+    Close(GuestId, String),
+}
+
+struct Peer {
+    standing: Standing,
+    /// Bytes of its input that were searched for a line's end.
+    searched: usize,
+}
+
+pub struct Door {
+    peers: BTreeMap<GuestId, Peer>,
+    guests: BTreeMap<GuestId, Nanos>,
+    guests_most: usize,
+    /// Reports that were left out, one by one.
+    pub spoilt: u64,
+}
+
+impl Door {
+    pub fn new(sockets: usize) -> Self {
+        let guests_most = (sockets / GUEST_PART).max(1);
+        Door { peers: BTreeMap::new(), guests: BTreeMap::new(), guests_most, spoilt: 0 }
+    }
+
+    /// Bytes to be read ahead of a peer that has just come.
+    pub fn first_room() -> usize {
+        GUEST_ROOM
+    }
+
+    pub fn came(&mut self, now: Nanos, id: GuestId, services: &mut Vec<Service>) {
+        if self.guests.len() >= self.guests_most {
+            // Ids grow, and so does time: the first is the oldest.
+            if let Some((oldest, _)) = self.guests.pop_first() {
+                self.peers.remove(&oldest);
+                services.push(Service::Close(oldest, "too many that have not joined".into()));
+            }
+        }
+        self.peers.insert(id, Peer { standing: Standing::Guest, searched: 0 });
+        self.guests.insert(id, now);
+    }
+
+    pub fn gone(&mut self, id: GuestId) {
+        self.peers.remove(&id);
+        self.guests.remove(&id);
+    }
+
+    /// Takes whole lines off the front of what has come.
+    pub fn take(
+        &mut self,
+        id: GuestId,
+        input: &mut BytesMut,
+        names: &GivenNames,
+        proxies: u32,
+        reports: &mut Vec<Report>,
+        services: &mut Vec<Service>,
+    ) {
+        while let Some(peer) = self.peers.get_mut(&id) {
+            let found = input[peer.searched..].iter().position(|byte| *byte == b'\n');
+            let Some(end) = found.map(|at| peer.searched + at) else {
+                peer.searched = input.len();
+                let most = match peer.standing {
+                    Standing::Guest => GUEST_ROOM,
+                    Standing::Collector => lines::LONGEST,
+                };
+                if input.len() >= most {
+                    self.turn_away(id, "the message is too long".into(), services);
+                }
+                return;
+            };
+            peer.searched = 0;
+            let line = input.split_to(end);
+            input.advance(1);
+            let read = lines::read(&line, names, proxies);
+            match (peer.standing, read) {
+                (_, Ok(Message::Heartbeat)) => services.push(Service::Answer(id)),
+                (_, Ok(Message::Collector(_))) => self.join(id, services),
+                (Standing::Collector, Ok(Message::Report(report))) => reports.push(report),
+                (Standing::Collector, Err(Unread::Spoilt(cause))) => {
+                    self.spoilt += 1;
+                    services.push(Service::Note(cause, String::from_utf8_lossy(&line).into_owned()));
+                }
+                (Standing::Guest, Ok(Message::Report(_))) => {
+                    self.turn_away(id, "a report before the joining".into(), services);
+                }
+                (Standing::Guest, Err(Unread::Spoilt(cause)))
+                | (_, Err(Unread::Garbled(cause) | Unread::Foreign(cause))) => {
+                    self.turn_away(id, cause, services);
+                }
+            }
+        }
+    }
+
+    fn join(&mut self, id: GuestId, services: &mut Vec<Service>) {
+        if let Some(peer) = self.peers.get_mut(&id) {
+            peer.standing = Standing::Collector;
+            self.guests.remove(&id);
+            services.push(Service::Widen(id));
+        }
+    }
+
+    fn turn_away(&mut self, id: GuestId, cause: String, services: &mut Vec<Service>) {
+        self.guests.remove(&id);
+        let Some(peer) = self.peers.remove(&id) else { return };
+        services.push(match peer.standing {
+            Standing::Guest => Service::Reject(id, cause),
+            Standing::Collector => Service::Close(id, cause),
+        });
+    }
+
+    /// Turns away guests whose time is over.
+    pub fn turn(&mut self, now: Nanos, services: &mut Vec<Service>) {
+        while let Some((id, since)) = self.guests.first_key_value() {
+            if now - *since < GUEST_TIME {
+                return;
+            }
+            let id = *id;
+            self.turn_away(id, "it has not joined in time".into(), services);
+        }
+    }
+
+    pub fn next_at(&self) -> Option<Nanos> {
+        self.guests.values().next().map(|since| *since + GUEST_TIME)
+    }
+
+    /// Collectors and guests.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.peers.len() - self.guests.len(), self.guests.len())
+    }
+}
--- /dev/null
+++ b/crates/craneknot-node/src/feeds.rs
@@ -0,0 +1,228 @@
+//! Which stream of the relay's news counts. Two are held: one leads, and what it tells is passed on; the other
+//! only keeps the books, so that it can take over at once when the first breaks or falls silent.
+//!
+//! A binding ends with the proxy's stream. Whoever may have left and come again unseen between two leaders is
+//! therefore told as joined anew.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use craneknot::interface::{Nanos, ProxyId};
+use craneknot_http::request;
+use craneknot_platform::news::{self, News};
+use http::{header, Method};
+
+use crate::link::{Act, LinkId, Links};
+
+const HELD: usize = 2; // streams: with one, news is missed whenever it breaks
+const SILENT: Nanos = Nanos::from_millis(2_500); // ms; a sign of life comes every second
+const OPEN_MOST: Nanos = Nanos::from_millis(1_500); // ms; to be connected and hear the first byte
+const SETTLED: Nanos = Nanos::from_millis(500); // ms; what stands has been told by then, on a new stream
+const OVERLAP: Nanos = Nanos::from_millis(500); // ms; before a leader's last word, news may have been on its way
+const AGAIN: Nanos = Nanos::from_millis(50); // ms; first wait before dialling again, doubled each time
+const AGAIN_MOST: Nanos = Nanos::from_millis(800); // ms; the longest
+
+/// One stream, and the proxies that it knows as joined.
+struct Feed {
+    link: LinkId,
+    address: SocketAddr,
+    dialled: Nanos,
+    /// When its first byte came, and its last.
+    open: Option<Nanos>,
+    heard: Nanos,
+    /// By proxy: how it joined, and when that was told.
+    joined: BTreeMap<ProxyId, (News, Nanos)>,
+}
+
+impl Feed {
+    fn speaks(&self, now: Nanos) -> bool {
+        self.open.is_some() && now - self.heard < SILENT
+    }
+}
+
+pub struct Feeds {
+    address: SocketAddr,
+    feeds: Vec<Feed>,
+    lead: Option<LinkId>,
+    /// Proxies told as joined.
+    told: BTreeMap<ProxyId, News>,
+    /// Since then the leader has told what stands; who was not named by the end has left.
+    settling: Option<Nanos>,
+    /// The last word of the leader before.
+    last_word: Nanos,
+    dial_at: Nanos,
+    failures: u32,
+}
+
+impl Feeds {
+    pub fn new(address: SocketAddr, now: Nanos) -> Self {
+        Feeds {
+            address,
+            feeds: Vec::new(),
+            lead: None,
+            told: BTreeMap::new(),
+            settling: None,
+            last_word: Nanos(0),
+            dial_at: now,
+            failures: 0,
+        }
+    }
+
+    pub fn has(&self, link: LinkId) -> bool {
+        self.feeds.iter().any(|feed| feed.link == link)
+    }
+
+    /// The relay is elsewhere from now on. Streams from its old address serve until new ones speak.
+    pub fn move_to(&mut self, now: Nanos, address: SocketAddr) {
+        if self.address != address {
+            (self.address, self.dial_at, self.failures) = (address, now, 0);
+        }
+    }
+
+    pub fn turn(&mut self, now: Nanos, links: &mut Links, acts: &mut Vec<Act>, out: &mut Vec<News>) {
+        self.end_settling(now, out);
+        // Streams that never opened, or fell silent; the last one that led is kept while nothing else speaks,
+        // since what is cut off may come back.
+        let (lead, speaking) = (self.lead, self.feeds.iter().any(|feed| feed.speaks(now)));
+        let address = self.address;
+        let moved = self.feeds.iter().filter(|feed| feed.address == address && feed.speaks(now)).count();
+        let late = |feed: &Feed| match feed.open {
+            None => now - feed.dialled >= OPEN_MOST,
+            Some(_) if feed.address != address && moved >= HELD => true,
+            Some(_) => !feed.speaks(now) && (speaking || Some(feed.link) != lead),
+        };
+        for link in self.feeds.iter().filter(|feed| late(feed)).map(|feed| feed.link).collect::<Vec<_>>() {
+            acts.push(Act::Drop { link });
+            self.lost(now, link, out);
+        }
+        self.choose_lead(now, out);
+        let wanted = self.feeds.iter().filter(|feed| feed.address == address);
+        let wanted = wanted.filter(|feed| feed.open.is_none() || feed.speaks(now)).count();
+        if wanted < HELD && now >= self.dial_at {
+            let link = links.name();
+            let headers = [(header::ACCEPT, "text/event-stream")];
+            let request = request(&Method::GET, news::PATH, &address.to_string(), &headers, b"");
+            acts.push(Act::Dial { link, address, request });
+            self.feeds.push(Feed {
+                link,
+                address,
+                dialled: now,
+                open: None,
+                heard: now,
+                joined: BTreeMap::new(),
+            });
+            self.dial_at = now + self.wait();
+        }
+    }
+
+    fn wait(&self) -> Nanos {
+        Nanos(AGAIN.0 << self.failures.min(8)).min(AGAIN_MOST)
+    }
+
+    /// Bytes have come on a stream, with this news in them.
+    pub fn heard(&mut self, now: Nanos, link: LinkId, news: Vec<News>, out: &mut Vec<News>) {
+        let Some(feed) = self.feeds.iter_mut().find(|feed| feed.link == link) else { return };
+        feed.open.get_or_insert(now);
+        feed.heard = now;
+        self.failures = 0;
+        for news in &news {
+            match news {
+                News::Joined { proxy, .. } => drop(feed.joined.insert(*proxy, (news.clone(), now))),
+                News::Left { proxy } => drop(feed.joined.remove(proxy)),
+                News::Applied { .. } => {}
+            }
+        }
+        if self.lead == Some(link) {
+            self.last_word = now;
+            for news in news {
+                self.tell(news, out);
+            }
+        }
+        self.choose_lead(now, out);
+    }
+
+    fn tell(&mut self, news: News, out: &mut Vec<News>) {
+        match &news {
+            News::Joined { proxy, .. } => drop(self.told.insert(*proxy, news.clone())),
+            News::Left { proxy } => {
+                if self.told.remove(proxy).is_none() {
+                    return;
+                }
+            }
+            News::Applied { proxy, .. } => {
+                if !self.told.contains_key(proxy) {
+                    return;
+                }
+            }
+        }
+        out.push(news);
+    }
+
+    /// A stream has ended.
+    pub fn lost(&mut self, now: Nanos, link: LinkId, out: &mut Vec<News>) {
+        self.feeds.retain(|feed| feed.link != link);
+        self.dial_at = self.dial_at.max(now + self.wait());
+        self.failures += 1;
+        if self.lead == Some(link) {
+            self.lead = None;
+            self.choose_lead(now, out);
+        }
+    }
+
+    /// Lets another stream lead where none does, or the leader is silent and another speaks.
+    fn choose_lead(&mut self, now: Nanos, out: &mut Vec<News>) {
+        let leads = self.feeds.iter().find(|feed| Some(feed.link) == self.lead);
+        if leads.is_some_and(|feed| feed.speaks(now)) {
+            return;
+        }
+        // The one that has been open longest has settled first.
+        let speaking = self.feeds.iter().filter(|feed| feed.speaks(now));
+        let Some(next) = speaking.min_by_key(|feed| feed.open) else { return };
+        self.lead = Some(next.link);
+        self.settling = next.open;
+        let since = self.last_word - OVERLAP;
+        let anew =
+            |(proxy, (_, at)): &(&ProxyId, &(News, Nanos))| *at >= since || !self.told.contains_key(*proxy);
+        let news: Vec<News> = next.joined.iter().filter(anew).map(|(_, (news, _))| news.clone()).collect();
+        self.last_word = next.heard;
+        for news in news {
+            self.tell(news, out);
+        }
+        self.end_settling(now, out);
+    }
+
+    /// Once the leader has told what stands, those it has not named have left.
+    fn end_settling(&mut self, now: Nanos, out: &mut Vec<News>) {
+        if self.settling.is_none_or(|since| now - since < SETTLED) {
+            return;
+        }
+        let Some(feed) = self.feeds.iter().find(|feed| Some(feed.link) == self.lead) else { return };
+        self.settling = None;
+        let gone: Vec<ProxyId> =
+            self.told.keys().filter(|proxy| !feed.joined.contains_key(proxy)).copied().collect();
+        for proxy in gone {
+            self.tell(News::Left { proxy }, out);
+        }
+    }
+
+    /// Streams that have opened.
+    pub fn streams(&self) -> usize {
+        self.feeds.iter().filter(|feed| feed.open.is_some()).count()
+    }
+
+    /// Proxies told as joined.
+    pub fn told(&self) -> usize {
+        self.told.len()
+    }
+
+    pub fn next_at(&self) -> Nanos {
+        let settled = self.settling.map(|since| since + SETTLED);
+        let feeds = self.feeds.iter().map(|feed| match feed.open {
+            None => feed.dialled + OPEN_MOST,
+            Some(_) => feed.heard + SILENT,
+        });
+        // A silent leader that is kept is looked at again with the next dial.
+        let dial = (self.feeds.len() < HELD).then_some(self.dial_at);
+        settled.into_iter().chain(feeds).chain(dial).min().unwrap_or(self.dial_at)
+    }
+}
--- /dev/null
+++ b/crates/craneknot-node/src/lib.rs
@@ -0,0 +1,15 @@
+//! A real coordinator on the users' platform. [`desk`] is the whole of it without I/O: it feeds the decisions
+//! (`craneknot::Controller`) what occurs and carries out their orders; [`shell`] puts it on sockets.
+//!
+//! What is decided here is the program's own, each in a file of its own with the clock passed in: who may speak
+//! at the coordinator's address ([`door`]), which stream of news counts ([`feeds`]), when a call in doubt is made
+//! again ([`outbox`]), how the list is followed ([`watch`]), which probes are under way ([`probes`]).
+
+pub mod desk;
+pub mod door;
+pub mod feeds;
+pub mod link;
+pub mod outbox;
+pub mod probes;
+pub mod shell;
+pub mod watch;
--- /dev/null
+++ b/crates/craneknot-node/src/probes.rs
@@ -0,0 +1,73 @@
+//! Probes under way: one at a time to a server, each on a connection of its own.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use craneknot::interface::{Nanos, ProbeOutcome, ServerId};
+use craneknot_http::request;
+use craneknot_platform::probe;
+use http::{header, Method, StatusCode};
+
+use crate::link::{Act, LinkId, Links};
+
+const TIME_OUT: Nanos = Nanos::from_millis(600); // ms; less than the decisions' time between probes
+const MOST: usize = 16; // at once: they take descriptors, and servers' work
+
+#[derive(Default)]
+pub struct Probes {
+    under_way: BTreeMap<LinkId, (ServerId, Nanos)>,
+}
+
+impl Probes {
+    pub fn has(&self, link: LinkId) -> bool {
+        self.under_way.contains_key(&link)
+    }
+
+    /// Begins a probe; false: one is under way there, or too many are in all.
+    pub fn begin(
+        &mut self,
+        now: Nanos,
+        server: &ServerId,
+        address: SocketAddr,
+        links: &mut Links,
+        acts: &mut Vec<Act>,
+    ) -> bool {
+        if self.under_way.len() >= MOST || self.under_way.values().any(|(of, _)| of == server) {
+            return false;
+        }
+        let link = links.name();
+        let host = address.to_string();
+        let request = request(&Method::GET, probe::PATH, &host, &[(header::CONNECTION, "close")], b"");
+        acts.push(Act::Dial { link, address, request });
+        self.under_way.insert(link, (server.clone(), now));
+        true
+    }
+
+    /// Ends a probe; how long it took.
+    pub fn end(&mut self, now: Nanos, link: LinkId) -> Option<(ServerId, Nanos)> {
+        self.under_way.remove(&link).map(|(server, since)| (server, now - since))
+    }
+
+    /// Those that have waited too long, and end with this.
+    pub fn overdue(&mut self, now: Nanos, acts: &mut Vec<Act>) -> Vec<(ServerId, Nanos)> {
+        let late = self.under_way.extract_if(.., |_, (_, since)| now - *since >= TIME_OUT);
+        late.map(|(link, (server, since))| {
+            acts.push(Act::Drop { link });
+            (server, now - since)
+        })
+        .collect()
+    }
+
+    pub fn next_at(&self) -> Option<Nanos> {
+        self.under_way.values().map(|(_, since)| *since + TIME_OUT).min()
+    }
+}
+
+/// What an answer to a probe says.
+pub fn outcome(status: StatusCode) -> ProbeOutcome {
+    match status.as_u16() {
+        200..=299 => ProbeOutcome::Answered,
+        429 => ProbeOutcome::TurnedAway,
+        _ => ProbeOutcome::Failed,
+    }
+}
--- /dev/null
+++ b/crates/craneknot-node/src/shell.rs
@@ -0,0 +1,313 @@
+//! The coordinator on sockets.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use bytes::Bytes;
+use craneknot::interface::Nanos;
+use craneknot_http::{Limits as HttpLimits, ResponseReader};
+use craneknot_platform::config::Config;
+use craneknot_platform::lines;
+use craneknot_reactor::{Clock, ConnId, Happened, Limits, ListenerId, Reactor};
+use tracing::{debug, error, info, warn};
+
+use crate::desk::{Desk, Todo};
+use crate::door::{Door, GuestId, Service};
+use crate::link::{Act, LinkId};
+
+const HANG_UP: i32 = 1; // SIGHUP
+const OUTPUT: usize = 512 * 1024; // bytes waiting for a peer: a call carries far less, a guest gets single lines
+const SPARE: usize = 48; // descriptors for the loop, the log, the coordinator's own links
+const STATUS_EVERY: Nanos = Nanos::from_millis(5_000); // ms; one line in the log
+
+/// What ends the program.
+#[derive(Debug)]
+pub enum Ended {
+    /// By a signal.
+    Asked,
+    Failed(io::Error),
+}
+
+enum Due {
+    Turn,
+    Status,
+}
+
+/// A connection that was dialled.
+struct Link {
+    id: LinkId,
+    reader: ResponseReader,
+    /// What is sent once it stands.
+    first: Option<Bytes>,
+}
+
+pub struct Shell {
+    file: PathBuf,
+    reactor: Reactor<Due>,
+    desk: Desk,
+    listener: ListenerId,
+    guests: BTreeMap<ConnId, GuestId>,
+    guest_conns: BTreeMap<GuestId, ConnId>,
+    links: BTreeMap<ConnId, Link>,
+    link_conns: BTreeMap<LinkId, ConnId>,
+    next_guest: u64,
+    turn_at: Option<Nanos>,
+}
+
+fn read_config(file: &Path) -> Result<Config, String> {
+    let text = fs::read(file).map_err(|cause| format!("{}: {cause}", file.display()))?;
+    Config::read(&text).map_err(|cause| format!("{}: {cause}", file.display()))
+}
+
+/// Why a coordinator does not start.
+#[derive(Debug)]
+pub enum NoStart {
+    Config(String),
+    System(io::Error),
+}
+
+impl From<io::Error> for NoStart {
+    fn from(cause: io::Error) -> Self {
+        NoStart::System(cause)
+    }
+}
+
+impl Shell {
+    /// Reads its configuration and listens.
+    pub fn new(file: &Path, clock: Arc<dyn Clock>) -> Result<Self, NoStart> {
+        let config = read_config(file).map_err(NoStart::Config)?;
+        let limits = Limits {
+            input: 256 * 1024,
+            output: OUTPUT,
+            connections: config.sockets.saturating_sub(SPARE).max(8),
+        };
+        let mut reactor = Reactor::new(clock, limits)?;
+        let now = reactor.now();
+        let (listener, address) = reactor.listen(config.listen)?;
+        info!(
+            coordinator = %config.name, %address, relay = %config.relay, discovery = %config.discovery,
+            "listening"
+        );
+        let desk = Desk::new(config, now);
+        reactor.set_timer(now + STATUS_EVERY, Due::Status);
+        Ok(Shell {
+            file: file.to_owned(),
+            reactor,
+            desk,
+            listener,
+            guests: BTreeMap::new(),
+            guest_conns: BTreeMap::new(),
+            links: BTreeMap::new(),
+            link_conns: BTreeMap::new(),
+            next_guest: 0,
+            turn_at: None,
+        })
+    }
+
+    /// Takes these signals as a wish to end; SIGHUP has the configuration read again.
+    pub fn heed(&mut self, signals: &[i32]) -> io::Result<()> {
+        signals.iter().chain(&[HANG_UP]).try_for_each(|signal| self.reactor.signal(*signal))
+    }
+
+    /// Runs until a signal ends it.
+    pub fn run(&mut self) -> Ended {
+        loop {
+            match self.round() {
+                Ok(true) => {}
+                Ok(false) => {
+                    self.reactor.unlisten(self.listener);
+                    return Ended::Asked;
+                }
+                Err(cause) => return Ended::Failed(cause),
+            }
+        }
+    }
+
+    /// Waits for what happens, and acts on it; false: a signal asks for the end.
+    pub fn round(&mut self) -> io::Result<bool> {
+        self.turn();
+        self.reactor.poll(None)?;
+        while let Some(happened) = self.reactor.happened() {
+            match happened {
+                Happened::Accepted { conn, .. } => self.accept(conn),
+                Happened::Connected { conn } => {
+                    let first = self.links.get_mut(&conn).and_then(|link| link.first.take());
+                    if let Some(first) = first {
+                        // A connection that has ended already is told of as closed.
+                        let _ = self.reactor.send(conn, [first]);
+                    }
+                }
+                Happened::Came { conn } => self.read(conn),
+                Happened::Flushed { .. } | Happened::Ready(_) => {}
+                Happened::Closed { conn, cause } => {
+                    if let Some(guest) = self.guests.remove(&conn) {
+                        self.guest_conns.remove(&guest);
+                        self.desk.guest_gone(guest);
+                    }
+                    self.lose_link(conn, &format!("{cause:?}"));
+                }
+                Happened::Timer(Due::Turn) => self.turn_at = None,
+                Happened::Timer(Due::Status) => {
+                    info!(status = ?self.desk.status(), connections = self.reactor.connections(), "status");
+                    self.reactor.set_timer(self.reactor.now() + STATUS_EVERY, Due::Status);
+                }
+                Happened::Signal(HANG_UP) => self.reload(),
+                Happened::Signal(signal) => {
+                    info!(signal, "ending");
+                    return Ok(false);
+                }
+            }
+        }
+        Ok(true)
+    }
+
+    fn reload(&mut self) {
+        match read_config(&self.file) {
+            Ok(config) => {
+                info!(relay = %config.relay, discovery = %config.discovery, "a new configuration");
+                self.desk.reconfigure(self.reactor.now(), &config);
+            }
+            Err(cause) => error!(%cause, "the configuration is not in order; the old one stands"),
+        }
+    }
+
+    fn accept(&mut self, conn: ConnId) {
+        self.next_guest += 1;
+        let guest = GuestId(self.next_guest);
+        self.reactor.limit_input(conn, Door::first_room());
+        self.guests.insert(conn, guest);
+        self.guest_conns.insert(guest, conn);
+        self.desk.guest_came(self.reactor.now(), guest);
+    }
+
+    fn lose_link(&mut self, conn: ConnId, cause: &str) {
+        if let Some(link) = self.links.remove(&conn) {
+            self.link_conns.remove(&link.id);
+            self.desk.link_lost(self.reactor.now(), link.id, cause);
+        }
+    }
+
+    fn read(&mut self, conn: ConnId) {
+        if let Some(guest) = self.guests.get(&conn) {
+            if let Some(input) = self.reactor.input(conn) {
+                self.desk.guest_input(*guest, input);
+            }
+            self.reactor.taken(conn);
+        } else if self.links.contains_key(&conn) {
+            self.read_link(conn);
+        }
+    }
+
+    fn read_link(&mut self, conn: ConnId) {
+        let now = self.reactor.now();
+        loop {
+            let Some(link) = self.links.get_mut(&conn) else { return };
+            let Some(input) = self.reactor.input(conn) else { return };
+            match link.reader.next(input, false, now) {
+                Ok(Some(response)) => {
+                    let keeps = ResponseReader::persistent(&response);
+                    self.desk.answered(now, link.id, &response, keeps);
+                }
+                Ok(None) => {
+                    if self.desk.is_feed(link.id) {
+                        if let Some((status, bytes)) = link.reader.take_part() {
+                            self.desk.feed_input(now, link.id, status, &bytes);
+                        }
+                    }
+                    break;
+                }
+                Err(cause) => {
+                    self.reactor.close(conn);
+                    return self.lose_link(conn, &cause.to_string());
+                }
+            }
+        }
+        self.reactor.taken(conn);
+    }
+
+    /// Lets the desk act, and carries out what it asks for.
+    fn turn(&mut self) {
+        let now = self.reactor.now();
+        let Todo { services, acts, notes } = self.desk.turn(now);
+        notes.iter().for_each(|note| warn!("{note}"));
+        services.into_iter().for_each(|service| self.serve(service));
+        acts.into_iter().for_each(|act| self.act(act));
+        let next = self.desk.next_at();
+        if self.turn_at != Some(next) {
+            // One timer that comes too early does no harm; one for each change would pile up.
+            if self.turn_at.is_none_or(|at| next < at) {
+                self.reactor.set_timer(next, Due::Turn);
+                self.turn_at = Some(next);
+            }
+        }
+    }
+
+    fn serve(&mut self, service: Service) {
+        let conn_of = |id: &GuestId| self.guest_conns.get(id).copied();
+        match service {
+            Service::Answer(id) => {
+                let Some(conn) = conn_of(&id) else { return };
+                let line = Bytes::from_static(lines::heartbeat_answer());
+                if self.reactor.send(conn, [line]).is_err() {
+                    self.forget(id, false);
+                }
+            }
+            Service::Note(cause, line) => debug!(%cause, line, "left out a report"),
+            Service::Widen(id) => {
+                if let Some(conn) = conn_of(&id) {
+                    self.reactor.limit_input(conn, lines::LONGEST);
+                }
+            }
+            Service::Reject(id, cause) => {
+                if let Some(conn) = conn_of(&id) {
+                    let _ = self.reactor.send(conn, [Bytes::from(lines::reject(&cause))]);
+                }
+                self.forget(id, true);
+            }
+            Service::Close(id, cause) => {
+                info!(guest = id.0, %cause, "closing");
+                self.forget(id, false);
+            }
+        }
+    }
+
+    fn forget(&mut self, id: GuestId, politely: bool) {
+        self.desk.guest_gone(id);
+        let Some(conn) = self.guest_conns.remove(&id) else { return };
+        self.guests.remove(&conn);
+        if politely {
+            self.reactor.finish(conn);
+        } else {
+            self.reactor.close(conn);
+        }
+    }
+
+    fn act(&mut self, act: Act) {
+        match act {
+            Act::Dial { link, address, request } => match self.reactor.connect(address) {
+                Ok(conn) => {
+                    let reader = ResponseReader::new(HttpLimits::default());
+                    self.links.insert(conn, Link { id: link, reader, first: Some(request) });
+                    self.link_conns.insert(link, conn);
+                }
+                Err(cause) => self.desk.link_lost(self.reactor.now(), link, &cause.to_string()),
+            },
+            Act::Send { link, request } => {
+                let Some(conn) = self.link_conns.get(&link).copied() else { return };
+                if self.reactor.send(conn, [request]).is_err() {
+                    self.reactor.close(conn);
+                    self.lose_link(conn, "nothing more can be sent");
+                }
+            }
+            Act::Drop { link } => {
+                if let Some(conn) = self.link_conns.remove(&link) {
+                    self.links.remove(&conn);
+                    self.reactor.close(conn);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/craneknot-platform/src/lines.rs
@@ -0,0 +1,154 @@
+//! What comes to the coordinator's own address: one JSON object a line.
+
+use std::sync::Arc;
+
+use craneknot::interface::*;
+use craneknot_settings::given::GivenNames;
+use serde_json::{json, Value};
+
+use crate::fields::Object;
+
+/// The longest message, in bytes, its end included.
+pub const LONGEST: usize = 1 << 20;
+const TRIES_MOST: u64 = 1 << 32; // in one report: more is no count
+const SPAN_MOST: Nanos = Nanos::from_millis(3_600_000); // ms; an hour, of any span or wait: more is no time
+const LOAD_MOST: f64 = 1e9; // of any value in a load report
+
+/// A message of a peer that dialled.
+#[derive(Debug, PartialEq)]
+pub enum Message {
+    /// It asks for a sign of life.
+    Heartbeat,
+    /// It is the collector of that zone.
+    Collector(ZoneId),
+    /// A report; only a collector brings one. The zone is the collector's own.
+    Report(Report),
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Report {
+    Heard(Heard),
+    Demand(Event),
+}
+
+/// What the proxies of a zone met at a server.
+#[derive(Debug, PartialEq)]
+pub struct Heard {
+    pub zone: ZoneId,
+    pub server: ServerId,
+    pub tries: u64,
+    pub unanswered: u64,
+    pub latency: Nanos,
+    pub span: Nanos,
+    pub load: LoadReport,
+}
+
+/// Why a line is no message.
+#[derive(Debug, PartialEq)]
+pub enum Unread {
+    /// No JSON object with a type: what follows on this connection can't be trusted either.
+    Garbled(String),
+    /// No message that may come here, such as an order.
+    Foreign(String),
+    /// A report with a field that is absent, wrong or out of range; the messages around it may be good.
+    Spoilt(String),
+}
+
+pub fn heartbeat_answer() -> &'static [u8] {
+    b"{\"type\":\"hb_ok\"}\n"
+}
+
+/// What a peer is told before its connection is closed.
+pub fn reject(cause: &str) -> Vec<u8> {
+    let mut line = json!({"type": "reject", "cause": cause}).to_string().into_bytes();
+    line.push(b'\n');
+    line
+}
+
+/// A load report's values, by the platform's names for what the settings name.
+pub fn load(names: &GivenNames, value: impl Fn(&str) -> Option<f64>) -> LoadReport {
+    names.report(|_, name| {
+        value(match name {
+            "busy" => "util",
+            "rif" => "inflight",
+            "lat_ms" => "latency_ms",
+            other => other,
+        })
+    })
+}
+
+pub fn read(line: &[u8], names: &GivenNames, proxies: u32) -> Result<Message, Unread> {
+    let value: Value =
+        serde_json::from_slice(line).map_err(|cause| Unread::Garbled(format!("not JSON: {cause}")))?;
+    let object = Object::new("message", &value).map_err(Unread::Garbled)?;
+    let kind = object.text("type").map_err(Unread::Garbled)?;
+    match kind {
+        "hb" => Ok(Message::Heartbeat),
+        "telemetry" => {
+            let zone = object.text("locality").map_err(Unread::Foreign)?;
+            let known = names.known_zone(zone);
+            known
+                .map(Message::Collector)
+                .ok_or_else(|| Unread::Foreign(format!("there is no locality {zone:?}")))
+        }
+        "upstream_stats" => {
+            heard(&object, names).map(Report::Heard).map(Message::Report).map_err(Unread::Spoilt)
+        }
+        "client_stats" => {
+            demand(&object, names, proxies).map(Report::Demand).map(Message::Report).map_err(Unread::Spoilt)
+        }
+        other => Err(Unread::Foreign(format!("{other:?} is no message for this address"))),
+    }
+}
+
+/// Tries and those that failed: no more failed than were made.
+fn counts(object: &Object) -> Result<(u64, u64), String> {
+    let total = object.whole("total", TRIES_MOST)?;
+    Ok((total, object.whole("errors", total)?))
+}
+
+fn span(object: &Object) -> Result<Nanos, String> {
+    let span = object.millis("interval", SPAN_MOST)?;
+    (span > Nanos(0)).then_some(span).ok_or_else(|| object.wrong("interval", "more than nothing"))
+}
+
+fn heard(object: &Object, names: &GivenNames) -> Result<Heard, String> {
+    let zone = object.text("locality")?;
+    let zone = names.known_zone(zone).ok_or_else(|| object.wrong("locality", "one of the settings"))?;
+    let (tries, unanswered) = counts(object)?;
+    let load = match object.get("metrics") {
+        None => LoadReport::default(),
+        Some(metrics) => {
+            let metrics = Object::new("metrics", metrics)?;
+            let Some(keys) = object.get("metrics").and_then(Value::as_object) else {
+                return Err(object.wrong("metrics", "an object"));
+            };
+            for key in keys.keys() {
+                metrics.number(key, LOAD_MOST)?;
+            }
+            load(names, |name| metrics.number(name, LOAD_MOST).ok())
+        }
+    };
+    Ok(Heard {
+        zone,
+        server: ServerId(Arc::from(object.text("endpoint")?)),
+        tries,
+        unanswered,
+        latency: object.millis("rtt", SPAN_MOST)?,
+        span: span(object)?,
+        load,
+    })
+}
+
+fn demand(object: &Object, names: &GivenNames, proxies: u32) -> Result<Event, String> {
+    let proxy = object.whole("node", u64::from(proxies.clamp(1, 65_536)) - 1)? as u16;
+    let class = names.class(object.text("route")?);
+    let (arrived, unanswered) = counts(object)?;
+    Ok(Event::Demand {
+        proxy: ProxyId(proxy),
+        class: class.ok_or_else(|| object.wrong("route", "one of the settings"))?,
+        arrived,
+        unanswered,
+        span: span(object)?,
+    })
+}
--- a/crates/craneknot-reactor/src/reactor.rs
+++ b/crates/craneknot-reactor/src/reactor.rs
@@ -112,6 +112,8 @@
     ended: bool,
     paused: bool,
     wanted: (bool, bool),
+    /// Bytes read ahead of their use.
+    input_most: usize,
 }
 
 pub struct Reactor<T> {
@@ -215,7 +217,9 @@
         self.made += 1;
         let made = self.made;
         let wanted = (!connecting, connecting);
+        let input_most = self.limits.input;
         let conn = Conn {
+            input_most,
             made,
             socket,
             connecting,
@@ -288,6 +292,14 @@
         self.conn_mut(id).map(|conn| &mut conn.input)
     }
 
+    /// Reads at most so many bytes of a connection ahead of their use: less where a peer is not known yet.
+    pub fn limit_input(&mut self, id: ConnId, most: usize) {
+        if let Some(conn) = self.conn_mut(id) {
+            conn.input_most = most;
+            self.rearm(id.key);
+        }
+    }
+
     /// Bytes waiting to be written.
     pub fn waiting(&self, id: ConnId) -> usize {
         self.conn(id).map_or(0, |conn| conn.waiting)
@@ -363,10 +375,9 @@
     }
 
     fn rearm(&mut self, key: usize) {
-        let limit = self.limits.input;
         let Some(Source::Conn(conn)) = self.sources.get_mut(key) else { return };
-        let read =
-            !conn.connecting && !conn.ended && !conn.paused && !conn.closing && conn.input.len() < limit;
+        let room = conn.input.len() < conn.input_most;
+        let read = !conn.connecting && !conn.ended && !conn.paused && !conn.closing && room;
         let write = conn.connecting || conn.waiting > 0 && !conn.ended;
         if (read, write) != conn.wanted {
             conn.wanted = (read, write);
@@ -473,7 +484,6 @@
 
     fn serve(&mut self, key: usize, event: Event) {
         let now = self.clock.now();
-        let limit = self.limits.input;
         let Some(Source::Conn(conn)) = self.sources.get_mut(key) else { return };
         let id = ConnId { key, made: conn.made };
         if conn.ended {
@@ -509,7 +519,7 @@
         }
         if event.readable && !conn.paused && end.is_none() {
             let before = conn.input.len();
-            end = read_some(conn, limit);
+            end = read_some(conn);
             if conn.input.len() > before {
                 self.happened.push_back(Happened::Came { conn: id });
             }
@@ -558,10 +568,10 @@
     Ok((socket, kept))
 }
 
-fn read_some(conn: &mut Conn, limit: usize) -> Option<CloseCause> {
+fn read_some(conn: &mut Conn) -> Option<CloseCause> {
     let mut buffer = [0; 16 * 1024];
     for _ in 0..READS {
-        let room = limit.saturating_sub(conn.input.len()).min(buffer.len());
+        let room = conn.input_most.saturating_sub(conn.input.len()).min(buffer.len());
         if room == 0 {
             return None;
         }
--- /dev/null
+++ b/crates/craneknot-settings/src/given.rs
@@ -0,0 +1,140 @@
+//! The settings that an instance of the decisions is given at its start, as the bench's first message and the
+//! platform's configuration have them: one reader for both.
+
+use craneknot::interface::*;
+use serde_json::Value;
+
+/// The zones, kinds, classes and report values of one instance, by the names the wire gives them.
+#[derive(Default)]
+pub struct GivenNames {
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    classes: Vec<String>,
+    reports: Vec<String>,
+}
+
+fn place_of(list: &mut Vec<String>, name: &str) -> u16 {
+    let found = list.iter().position(|known| known == name);
+    let place = found.unwrap_or_else(|| {
+        list.push(name.to_owned());
+        list.len() - 1
+    });
+    u16::try_from(place).unwrap_or(u16::MAX)
+}
+
+impl GivenNames {
+    pub fn zone(&mut self, name: &str) -> ZoneId {
+        ZoneId(place_of(&mut self.zones, name))
+    }
+
+    pub fn kind(&mut self, name: &str) -> KindId {
+        KindId(place_of(&mut self.kinds, name))
+    }
+
+    pub fn class(&self, name: &str) -> Option<ClassId> {
+        self.classes.iter().position(|known| known == name).and_then(|k| u8::try_from(k).ok()).map(ClassId)
+    }
+
+    /// The names of the classes of a set.
+    pub fn classes_in(&self, set: ClassSet) -> impl Iterator<Item = &str> {
+        let all = self.classes.iter().enumerate();
+        all.filter(move |(place, _)| set.has(ClassId(*place as u8))).map(|(_, name)| name.as_str())
+    }
+
+    /// A load report; `read` gives the value at a place of the report, which has that name in the settings.
+    pub fn report(&self, read: impl Fn(usize, &str) -> Option<f64>) -> LoadReport {
+        let value = |name: &str| {
+            let place = self.reports.iter().position(|known| known == name)?;
+            read(place, name)
+        };
+        LoadReport {
+            busy: value("busy"),
+            held: value("rif"),
+            service: value("lat_ms").map(|ms| Nanos::from_secs(ms / 1e3)),
+        }
+    }
+
+    /// A zone that the settings name; nothing for any other.
+    pub fn known_zone(&self, name: &str) -> Option<ZoneId> {
+        let place = self.zones.iter().position(|known| known == name)?;
+        u16::try_from(place).ok().map(ZoneId)
+    }
+}
+
+/// The settings an instance starts with; one that is missing is an error, not a guess.
+pub fn settings(config: &Value, names: &mut GivenNames) -> Result<Settings, String> {
+    let at = |path: &str| -> Result<&Value, String> {
+        let found = path.split('.').try_fold(config, |value, key| value.get(key));
+        found.ok_or_else(|| format!("setting {path} is missing"))
+    };
+    let number = |path: &str| at(path)?.as_f64().ok_or_else(|| format!("setting {path} must be a number"));
+    let time = |path: &str| number(path).map(Nanos::from_secs);
+    let text = |path: &str| at(path)?.as_str().ok_or_else(|| format!("setting {path} must be text"));
+    let list = |path: &str| at(path)?.as_array().ok_or_else(|| format!("setting {path} must be a list"));
+    let strings = |value: &Value| -> Vec<String> {
+        let items = value.as_array().into_iter().flatten();
+        items.filter_map(Value::as_str).map(str::to_owned).collect()
+    };
+
+    names.zones = strings(at("localities")?);
+    names.kinds = strings(at("kinds")?);
+    names.reports = at("reporting.names").map(&strings).unwrap_or_default();
+    let home_only = list("extra.home-only")?;
+    let profiles = list("profiles")?;
+    if profiles.len() > 32 {
+        return Err("more than 32 classes".into());
+    }
+    let mut classes = Vec::new();
+    for (place, profile) in profiles.iter().enumerate() {
+        let missing = |key: &str| format!("setting profiles[{place}].{key} is missing or malformed");
+        let number = |key: &str| profile.get(key).and_then(Value::as_f64).ok_or_else(|| missing(key));
+        let text = |key: &str| profile.get(key).and_then(Value::as_str).ok_or_else(|| missing(key));
+        let only = |key: &str| profile.get(key).map(strings).unwrap_or_default();
+        names.classes.push(text("name")?.to_owned());
+        classes.push(ClassSettings {
+            latency_goal: Nanos::from_secs(number("aim")?),
+            hard_stop: Nanos::from_secs(number("deadline")?),
+            importance: number("worth")?,
+            repeats: match text("semantics")? {
+                "free" => Repeats::Safe,
+                "guarded" => Repeats::Guarded,
+                "single_shot" => Repeats::Never,
+                other => return Err(format!("profiles[{place}].semantics: unknown {other}")),
+            },
+            only_zones: only("only-zones").iter().map(|zone| names.zone(zone)).collect(),
+            only_kinds: only("only-kinds").iter().map(|kind| names.kind(kind)).collect(),
+            home_only: home_only.get(place).and_then(Value::as_bool).unwrap_or(false),
+        });
+    }
+    Ok(Settings {
+        classes,
+        controllers: number("balancers")? as u32,
+        proxies: number("extra.data-plane-size")? as u32,
+        list_on_request: match text("registry-mode")? {
+            "pushed" => false,
+            "on_request" => true,
+            other => return Err(format!("setting registry-mode: unknown {other}")),
+        },
+        ask_within: time("rules.ask-within").unwrap_or(Nanos(u64::MAX)),
+        drain_grace: time("rules.stop-sending-within")?,
+        cold_share: number("rules.cold-share")?,
+        warm_after: time("rules.ramp-time")?,
+        fall_multiple: number("rules.fall-multiple")?,
+        fall_window: time("rules.fall")?,
+        bare_limit: time("extra.bare")?,
+        level_unit: match text("extra.admission")? {
+            "ratio" => LevelUnit::Share,
+            "rps" => LevelUnit::Rate,
+            "none" => LevelUnit::Ignored,
+            other => return Err(format!("setting extra.admission: unknown {other}")),
+        },
+        channel_lines_per_second: number("extra.egress-per-s")?,
+        channel_lines_limit: number("extra.queue-cap")?,
+        lines_per_message: number("extra.envelope")?,
+        message_limit: number("extra.update-cap")? as u32,
+        message_span: time("extra.reload-span")?,
+        report_period: time("extra.interval")?,
+        probes: at("caps.probing")?.as_bool().ok_or("setting caps.probing must be true or false")?,
+        slices: number("extra.slices")? as u32,
+    })
+}
--- a/crates/craneknot-settings/src/lib.rs
+++ b/crates/craneknot-settings/src/lib.rs
@@ -4,6 +4,7 @@
 mod agent;
 mod check;
 mod coordinator;
+pub mod given;
 mod span;
 
 pub use agent::{AgentSettings, CoordinatorAddress, NodeSettings};
--- a/crates/craneknot-wirehost/src/main.rs
+++ b/crates/craneknot-wirehost/src/main.rs
@@ -11,7 +11,8 @@
 use craneknot::Controller;
 use serde_json::{json, Value};
 
-use wire::{Fault, Fields, Names, Sheets};
+use craneknot_settings::given::{self, GivenNames as Names};
+use wire::{Fault, Fields, Sheets};
 
 /// One instance: its controller and the names it has met.
 struct Instance {
@@ -105,7 +106,7 @@
 fn spawn(fields: &Fields, now: Nanos) -> Result<Instance, String> {
     let seed = fields.seed(2)?;
     let mut names = Names::default();
-    let settings = wire::settings(fields.raw(3)?, &mut names)?;
+    let settings = given::settings(fields.raw(3)?, &mut names).map_err(|what| format!("SPAWN: {what}"))?;
     Ok(Instance { controller: Controller::new(settings, seed, now), names })
 }
 
--- a/crates/craneknot-wirehost/src/wire.rs
+++ b/crates/craneknot-wirehost/src/wire.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use craneknot::interface::*;
+use craneknot_settings::given::GivenNames as Names;
 use serde_json::{json, Value};
 
 /// What is wrong with the input, and on which line.
@@ -90,49 +91,10 @@
     }
 }
 
-/// The zones, kinds, classes and report values of one instance, by the names the wire gives them.
-#[derive(Default)]
-pub struct Names {
-    zones: Vec<String>,
-    kinds: Vec<String>,
-    classes: Vec<String>,
-    reports: Vec<String>,
-}
-
-fn place_of(list: &mut Vec<String>, name: &str) -> u16 {
-    let found = list.iter().position(|known| known == name);
-    let place = found.unwrap_or_else(|| {
-        list.push(name.to_owned());
-        list.len() - 1
-    });
-    u16::try_from(place).unwrap_or(u16::MAX)
-}
-
-impl Names {
-    fn zone(&mut self, name: &str) -> ZoneId {
-        ZoneId(place_of(&mut self.zones, name))
-    }
-
-    fn kind(&mut self, name: &str) -> KindId {
-        KindId(place_of(&mut self.kinds, name))
-    }
-
-    fn class(&self, name: &str) -> Option<ClassId> {
-        self.classes.iter().position(|known| known == name).and_then(|k| u8::try_from(k).ok()).map(ClassId)
-    }
-
-    fn report(&self, value: Option<&Value>) -> LoadReport {
-        let values = value.and_then(Value::as_array);
-        let read = |name: &str| {
-            let place = self.reports.iter().position(|known| known == name)?;
-            values?.get(place)?.as_f64()
-        };
-        LoadReport {
-            busy: read("busy"),
-            held: read("rif"),
-            service: read("lat_ms").map(|ms| Nanos::from_secs(ms / 1e3)),
-        }
-    }
+/// A load report's values come in the order that the settings name.
+fn report(names: &Names, value: Option<&Value>) -> LoadReport {
+    let values = value.and_then(Value::as_array);
+    names.report(|place, _| values?.get(place)?.as_f64())
 }
 
 /// One entry of a numbered list, with its names still the wire's.
@@ -247,7 +209,7 @@
             span: fields.time(5)?,
             latency: fields.time(6)?,
             zone: names.zone(fields.text(7)?),
-            report: names.report(fields.values.get(8)),
+            report: report(names, fields.values.get(8)),
         },
         "OFFERED_LOAD" => {
             let Some(class) = names.class(fields.text(3)?) else { return Ok(None) };
@@ -267,7 +229,7 @@
                 _ => ProbeOutcome::Failed,
             },
             took: fields.time(4)?,
-            report: names.report(fields.values.get(5)),
+            report: report(names, fields.values.get(5)),
         },
         "RECEIPT" => Event::Applied { proxy: ProxyId(fields.small(2)?), mark: fields.small(3)? },
         "TIMEOUT_FIRED" => Event::Woken,
@@ -304,86 +266,6 @@
     digits.chunks(2).map(read).collect()
 }
 
-/// The settings an instance starts with; one that is missing is an error, not a guess.
-pub fn settings(config: &Value, names: &mut Names) -> Result<Settings, String> {
-    let at = |path: &str| -> Result<&Value, String> {
-        let found = path.split('.').try_fold(config, |value, key| value.get(key));
-        found.ok_or_else(|| format!("SPAWN: setting {path} is missing"))
-    };
-    let number =
-        |path: &str| at(path)?.as_f64().ok_or_else(|| format!("SPAWN: setting {path} must be a number"));
-    let time = |path: &str| number(path).map(Nanos::from_secs);
-    let text = |path: &str| at(path)?.as_str().ok_or_else(|| format!("SPAWN: setting {path} must be text"));
-    let list =
-        |path: &str| at(path)?.as_array().ok_or_else(|| format!("SPAWN: setting {path} must be a list"));
-    let strings = |value: &Value| -> Vec<String> {
-        let items = value.as_array().into_iter().flatten();
-        items.filter_map(Value::as_str).map(str::to_owned).collect()
-    };
-
-    names.zones = strings(at("localities")?);
-    names.kinds = strings(at("kinds")?);
-    names.reports = at("reporting.names").map(&strings).unwrap_or_default();
-    let home_only = list("extra.home-only")?;
-    let profiles = list("profiles")?;
-    if profiles.len() > 32 {
-        return Err("SPAWN: more than 32 classes".into());
-    }
-    let mut classes = Vec::new();
-    for (place, profile) in profiles.iter().enumerate() {
-        let missing = |key: &str| format!("SPAWN: setting profiles[{place}].{key} is missing or malformed");
-        let number = |key: &str| profile.get(key).and_then(Value::as_f64).ok_or_else(|| missing(key));
-        let text = |key: &str| profile.get(key).and_then(Value::as_str).ok_or_else(|| missing(key));
-        let only = |key: &str| profile.get(key).map(strings).unwrap_or_default();
-        names.classes.push(text("name")?.to_owned());
-        classes.push(ClassSettings {
-            latency_goal: Nanos::from_secs(number("aim")?),
-            hard_stop: Nanos::from_secs(number("deadline")?),
-            importance: number("worth")?,
-            repeats: match text("semantics")? {
-                "free" => Repeats::Safe,
-                "guarded" => Repeats::Guarded,
-                "single_shot" => Repeats::Never,
-                other => return Err(format!("SPAWN: profiles[{place}].semantics: unknown {other}")),
-            },
-            only_zones: only("only-zones").iter().map(|zone| names.zone(zone)).collect(),
-            only_kinds: only("only-kinds").iter().map(|kind| names.kind(kind)).collect(),
-            home_only: home_only.get(place).and_then(Value::as_bool).unwrap_or(false),
-        });
-    }
-    Ok(Settings {
-        classes,
-        controllers: number("balancers")? as u32,
-        proxies: number("extra.data-plane-size")? as u32,
-        list_on_request: match text("registry-mode")? {
-            "pushed" => false,
-            "on_request" => true,
-            other => return Err(format!("SPAWN: setting registry-mode: unknown {other}")),
-        },
-        ask_within: time("rules.ask-within").unwrap_or(Nanos(u64::MAX)),
-        drain_grace: time("rules.stop-sending-within")?,
-        cold_share: number("rules.cold-share")?,
-        warm_after: time("rules.ramp-time")?,
-        fall_multiple: number("rules.fall-multiple")?,
-        fall_window: time("rules.fall")?,
-        bare_limit: time("extra.bare")?,
-        level_unit: match text("extra.admission")? {
-            "ratio" => LevelUnit::Share,
-            "rps" => LevelUnit::Rate,
-            "none" => LevelUnit::Ignored,
-            other => return Err(format!("SPAWN: setting extra.admission: unknown {other}")),
-        },
-        channel_lines_per_second: number("extra.egress-per-s")?,
-        channel_lines_limit: number("extra.queue-cap")?,
-        lines_per_message: number("extra.envelope")?,
-        message_limit: number("extra.update-cap")? as u32,
-        message_span: time("extra.reload-span")?,
-        report_period: time("extra.interval")?,
-        probes: at("caps.probing")?.as_bool().ok_or("SPAWN: setting caps.probing must be true or false")?,
-        slices: number("extra.slices")? as u32,
-    })
-}
-
 /// One order as the wire has it.
 pub fn action(instance: &str, order: &Order) -> Value {
     match order {
