Load reports are read by the settings' names; busy shares reach the decisions on sockets

At fault: lines::load renamed the settings' names to the page's. Ruled out: lost reports (two collectors stood, counts rose steadily). The module's beliefs can be logged (debug level) beside the status.

--- a/crates/craneknot-node/src/desk.rs
+++ b/crates/craneknot-node/src/desk.rs
@@ -308,6 +308,11 @@
         times.into_iter().flatten().fold(self.feeds.next_at(), Nanos::min)
     }
 
+    /// What the decisions believe of load and health.
+    pub fn controller(&self) -> &Controller {
+        &self.controller
+    }
+
     pub fn status(&self) -> Status {
         let (collectors, guests) = self.door.counts();
         Status {
--- a/crates/craneknot-node/src/shell.rs
+++ b/crates/craneknot-node/src/shell.rs
@@ -21,7 +21,7 @@
 const HANG_UP: i32 = 1; // SIGHUP
 const OUTPUT: usize = 512 * 1024; // bytes waiting for a peer: a call carries far less, a guest gets single lines
 const SPARE: usize = 48; // descriptors for the loop, the log, the coordinator's own links
-const STATUS_EVERY: Nanos = Nanos::from_millis(5_000); // ms; one line in the log
+const STATUS_EVERY: Nanos = Nanos::from_millis(2_500); // ms; one line in the log
 
 /// What ends the program.
 #[derive(Debug)]
@@ -152,6 +152,7 @@
                 Happened::Timer(Due::Turn) => self.turn_at = None,
                 Happened::Timer(Due::Status) => {
                     info!(status = ?self.desk.status(), connections = self.reactor.connections(), "status");
+                    self.tell_beliefs();
                     self.reactor.set_timer(self.reactor.now() + STATUS_EVERY, Due::Status);
                 }
                 Happened::Signal(HANG_UP) => self.reload(),
@@ -174,6 +175,22 @@
         }
     }
 
+    /// What the decisions believe, to be held against what passes.
+    fn tell_beliefs(&self) {
+        if !tracing::enabled!(tracing::Level::DEBUG) {
+            return;
+        }
+        let controller = self.desk.controller();
+        debug!(best_yield = controller.best_yield(), "beliefs");
+        for (number, group) in controller.beliefs().iter().enumerate() {
+            debug!(
+                number, zone = ?group.zone, load = ?group.load, limit = group.limit, arrives = group.arrives,
+                handled = group.handled, wait = group.wait, unanswered = group.unanswered, busy = group.busy,
+                weight = group.weight, listed = group.listed, members = ?group.members, "group"
+            );
+        }
+    }
+
     fn accept(&mut self, conn: ConnId) {
         self.next_guest += 1;
         let guest = GuestId(self.next_guest);
--- a/crates/craneknot-platform/src/lines.rs
+++ b/crates/craneknot-platform/src/lines.rs
@@ -65,16 +65,16 @@
     line
 }
 
-/// A load report's values, by the platform's names for what the settings name.
+/// A load report's values: they go by the names that the settings give them, on some deployments by those of the
+/// platform's own pages.
 pub fn load(names: &GivenNames, value: impl Fn(&str) -> Option<f64>) -> LoadReport {
-    names.report(|_, name| {
-        value(match name {
-            "busy" => "util",
-            "rif" => "inflight",
-            "lat_ms" => "latency_ms",
-            other => other,
-        })
-    })
+    let paged = |name: &str| match name {
+        "busy" => Some("util"),
+        "rif" => Some("inflight"),
+        "lat_ms" => Some("latency_ms"),
+        _ => None,
+    };
+    names.report(|_, name| value(name).or_else(|| value(paged(name)?)))
 }
 
 pub fn read(line: &[u8], names: &GivenNames, proxies: u32) -> Result<Message, Unread> {
@@ -101,12 +101,17 @@
     }
 }
 
-/// Tries and those that failed: no more failed than were made.
-fn counts(object: &Object) -> Result<(u64, u64), String> {
+/// Tries that ended, and those of them that failed: no more failed than ended.
+fn tries(object: &Object) -> Result<(u64, u64), String> {
     let total = object.whole("total", TRIES_MOST)?;
     Ok((total, object.whole("errors", total)?))
 }
 
+/// Operations that arrived, and those that were given up on, of which some arrived in the spans before.
+fn arrivals(object: &Object) -> Result<(u64, u64), String> {
+    Ok((object.whole("total", TRIES_MOST)?, object.whole("errors", TRIES_MOST)?))
+}
+
 fn span(object: &Object) -> Result<Nanos, String> {
     let span = object.millis("interval", SPAN_MOST)?;
     (span > Nanos(0)).then_some(span).ok_or_else(|| object.wrong("interval", "more than nothing"))
@@ -115,7 +120,7 @@
 fn heard(object: &Object, names: &GivenNames) -> Result<Heard, String> {
     let zone = object.text("locality")?;
     let zone = names.known_zone(zone).ok_or_else(|| object.wrong("locality", "one of the settings"))?;
-    let (tries, unanswered) = counts(object)?;
+    let (tries, unanswered) = tries(object)?;
     let load = match object.get("metrics") {
         None => LoadReport::default(),
         Some(metrics) => {
@@ -143,7 +148,7 @@
 fn demand(object: &Object, names: &GivenNames, proxies: u32) -> Result<Event, String> {
     let proxy = object.whole("node", u64::from(proxies.clamp(1, 65_536)) - 1)? as u16;
     let class = names.class(object.text("route")?);
-    let (arrived, unanswered) = counts(object)?;
+    let (arrived, unanswered) = arrivals(object)?;
     Ok(Event::Demand {
         proxy: ProxyId(proxy),
         class: class.ok_or_else(|| object.wrong("route", "one of the settings"))?,
--- a/src/state.rs
+++ b/src/state.rs
@@ -484,6 +484,26 @@
     }
 }
 
+/// What a controller believes of a group, for whoever looks on.
+#[derive(Clone, Debug)]
+pub struct GroupView {
+    pub zone: Option<ZoneId>,
+    pub load: Load,
+    pub limit: f64,
+    /// Operations a second that arrive for it, and that its members handle.
+    pub arrives: f64,
+    pub handled: f64,
+    /// Mean wait, unanswered share, and busy share of its members in no doubt.
+    pub wait: f64,
+    pub unanswered: f64,
+    pub busy: Option<f64>,
+    /// Its members' weight: of those in no doubt, and of all that are listed ready.
+    pub weight: f64,
+    pub listed: f64,
+    /// Its members' names, states, and weights against the listed ones.
+    pub members: Vec<(ServerId, State, f64)>,
+}
+
 /// One instance of the decisions in `policy.rs`, and all it knows.
 pub struct Controller {
     pub(crate) settings: Settings,
@@ -548,6 +568,33 @@
         }
     }
 
+    /// What is believed of load and health, to be held against what passes.
+    pub fn beliefs(&self) -> Vec<GroupView> {
+        let view = |group: &Group| GroupView {
+            zone: group.zone,
+            load: group.load,
+            limit: group.limit,
+            arrives: group.arrivals.iter().flatten().sum(),
+            handled: group.seen.handled,
+            wait: group.seen.wait(),
+            unanswered: group.seen.share(),
+            busy: group.busy,
+            weight: group.weight,
+            listed: group.listed,
+            members: {
+                let all = group.members.iter().map(|id| (id, &self.servers[id]));
+                let ready = all.filter(|(_, server)| server.ready());
+                ready.map(|(id, server)| (id.clone(), server.state, server.pace)).collect()
+            },
+        };
+        self.groups.iter().map(view).collect()
+    }
+
+    /// Operations a second that a unit of listed weight could do, at its best lately.
+    pub fn best_yield(&self) -> f64 {
+        self.best_yield.read(self.now)
+    }
+
     /// Where a class may run for proxies of a zone, by its place among the placements met so far.
     pub(crate) fn place_of(&mut self, class: usize, zone: ZoneId) -> usize {
         let row = &self.classes[class];
