--- a/crates/craneknot-node/tests/helpers/mod.rs
+++ b/crates/craneknot-node/tests/helpers/mod.rs
@@ -18,7 +18,7 @@
 pub fn configuration(servers: usize) -> Value {
     let server = |k: usize| {
         json!({"id": format!("s-{k}"), "host_port": format!("127.0.0.1:{}", 9_000 + k), "cell": k / 3,
-               "locality": if k % 2 == 0 { "a" } else { "b" }, "flavor": "m2", "phase": "SERVING",
+               "locality": if k.is_multiple_of(2) { "a" } else { "b" }, "flavor": "m2", "phase": "SERVING",
                "size": 1.0, "up_since_ms": 0})
     };
     let class = |name: &str, semantics: &str| json!({"name": name, "aim": 1.2, "deadline": 3.0, "worth": 2.0, "semantics": semantics});
--- a/crates/craneknot-node/tests/parts.rs
+++ b/crates/craneknot-node/tests/parts.rs
@@ -135,7 +135,7 @@
     let (third, again) = calls.turn(100).unwrap();
     assert!(third != second && again == text);
     assert_eq!(calls.turn(250), None, "it still waits");
-    let (fourth, again) = calls.turn(700).map_or_else(|| calls.turn(1_100).unwrap(), |call| call);
+    let (fourth, again) = calls.turn(700).unwrap_or_else(|| calls.turn(1_100).unwrap());
     assert!(fourth != third && again == text);
     assert!(calls.answer(1_110, &taken(3)).is_ok());
     assert_eq!((calls.outbox.waiting(), calls.turn(1_200)), (0, None));
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -2,6 +2,8 @@
 
 mod helpers;
 
+use std::collections::BTreeSet;
+
 use craneknot::interface::*;
 use helpers::{secs, server, settings, World};
 
@@ -250,3 +252,19 @@
     world.step(1.0, &[Event::Woken]);
     assert!(table_of(&world, 4).is_some_and(|table| table != TableId(60_000)));
 }
+
+/// Guards against connections that fall idle between uses: with a group for each class a proxy uses three times the
+/// servers, each a third as often, and a handshake is much of an operation's work.
+#[test]
+fn a_proxy_keeps_its_classes_in_one_group_while_loads_allow() {
+    let mut world = World::new(Settings { proxies: 40, ..settings(LevelUnit::Rate) }, 3, 24);
+    world.step(0.1, &(0..40).map(World::join).collect::<Vec<_>>());
+    pass(&mut world, 30, &[], 9, Some(0.5));
+    let tables =
+        |proxy: u16| (0..3).map(|class| world.bound[&(ProxyId(proxy), class)]).collect::<BTreeSet<_>>();
+    // At home in the zone that all classes may run in.
+    let home: Vec<usize> = (0..20).map(|k| tables(2 * k).len()).collect();
+    assert!(home.iter().filter(|count| **count == 1).count() >= 12, "tables a proxy: {home:?}");
+    let used: BTreeSet<_> = (0..20).flat_map(|k| tables(2 * k)).collect();
+    assert!(used.len() >= 2, "and all groups are used");
+}
