--- a/src/policy.rs
+++ b/src/policy.rs
@@ -25,7 +25,7 @@
 const JOIN_SHARE: f64 = 0.5; // share of its weight with which a server joins; the design's
 const HELD_BACK: f64 = 0.5; // share of its capacity under which a new server waits: one burst would end it
 const STEPS: u32 = 2; // steps of moves after a change: the design's
-const GROUP_SIZES: (f64, f64) = (5.0, 30.0); // servers; least: fewer connections a server; most: the design's
+const GROUP_SIZES: (f64, f64) = (4.0, 30.0); // servers; the design's: each is a connection of every proxy bound
 const BINDINGS: f64 = 4.0; // of a controller for each group: with fewer no move evens out the loads
 const ONE_GROUP_BELOW: usize = 8; // servers; the design's
 const ZONE_LEAST: usize = 3; // servers of a zone that stand as a group: with fewer, losing one halves it
@@ -282,7 +282,7 @@
         let bindings = proxies * self.classes.len() as f64;
         let size = (BINDINGS * all as f64 / bindings.max(1.0)).clamp(GROUP_SIZES.0, GROUP_SIZES.1);
         for (zone, count) in dealt {
-            let many = (count as f64 / size).round().max(1.0) as usize;
+            let many = if all < ONE_GROUP_BELOW { 1 } else { (count as f64 / size).round().max(1.0) as usize };
             self.groups.extend((0..many).map(|_| Group::new(zone)));
         }
     }
