--- a/src/policy.rs
+++ b/src/policy.rs
@@ -25,12 +25,12 @@
 const JOIN_SHARE: f64 = 0.5; // share of its weight with which a server joins; the design's
 const HELD_BACK: f64 = 0.5; // share of its capacity under which a new server waits: one burst would end it
 const STEPS: u32 = 2; // steps of moves after a change: the design's
-const GROUP_SIZES: (f64, f64) = (4.0, 30.0); // servers; the design's: each is a connection of every proxy bound
+const GROUP_SIZES: (f64, f64) = (4.0, 30.0); // servers; the design's: a connection each, of every proxy
 const BINDINGS: f64 = 4.0; // of a controller for each group: with fewer no move evens out the loads
 const ONE_GROUP_BELOW: usize = 8; // servers; the design's
 const ZONE_LEAST: usize = 3; // servers of a zone that stand as a group: with fewer, losing one halves it
 const AWAY: f64 = 1.3; // load factor of a group in another zone: crossings cost, and cuts strike them
-const APART: f64 = 1.25; // load factor of a group that a proxy has no other class in: each connection costs a handshake
+const APART: f64 = 1.25; // load factor of a group with none of a proxy's classes: connections cost handshakes
 const MOVE_GAIN: f64 = 1.1; // factor by which a move must lessen the load met: less would be noise
 const HEARD: f64 = 0.1; // least count of what is left of reports that a mean is told from
 const LEAST_AGE: Nanos = Nanos::from_millis(1_000); // ms; a rate over less is chance
@@ -52,6 +52,7 @@
 const WAIT_LIGHT: f64 = 0.5; // wait for good answers, in goals, under which a group can take more
 const BUSY_GOAL: f64 = 0.95; // busy share to which a group may be filled
 const BUSY_UNTOLD: f64 = 0.6; // taken for the busy share where servers report none: a usual one
+const TOLD: f64 = 0.5; // share of a group's weight that reports must cover for a busy share: less is chance
 const BUSY_LEAST: f64 = 0.3; // least busy share counted with: a nearly idle one tells nothing of capacity
 const YIELD_HALF_LIFE: Nanos = Nanos::from_millis(30_000); // ms; what servers can do changes slowly
 const CUT: f64 = 0.9; // a cut's share of what is handled: queues must drain
@@ -282,7 +283,8 @@
         let bindings = proxies * self.classes.len() as f64;
         let size = (BINDINGS * all as f64 / bindings.max(1.0)).clamp(GROUP_SIZES.0, GROUP_SIZES.1);
         for (zone, count) in dealt {
-            let many = if all < ONE_GROUP_BELOW { 1 } else { (count as f64 / size).round().max(1.0) as usize };
+            let many =
+                if all < ONE_GROUP_BELOW { 1 } else { (count as f64 / size).round().max(1.0) as usize };
             self.groups.extend((0..many).map(|_| Group::new(zone)));
         }
     }
@@ -369,8 +371,12 @@
         for group in &mut self.groups {
             let members = || group.members.iter().map(|id| &self.servers[id]);
             let open = || members().filter(|s| s.in_use());
-            let busy = |s: &Server| Some(s.listed_weight() * s.busy.mean(now, HEARD)?);
-            let busy: Option<f64> = open().map(busy).sum();
+            // A member that was not tried of late must not hide what the others report.
+            let busy = |s: &Server| Some((s.listed_weight(), s.busy.mean(now, HEARD)?));
+            let told = |(told, busy): (f64, f64), (weight, share): (f64, f64)| {
+                (told + weight, busy + weight * share)
+            };
+            let (told, busy) = open().filter_map(busy).fold((0.0, 0.0), told);
             let weight: f64 = open().map(Server::listed_weight).sum();
             let listed = members().filter(|s| s.ready()).map(Server::listed_weight).sum();
             let mut met: Vec<Seen> = open().map(|s| s.met(now)).collect();
@@ -381,7 +387,7 @@
             group.better = (better.failed + 1.0) / (better.tries + EVIDENCE);
             group.cold = members().filter(|s| s.state == Cold).map(|s| s.met(now)).reduce(Seen::plus);
             (group.seen, group.weight, group.listed) = (seen, weight, listed);
-            group.busy = busy.filter(|_| weight > 0.0).map(|busy| (busy / weight).clamp(BUSY_LEAST, 1.0));
+            group.busy = (told > TOLD * weight).then(|| (busy / told).clamp(BUSY_LEAST, 1.0));
             handled += seen.handled;
             busy_weight += weight * group.busy.unwrap_or(BUSY_UNTOLD);
         }
@@ -569,7 +575,7 @@
         for wish in &wishes {
             let away =
                 |zone: Option<ZoneId>| if zone.is_none_or(|zone| zone == wish.zone) { 1.0 } else { AWAY };
-            // A proxy's other groups: traffic spread over many servers lets connections fall idle between uses.
+            // A proxy's other groups: traffic spread over many servers lets connections fall idle.
             let bindings = self.proxies.get(&wish.proxy).map_or(&[][..], |proxy| &proxy.bindings);
             let others = bindings.iter().enumerate().filter(|(class, _)| *class != wish.class);
             let others: Vec<usize> = others.filter_map(|(_, binding)| binding.group).collect();
