--- a/src/policy.rs
+++ b/src/policy.rs
@@ -52,7 +52,6 @@
 const WAIT_LIGHT: f64 = 0.5; // wait for good answers, in goals, under which a group can take more
 const BUSY_GOAL: f64 = 0.95; // busy share to which a group may be filled
 const BUSY_UNTOLD: f64 = 0.6; // taken for the busy share where servers report none: a usual one
-const TOLD: f64 = 0.5; // share of a group's weight that reports must cover for a busy share: less is chance
 const BUSY_LEAST: f64 = 0.3; // least busy share counted with: a nearly idle one tells nothing of capacity
 const YIELD_HALF_LIFE: Nanos = Nanos::from_millis(30_000); // ms; what servers can do changes slowly
 const CUT: f64 = 0.9; // a cut's share of what is handled: queues must drain
@@ -371,12 +370,8 @@
         for group in &mut self.groups {
             let members = || group.members.iter().map(|id| &self.servers[id]);
             let open = || members().filter(|s| s.in_use());
-            // A member that was not tried of late must not hide what the others report.
-            let busy = |s: &Server| Some((s.listed_weight(), s.busy.mean(now, HEARD)?));
-            let told = |(told, busy): (f64, f64), (weight, share): (f64, f64)| {
-                (told + weight, busy + weight * share)
-            };
-            let (told, busy) = open().filter_map(busy).fold((0.0, 0.0), told);
+            let busy = |s: &Server| Some(s.listed_weight() * s.busy.mean(now, HEARD)?);
+            let busy: Option<f64> = open().map(busy).sum();
             let weight: f64 = open().map(Server::listed_weight).sum();
             let listed = members().filter(|s| s.ready()).map(Server::listed_weight).sum();
             let mut met: Vec<Seen> = open().map(|s| s.met(now)).collect();
@@ -387,7 +382,7 @@
             group.better = (better.failed + 1.0) / (better.tries + EVIDENCE);
             group.cold = members().filter(|s| s.state == Cold).map(|s| s.met(now)).reduce(Seen::plus);
             (group.seen, group.weight, group.listed) = (seen, weight, listed);
-            group.busy = (told > TOLD * weight).then(|| (busy / told).clamp(BUSY_LEAST, 1.0));
+            group.busy = busy.filter(|_| weight > 0.0).map(|busy| (busy / weight).clamp(BUSY_LEAST, 1.0));
             handled += seen.handled;
             busy_weight += weight * group.busy.unwrap_or(BUSY_UNTOLD);
         }
