--- a/crates/craneknot-cli/src/main.rs
+++ b/crates/craneknot-cli/src/main.rs
@@ -220,14 +220,15 @@
                 return Err(Failed::Settings);
             };
             let clock = Arc::new(SteadyClock::new());
-            let mut shell = craneknot_node::shell::Shell::new(&file, clock).map_err(|cause| match cause {
-                NoStart::Config(what) => {
-                    eprintln!("craneknot: {what}");
-                    Failed::Settings
-                }
-                NoStart::System(cause) => system(cause),
-            })?;
-            shell.heed(&[SIGINT, SIGTERM]).map_err(system)?;
+            let ends = [SIGINT, SIGTERM];
+            let mut shell =
+                craneknot_node::shell::Shell::new(&file, clock, &ends).map_err(|cause| match cause {
+                    NoStart::Config(what) => {
+                        eprintln!("craneknot: {what}");
+                        Failed::Settings
+                    }
+                    NoStart::System(cause) => system(cause),
+                })?;
             match shell.run() {
                 craneknot_node::shell::Ended::Asked => Ok(()),
                 craneknot_node::shell::Ended::Failed(cause) => Err(system(cause)),
--- a/crates/craneknot-node/src/desk.rs
+++ b/crates/craneknot-node/src/desk.rs
@@ -53,7 +53,8 @@
     controller: Controller,
     names: GivenNames,
     proxies: u32,
-    addresses: BTreeMap<ServerId, SocketAddr>,
+    /// The servers as last listed, but for those removed.
+    listed: BTreeMap<ServerId, (Listing, SocketAddr)>,
     links: Links,
     door: Door,
     feeds: Feeds,
@@ -63,6 +64,8 @@
     events: Vec<Event>,
     stepped: Nanos,
     wake_at: Option<Nanos>,
+    /// Asked to end: nothing more is decided.
+    ending: bool,
     todo: Todo,
     reports: u64,
     orders: u64,
@@ -75,7 +78,7 @@
             proxies: config.settings.proxies,
             controller: Controller::new(config.settings, config.seed, now),
             names: config.names,
-            addresses: BTreeMap::new(),
+            listed: BTreeMap::new(),
             links: Links::default(),
             door: Door::new(config.sockets),
             feeds: Feeds::new(config.relay, now),
@@ -85,7 +88,8 @@
             events: Vec::new(),
             stepped: Nanos(0),
             wake_at: Some(now),
-            todo: Todo::default(),
+            ending: false,
+            todo: Todo { notes: config.notes, ..Todo::default() },
             reports: 0,
             orders: 0,
         };
@@ -110,7 +114,8 @@
         self.door.gone(id);
     }
 
-    pub fn guest_input(&mut self, id: GuestId, input: &mut BytesMut) {
+    pub fn guest_input(&mut self, now: Nanos, id: GuestId, input: &mut BytesMut) {
+        self.door.heard(now, id);
         let before = self.events.len();
         self.door.take(id, input, &self.names, self.proxies, &mut self.events, &mut self.todo.services);
         self.reports += (self.events.len() - before) as u64;
@@ -169,10 +174,10 @@
                 Err(format!("discovery answers {status}"))
             };
             match list {
-                Ok(roster) => {
-                    self.watch.answered(&roster, keeps, &mut self.todo.acts);
-                    self.take_roster(roster, None);
-                }
+                Ok(roster) => match self.watch.answered(now, &roster, keeps, &mut self.todo.acts) {
+                    Ok(()) => self.take_roster(roster, None),
+                    Err(cause) => self.list_failed(&cause),
+                },
                 Err(cause) => {
                     self.watch.failed(&mut self.todo.acts);
                     self.list_failed(&cause);
@@ -192,7 +197,7 @@
         if self.outbox.has(link) {
             self.outbox.lost(now);
         } else if self.watch.has(link) {
-            if self.watch.lost() {
+            if self.watch.lost(now) {
                 self.list_failed(cause);
             }
         } else if self.feeds.has(link) {
@@ -217,9 +222,23 @@
 
     fn take_roster(&mut self, roster: Roster, scope: Option<ListScope>) {
         let told = if roster.complete { ListScope::Whole } else { ListScope::Changes };
+        let before = if roster.complete { std::mem::take(&mut self.listed) } else { BTreeMap::new() };
         let mut entries = Vec::with_capacity(roster.servers.len());
+        for (id, cause) in roster.malformed {
+            // Whose entry can't be read stands as it was: it is listed all the same.
+            if let Some(entry) = id.as_ref().and_then(|id| before.get(id)) {
+                self.listed.insert(entry.0.server.clone(), entry.clone());
+                entries.push(entry.0.clone());
+            }
+            self.note(cause);
+        }
         for (listing, address) in roster.servers {
-            self.addresses.insert(listing.server.clone(), address);
+            match listing.readiness {
+                Readiness::Ready | Readiness::Draining => {
+                    self.listed.insert(listing.server.clone(), (listing.clone(), address));
+                }
+                Readiness::Removed => drop(self.listed.remove(&listing.server)),
+            }
             entries.push(listing);
         }
         self.events.push(Event::List { scope: scope.unwrap_or(told), entries: entries.into() });
@@ -234,6 +253,24 @@
     /// Does what is due, and gives what the shell is to do.
     pub fn turn(&mut self, now: Nanos) -> Todo {
         self.door.turn(now, &mut self.todo.services);
+        if !self.ending {
+            self.decide(now);
+        }
+        self.outbox.turn(now, &mut self.links, &mut self.todo.acts);
+        std::mem::take(&mut self.todo)
+    }
+
+    /// Asked to end: what is ordered goes out, whoever has come is answered, and nothing new begins.
+    pub fn end(&mut self) {
+        self.ending = true;
+    }
+
+    /// Whether nothing is owed any more: no order waits, and nobody who has come is still to be heard.
+    pub fn settled(&self) -> bool {
+        self.outbox.is_idle() && self.door.unanswered() == 0
+    }
+
+    fn decide(&mut self, now: Nanos) {
         let mut news = Vec::new();
         self.feeds.turn(now, &mut self.links, &mut self.todo.acts, &mut news);
         self.take_news(news);
@@ -250,8 +287,6 @@
             self.step(now);
         }
         self.watch.turn(now, &mut self.links, &mut self.todo.acts);
-        self.outbox.turn(now, &mut self.links, &mut self.todo.acts);
-        std::mem::take(&mut self.todo)
     }
 
     fn step(&mut self, now: Nanos) {
@@ -265,7 +300,7 @@
                 }
                 Order::WatchList => self.watch.start(),
                 Order::Probe { server } => {
-                    let Some(address) = self.addresses.get(server) else { continue };
+                    let Some((_, address)) = self.listed.get(server) else { continue };
                     let (links, acts) = (&mut self.links, &mut self.todo.acts);
                     self.probes.begin(now, server, *address, links, acts);
                 }
@@ -283,6 +318,9 @@
 
     /// When the next turn is due though nothing comes in.
     pub fn next_at(&self, now: Nanos) -> Option<Nanos> {
+        if self.ending {
+            return [self.door.next_at(), self.outbox.next_at()].into_iter().flatten().min();
+        }
         let step = (!self.events.is_empty()).then_some(self.stepped + GAP);
         let times = [
             step,
@@ -305,7 +343,7 @@
         let (collectors, guests) = self.door.counts();
         Status {
             proxies: self.feeds.told(),
-            servers: self.addresses.len(),
+            servers: self.listed.len(),
             collectors,
             guests,
             reports: self.reports,
--- a/crates/craneknot-node/src/door.rs
+++ b/crates/craneknot-node/src/door.rs
@@ -4,13 +4,14 @@
 use std::collections::BTreeMap;
 
 use bytes::{Buf, BytesMut};
-use craneknot::interface::{Event, Nanos};
+use craneknot::interface::{Event, Nanos, ZoneId};
 use craneknot_platform::lines::{self, Message, Unread};
 use craneknot_settings::given::GivenNames;
 
 const GUEST_TIME: Nanos = Nanos::from_millis(1_500); // ms; the platform asks for one second at least
 const GUEST_ROOM: usize = 4 * 1024; // bytes of a guest's message: a joining is far shorter
 const GUEST_PART: usize = 4; // of all descriptors one in so many is for guests; the oldest give way
+const COLLECTORS_MOST: usize = 4; // of a zone: one that was cut off comes again, and what it left never closes
 
 /// A connection that a peer dialled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -20,7 +21,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Standing {
     Guest,
-    Collector,
+    Collector(ZoneId),
 }
 
 /// What is to be done with a connection.
@@ -39,6 +40,10 @@
 
 struct Peer {
     standing: Standing,
+    /// When it came, or last sent something.
+    heard: Nanos,
+    /// It has asked for a sign of life, and got it.
+    answered: bool,
     /// Bytes of its input that were searched for a line's end.
     searched: usize,
 }
@@ -70,7 +75,7 @@
                 services.push(Service::Close(oldest, "too many that have not joined".into()));
             }
         }
-        self.peers.insert(id, Peer { standing: Standing::Guest, searched: 0 });
+        self.peers.insert(id, Peer { standing: Standing::Guest, heard: now, answered: false, searched: 0 });
         self.guests.insert(id, now);
     }
 
@@ -79,6 +84,13 @@
         self.guests.remove(&id);
     }
 
+    /// Bytes have come of a peer.
+    pub fn heard(&mut self, now: Nanos, id: GuestId) {
+        if let Some(peer) = self.peers.get_mut(&id) {
+            peer.heard = now;
+        }
+    }
+
     /// Takes whole lines off the front of what has come.
     pub fn take(
         &mut self,
@@ -95,7 +107,7 @@
                 peer.searched = input.len();
                 let most = match peer.standing {
                     Standing::Guest => GUEST_ROOM,
-                    Standing::Collector => lines::LONGEST,
+                    Standing::Collector(_) => lines::LONGEST,
                 };
                 if input.len() >= most {
                     self.turn_away(id, "the message is too long".into(), services);
@@ -107,10 +119,13 @@
             input.advance(1);
             let read = lines::read(&line, names, proxies);
             match (peer.standing, read) {
-                (_, Ok(Message::Heartbeat)) => services.push(Service::Answer(id)),
-                (_, Ok(Message::Collector(_))) => self.join(id, services),
-                (Standing::Collector, Ok(Message::Report(report))) => reports.push(report),
-                (Standing::Collector, Err(Unread::Spoilt(cause))) => {
+                (_, Ok(Message::Heartbeat)) => {
+                    peer.answered = true;
+                    services.push(Service::Answer(id));
+                }
+                (_, Ok(Message::Collector(zone))) => self.join(id, zone, services),
+                (Standing::Collector(_), Ok(Message::Report(report))) => reports.push(report),
+                (Standing::Collector(_), Err(Unread::Spoilt(cause))) => {
                     self.spoilt += 1;
                     services.push(Service::Note(cause, String::from_utf8_lossy(&line).into_owned()));
                 }
@@ -125,9 +140,18 @@
         }
     }
 
-    fn join(&mut self, id: GuestId, services: &mut Vec<Service>) {
+    fn join(&mut self, id: GuestId, zone: ZoneId, services: &mut Vec<Service>) {
+        let fellows = self
+            .peers
+            .iter()
+            .filter(|(other, peer)| **other != id && peer.standing == Standing::Collector(zone));
+        let fellows: Vec<(Nanos, GuestId)> = fellows.map(|(other, peer)| (peer.heard, *other)).collect();
+        // Descriptors are few: the one that has been silent longest gives way.
+        if let Some((_, silent)) = fellows.iter().min().filter(|_| fellows.len() >= COLLECTORS_MOST) {
+            self.turn_away(*silent, "others collect for its zone".into(), services);
+        }
         if let Some(peer) = self.peers.get_mut(&id) {
-            peer.standing = Standing::Collector;
+            peer.standing = Standing::Collector(zone);
             self.guests.remove(&id);
             services.push(Service::Widen(id));
         }
@@ -138,7 +162,7 @@
         let Some(peer) = self.peers.remove(&id) else { return };
         services.push(match peer.standing {
             Standing::Guest => Service::Reject(id, cause),
-            Standing::Collector => Service::Close(id, cause),
+            Standing::Collector(_) => Service::Close(id, cause),
         });
     }
 
@@ -157,6 +181,11 @@
         self.guests.values().next().map(|since| *since + GUEST_TIME)
     }
 
+    /// Guests that have come and were not answered yet.
+    pub fn unanswered(&self) -> usize {
+        self.guests.keys().filter(|id| self.peers.get(id).is_some_and(|peer| !peer.answered)).count()
+    }
+
     /// Collectors and guests.
     pub fn counts(&self) -> (usize, usize) {
         (self.peers.len() - self.guests.len(), self.guests.len())
--- a/crates/craneknot-node/src/feeds.rs
+++ b/crates/craneknot-node/src/feeds.rs
@@ -4,7 +4,7 @@
 //! A binding ends with the proxy's stream. Whoever may have left and come again unseen between two leaders is
 //! therefore told as joined anew.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 use craneknot::interface::{Nanos, ProxyId};
@@ -19,6 +19,8 @@
 const OPEN_MOST: Nanos = Nanos::from_millis(1_500); // ms; to be connected and hear the first byte
 const SETTLED: Nanos = Nanos::from_millis(500); // ms; what stands has been told by then, on a new stream
 const OVERLAP: Nanos = Nanos::from_millis(500); // ms; before a leader's last word, news may have been on its way
+const RIPE: Nanos = Nanos::from_millis(1_000); // ms; a stream open for so long can lead without a word twice
+const KEPT: Nanos = Nanos::from_millis(4_000); // ms; acknowledgements: a leader's silence and the overlap before
 const AGAIN: Nanos = Nanos::from_millis(50); // ms; first wait before dialling again, doubled each time
 const AGAIN_MOST: Nanos = Nanos::from_millis(800); // ms; the longest
 
@@ -33,12 +35,26 @@
     decoder: Decoder,
     /// By proxy: how it joined, and when that was told.
     joined: BTreeMap<ProxyId, (News, Nanos)>,
+    /// The acknowledgements of late, and when they came.
+    applied: VecDeque<(Nanos, News)>,
 }
 
 impl Feed {
     fn speaks(&self, now: Nanos) -> bool {
         self.open.is_some() && now - self.heard < SILENT
     }
+
+    /// It has told what stands well before the leader it may follow spoke last.
+    fn ripe(&self, now: Nanos) -> bool {
+        self.speaks(now) && self.open.is_some_and(|open| now - open >= RIPE)
+    }
+}
+
+/// Drops what is older than is kept.
+fn forget_old(kept: &mut VecDeque<(Nanos, News)>, now: Nanos) {
+    while kept.front().is_some_and(|(at, _)| now - *at >= KEPT) {
+        kept.pop_front();
+    }
 }
 
 pub struct Feeds {
@@ -47,6 +63,8 @@
     lead: Option<LinkId>,
     /// Proxies told as joined.
     told: BTreeSet<ProxyId>,
+    /// Acknowledgements told of late: the next leader has heard some of them too.
+    told_applied: VecDeque<(Nanos, News)>,
     /// Since then the leader has told what stands; who was not named by the end has left.
     settling: Option<Nanos>,
     /// The last word of the leader before.
@@ -62,6 +80,7 @@
             feeds: Vec::new(),
             lead: None,
             told: BTreeSet::new(),
+            told_applied: VecDeque::new(),
             settling: None,
             last_word: Nanos(0),
             dial_at: now,
@@ -86,7 +105,7 @@
         // since what is cut off may come back.
         let (lead, speaking) = (self.lead, self.feeds.iter().any(|feed| feed.speaks(now)));
         let address = self.address;
-        let moved = self.feeds.iter().filter(|feed| feed.address == address && feed.speaks(now)).count();
+        let moved = self.feeds.iter().filter(|feed| feed.address == address && feed.ripe(now)).count();
         let late = |feed: &Feed| match feed.open {
             None => now - feed.dialled >= OPEN_MOST,
             Some(_) if feed.address != address && moved >= HELD => true,
@@ -110,6 +129,7 @@
                 heard: now,
                 decoder: Decoder::default(),
                 joined: BTreeMap::new(),
+                applied: VecDeque::new(),
             });
             self.dial_at = now + self.wait();
         }
@@ -140,21 +160,27 @@
             match news {
                 News::Joined { proxy, .. } => drop(feed.joined.insert(*proxy, (news.clone(), now))),
                 News::Left { proxy } => drop(feed.joined.remove(proxy)),
-                News::Applied { .. } => {}
+                News::Applied { .. } => feed.applied.push_back((now, news.clone())),
             }
         }
+        forget_old(&mut feed.applied, now);
         if self.lead == Some(link) {
             self.last_word = now;
             for news in news {
-                self.tell(news, out);
+                self.tell(now, news, out);
             }
         }
         self.choose_lead(now, out);
     }
 
-    fn tell(&mut self, news: News, out: &mut Vec<News>) {
+    fn tell(&mut self, now: Nanos, news: News, out: &mut Vec<News>) {
         match &news {
-            News::Joined { proxy, .. } => drop(self.told.insert(*proxy)),
+            // Who joins while it counts as joined has left in between: what was bound and ordered is gone.
+            News::Joined { proxy, .. } => {
+                if !self.told.insert(*proxy) {
+                    out.push(News::Left { proxy: *proxy });
+                }
+            }
             News::Left { proxy } => {
                 if !self.told.remove(proxy) {
                     return;
@@ -164,6 +190,8 @@
                 if !self.told.contains(proxy) {
                     return;
                 }
+                self.told_applied.push_back((now, news.clone()));
+                forget_old(&mut self.told_applied, now);
             }
         }
         out.push(news);
@@ -175,7 +203,8 @@
         self.dial_at = self.dial_at.max(now + self.wait());
         self.failures += 1;
         if self.lead == Some(link) {
-            self.lead = None;
+            // Who stands is asked of the next leader; without one there is nothing to wait for.
+            (self.lead, self.settling) = (None, None);
             self.choose_lead(now, out);
         }
     }
@@ -194,10 +223,14 @@
         let since = self.last_word - OVERLAP;
         let anew =
             |(proxy, (_, at)): &(&ProxyId, &(News, Nanos))| *at >= since || !self.told.contains(*proxy);
-        let news: Vec<News> = next.joined.iter().filter(anew).map(|(_, (news, _))| news.clone()).collect();
-        self.last_word = next.heard;
+        let joined = next.joined.iter().filter(anew).map(|(_, (news, _))| news.clone());
+        // An acknowledgement that the leader before did not bring would be waited for, and hold the channel.
+        let applied = next.applied.iter().filter(|(at, _)| *at >= since).map(|(_, news)| news);
+        let applied = applied.filter(|news| !self.told_applied.iter().any(|(_, told)| told == *news));
+        let news: Vec<News> = joined.chain(applied.cloned()).collect();
+        self.last_word = self.last_word.max(next.heard);
         for news in news {
-            self.tell(news, out);
+            self.tell(now, news, out);
         }
         self.end_settling(now, out);
     }
@@ -212,7 +245,7 @@
         let gone: Vec<ProxyId> =
             self.told.iter().filter(|proxy| !feed.joined.contains_key(*proxy)).copied().collect();
         for proxy in gone {
-            self.tell(News::Left { proxy }, out);
+            self.tell(now, News::Left { proxy }, out);
         }
     }
 
--- a/crates/craneknot-node/src/shell.rs
+++ b/crates/craneknot-node/src/shell.rs
@@ -7,12 +7,12 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use craneknot::interface::Nanos;
 use craneknot_http::{Limits as HttpLimits, ResponseReader};
 use craneknot_platform::config::Config;
 use craneknot_platform::lines;
-use craneknot_reactor::{Clock, ConnId, Happened, Limits, ListenerId, Reactor};
+use craneknot_reactor::{Clock, CloseCause, ConnId, Happened, Limits, ListenerId, Reactor};
 use tracing::{debug, error, info, warn};
 
 use crate::desk::{Desk, Todo};
@@ -22,12 +22,13 @@
 const HANG_UP: i32 = 1; // SIGHUP
 const OUTPUT: usize = 512 * 1024; // bytes waiting for a peer: a call carries far less, a guest gets single lines
 const SPARE: usize = 48; // descriptors for the loop, the log, the coordinator's own links
+const END_MOST: Nanos = Nanos::from_millis(500); // ms; the platform kills no sooner than 700 ms after SIGTERM
 const STATUS_EVERY: Nanos = Nanos::from_millis(5_000); // ms; one line in the log
 
 /// What ends the program.
 #[derive(Debug)]
 pub enum Ended {
-    /// By a signal.
+    /// By a signal, with nothing owed; or with what was still owed when its time was over.
     Asked,
     Failed(io::Error),
 }
@@ -35,6 +36,7 @@
 enum Due {
     Turn,
     Status,
+    End,
 }
 
 /// A connection that was dialled.
@@ -57,6 +59,8 @@
     link_conns: BTreeMap<LinkId, ConnId>,
     next_guest: u64,
     turn_at: Option<Nanos>,
+    /// A signal has asked for the end.
+    ending: bool,
 }
 
 fn read_config(file: &Path) -> Result<Config, String> {
@@ -78,8 +82,9 @@
 }
 
 impl Shell {
-    /// Reads its configuration and listens.
-    pub fn new(file: &Path, clock: Arc<dyn Clock>) -> Result<Self, NoStart> {
+    /// Reads its configuration and listens. Any of the signals `ends` asks it to end; SIGHUP has the configuration
+    /// read again.
+    pub fn new(file: &Path, clock: Arc<dyn Clock>, ends: &[i32]) -> Result<Self, NoStart> {
         let config = read_config(file).map_err(NoStart::Config)?;
         let limits = Limits {
             input: 256 * 1024,
@@ -87,6 +92,8 @@
             connections: config.sockets.saturating_sub(SPARE).max(8),
         };
         let mut reactor = Reactor::new(clock, limits)?;
+        // Before anybody can reach it: a signal that is not heeded yet would end it at once.
+        ends.iter().chain(&[HANG_UP]).try_for_each(|signal| reactor.signal(*signal))?;
         let now = reactor.now();
         let (listener, address) = reactor.listen(config.listen)?;
         info!(
@@ -107,6 +114,7 @@
             link_conns: BTreeMap::new(),
             next_guest: 0,
             turn_at: None,
+            ending: false,
         })
     }
 
@@ -115,28 +123,23 @@
         self.address
     }
 
-    /// Takes these signals as a wish to end; SIGHUP has the configuration read again.
-    pub fn heed(&mut self, signals: &[i32]) -> io::Result<()> {
-        signals.iter().chain(&[HANG_UP]).try_for_each(|signal| self.reactor.signal(*signal))
-    }
-
     /// Runs until a signal ends it.
     pub fn run(&mut self) -> Ended {
         loop {
             match self.round() {
                 Ok(true) => {}
-                Ok(false) => {
-                    self.reactor.unlisten(self.listener);
-                    return Ended::Asked;
-                }
+                Ok(false) => return Ended::Asked,
                 Err(cause) => return Ended::Failed(cause),
             }
         }
     }
 
-    /// Waits for what happens, and acts on it; false: a signal asks for the end.
+    /// Waits for what happens, and acts on it; false: it has ended as a signal asked.
     pub fn round(&mut self) -> io::Result<bool> {
         self.turn();
+        if self.ending && self.desk.settled() {
+            return Ok(false);
+        }
         self.reactor.poll(None)?;
         while let Some(happened) = self.reactor.happened() {
             match happened {
@@ -155,6 +158,9 @@
                         self.guest_conns.remove(&guest);
                         self.desk.guest_gone(guest);
                     }
+                    if matches!(cause, CloseCause::PeerClosed) {
+                        self.end_response(conn);
+                    }
                     self.lose_link(conn, &format!("{cause:?}"));
                 }
                 Happened::Timer(Due::Turn) => self.turn_at = None,
@@ -163,17 +169,34 @@
                     self.tell_beliefs();
                     self.reactor.set_timer(self.reactor.now() + STATUS_EVERY, Due::Status);
                 }
+                Happened::Timer(Due::End) => {
+                    warn!(status = ?self.desk.status(), "ending with this still owed");
+                    return Ok(false);
+                }
                 Happened::Signal(HANG_UP) => self.reload(),
-                Happened::Signal(signal) => {
-                    info!(signal, "ending");
+                Happened::Signal(signal) if self.ending => {
+                    info!(signal, "ending at once: asked again");
                     return Ok(false);
                 }
+                Happened::Signal(signal) => self.end(signal),
             }
         }
         Ok(true)
     }
 
+    /// Takes nobody in any more, and stays until what is owed is done: those accepted are answered, and orders go out.
+    fn end(&mut self, signal: i32) {
+        info!(signal, "ending");
+        self.ending = true;
+        self.reactor.unlisten(self.listener);
+        self.desk.end();
+        self.reactor.set_timer(self.reactor.now() + END_MOST, Due::End);
+    }
+
     fn reload(&mut self) {
+        if self.ending {
+            return;
+        }
         match read_config(&self.file) {
             Ok(config) => {
                 info!(relay = %config.relay, discovery = %config.discovery, "a new configuration");
@@ -215,10 +238,20 @@
         }
     }
 
+    /// A response may end with its connection.
+    fn end_response(&mut self, conn: ConnId) {
+        let now = self.reactor.now();
+        let Some(link) = self.links.get_mut(&conn) else { return };
+        if let Ok(Some(response)) = link.reader.next(&mut BytesMut::new(), true, now) {
+            self.desk.answered(now, link.id, &response, false);
+        }
+    }
+
     fn read(&mut self, conn: ConnId) {
+        let now = self.reactor.now();
         if let Some(guest) = self.guests.get(&conn) {
             if let Some(input) = self.reactor.input(conn) {
-                self.desk.guest_input(*guest, input);
+                self.desk.guest_input(now, *guest, input);
             }
             self.reactor.taken(conn);
         } else if self.links.contains_key(&conn) {
--- a/crates/craneknot-node/src/watch.rs
+++ b/crates/craneknot-node/src/watch.rs
@@ -12,7 +12,10 @@
 
 const WAIT: Nanos = Nanos::from_millis(5_000); // ms; a watch that has fallen silent is found out soon after
 const LATE: Nanos = Nanos::from_millis(1_500); // ms; an answer this long after its wait is lost
-const FIRST_MOST: Nanos = Nanos::from_millis(1_500); // ms; for a call that does not wait, its dial included
+                                               // A call that does not wait, its dial included; one given up while discovery works on it is work done twice.
+const FIRST_MOST: Nanos = Nanos::from_millis(2_500); // ms
+const SAME: Nanos = Nanos::from_millis(200); // ms; a call this soon after an answer goes on with its watch
+const OLDER_MOST: u32 = 3; // lists in a row older than the known one, until they count: a new numbering
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
@@ -20,9 +23,8 @@
     Idle,
     /// To call as soon as may be.
     Due,
-    Asked {
-        until: Nanos,
-    },
+    /// A call is in flight; `kept`: on a connection that served before; `waits`: for what is newer.
+    Asked { until: Nanos, kept: bool, waits: bool },
 }
 
 pub struct Watch {
@@ -31,12 +33,16 @@
     revision: Option<u64>,
     /// The next call is the first of a new watch: it is answered at once.
     fresh: bool,
+    answered: Nanos,
+    /// Lists in a row that were older than what is known.
+    older: u32,
 }
 
 impl Watch {
     /// `revision`: of the list that is known from before.
     pub fn new(address: SocketAddr, revision: Option<u64>) -> Self {
-        Watch { discovery: Callee::new(address), state: State::Idle, revision, fresh: true }
+        let discovery = Callee::new(address);
+        Watch { discovery, state: State::Idle, revision, fresh: true, answered: Nanos(0), older: 0 }
     }
 
     pub fn has(&self, link: LinkId) -> bool {
@@ -64,8 +70,15 @@
     pub fn turn(&mut self, now: Nanos, links: &mut Links, acts: &mut Vec<Act>) -> bool {
         match self.state {
             State::Idle => false,
-            State::Asked { until } if now < until => false,
-            State::Asked { .. } => {
+            State::Asked { until, .. } if now < until => false,
+            State::Asked { waits: true, .. } => {
+                // A watch that has fallen silent says nothing of discovery, and what changed meanwhile is overdue:
+                // a call on a new connection tells both.
+                self.discovery.hang_up(acts);
+                (self.state, self.fresh) = (State::Due, true);
+                self.turn(now, links, acts)
+            }
+            State::Asked { waits: false, .. } => {
                 self.discovery.hang_up(acts);
                 self.state = State::Idle;
                 true
@@ -77,22 +90,41 @@
                     Some(revision) => (discovery::watch(revision, WAIT), WAIT + LATE),
                     None => (discovery::whole(), FIRST_MOST),
                 };
+                let waits = self.revision.is_some() && !self.fresh;
                 self.fresh = false;
                 let request = request(&Method::GET, &path, &self.discovery.host(), &[], b"");
-                self.discovery.call(request, links, acts);
-                self.state = State::Asked { until: now + most };
+                let kept = !self.discovery.call(request, links, acts);
+                self.state = State::Asked { until: now + most, kept, waits };
                 false
             }
         }
     }
 
-    /// A list has come; the next call is due at once, since a watch goes on only where it follows soon.
-    pub fn answered(&mut self, roster: &Roster, keeps: bool, acts: &mut Vec<Act>) {
-        self.revision = Some(roster.revision);
+    /// A list has come; the next call is due at once, since a watch goes on only where it follows soon. An error
+    /// says why the list is not to be used: the watch has failed then.
+    pub fn answered(
+        &mut self,
+        now: Nanos,
+        roster: &Roster,
+        keeps: bool,
+        acts: &mut Vec<Act>,
+    ) -> Result<(), String> {
         if !keeps {
             self.discovery.hang_up(acts);
         }
-        self.state = State::Due;
+        // An answer that was long on its way, or of a copy that lags behind, must not undo what came since.
+        if let Some(known) = self.revision.filter(|known| roster.revision < *known) {
+            self.older += 1;
+            if self.older < OLDER_MOST {
+                self.state = State::Idle;
+                return Err(format!("revision {} is older than the known {known}", roster.revision));
+            }
+        }
+        // Changes to another numbering's list tell too little.
+        let renumbered = std::mem::take(&mut self.older) >= OLDER_MOST && !roster.complete;
+        (self.revision, self.fresh) = ((!renumbered).then_some(roster.revision), renumbered);
+        (self.answered, self.state) = (now, State::Due);
+        Ok(())
     }
 
     /// What came is no list: the watch has failed.
@@ -101,12 +133,18 @@
         self.state = State::Idle;
     }
 
-    /// The connection has ended; true: with a call under way, which has failed.
-    pub fn lost(&mut self) -> bool {
+    /// The connection has ended; true: with a call in flight, which has failed.
+    pub fn lost(&mut self, now: Nanos) -> bool {
         self.discovery.lost();
         match self.state {
             State::Idle | State::Due => false,
-            State::Asked { .. } => {
+            // A kept connection may have been closed as the call went out: the call is made again, once, on a new
+            // connection, which tells whether discovery is there.
+            State::Asked { kept: true, .. } => {
+                (self.state, self.fresh) = (State::Due, now - self.answered >= SAME);
+                false
+            }
+            State::Asked { kept: false, .. } => {
                 self.state = State::Idle;
                 true
             }
@@ -117,7 +155,7 @@
         match self.state {
             State::Idle => None,
             State::Due => Some(Nanos(0)),
-            State::Asked { until } => Some(until),
+            State::Asked { until, .. } => Some(until),
         }
     }
 }
--- /dev/null
+++ b/crates/craneknot-node/tests/crossings.rs
@@ -0,0 +1,159 @@
+//! Two events that cross, each forced by a peer on loopback that the test scripts.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::Arc;
+
+use craneknot_node::shell::{Ended, Shell};
+use craneknot_reactor::SteadyClock;
+use rustix::process::{getpid, kill_process, Signal};
+
+mod helpers;
+use helpers::configuration;
+use helpers::peers::{accept, listener, news, orders, patient, request, reset, response, taken};
+
+const ALIVE: &[u8] = b"{\"type\":\"hb\"}\n";
+const ALIVE_OK: &[u8] = b"{\"type\":\"hb_ok\"}\n";
+
+struct Parties {
+    shell: Shell,
+    relay: TcpListener,
+    discovery: TcpListener,
+}
+
+fn parties(name: &str, ends: &[i32]) -> Parties {
+    let (relay, discovery) = (listener(), listener());
+    let mut value = configuration(6);
+    value["distributor"]["address"] = relay.local_addr().unwrap().to_string().into();
+    value["discovery"] = discovery.local_addr().unwrap().to_string().into();
+    let file = std::env::temp_dir().join(format!("craneknot-crossing-{name}-{}.json", std::process::id()));
+    std::fs::write(&file, value.to_string()).unwrap();
+    let shell = Shell::new(&file, Arc::new(SteadyClock::new()), ends).unwrap();
+    std::fs::remove_file(&file).unwrap();
+    Parties { shell, relay, discovery }
+}
+
+/// Runs in a thread of its own, which ends with the test program.
+fn run(mut shell: Shell) -> SocketAddr {
+    let address = shell.address();
+    std::thread::spawn(move || shell.run());
+    address
+}
+
+/// Answers every call for news; the calls that carry orders are the test's.
+fn relay_with_news(relay: TcpListener, proxies: u16) -> Receiver<(TcpStream, String)> {
+    let (tell, calls) = channel();
+    std::thread::spawn(move || loop {
+        let mut stream = accept(&relay);
+        let tell = tell.clone();
+        std::thread::spawn(move || match request(&mut stream) {
+            Some((path, _)) if path == "/api/events" => {
+                news(&mut stream, proxies);
+                // A sign of life would come each second; the test is shorter than a silence.
+                let _ = stream.read(&mut [0]);
+            }
+            Some((_, body)) => drop(tell.send((stream, body))),
+            None => {}
+        });
+    });
+    calls
+}
+
+/// Ruled out by this test for whoever has not joined: the end is told after the answer has been sent.
+#[test]
+fn a_peer_that_asks_and_shuts_its_sending_side_in_one_go_is_answered() {
+    let address = run(parties("half-close", &[]).shell);
+    // One message less than what is read at once of a guest, exactly as much, and several.
+    for said in [ALIVE.to_vec(), [vec![b' '; 4096 - ALIVE.len()], ALIVE.to_vec()].concat(), ALIVE.repeat(5)] {
+        let mut stream = patient(TcpStream::connect(address).unwrap());
+        stream.write_all(&said).unwrap();
+        stream.shutdown(Shutdown::Write).unwrap();
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer).unwrap();
+        let asked = said.iter().filter(|byte| **byte == b'\n').count();
+        assert_eq!(answer, ALIVE_OK.repeat(asked), "{} bytes", said.len());
+    }
+}
+
+#[test]
+fn a_request_in_single_bytes_is_answered_like_a_whole_one() {
+    let address = run(parties("bytes", &[]).shell);
+    let mut stream = patient(TcpStream::connect(address).unwrap());
+    stream.set_nodelay(true).unwrap();
+    for byte in ALIVE {
+        stream.write_all(&[*byte]).unwrap();
+    }
+    let mut answer = vec![0; ALIVE_OK.len()];
+    stream.read_exact(&mut answer).unwrap();
+    assert_eq!(answer, ALIVE_OK);
+}
+
+/// Confirmed by this test: the end of the connection was not passed to the reader, and the list was lost.
+#[test]
+fn an_answer_that_ends_with_its_connection_is_taken() {
+    let Parties { shell, discovery, .. } = parties("until-end", &[]);
+    run(shell);
+    let mut stream = accept(&discovery);
+    assert_eq!(request(&mut stream).unwrap().0, "/discovery/hosts?index=41&wait=0");
+    stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n{\"revision\":77,\"complete\":false,\"members\":[]}").unwrap();
+    drop(stream);
+    let (path, _) = request(&mut accept(&discovery)).unwrap();
+    assert!(path.starts_with("/discovery/hosts?index=77&"), "{path}");
+}
+
+/// An answer cut off at any byte is none: the call is made again, from its first order, and none is lost.
+#[test]
+fn a_relay_that_resets_within_its_answer_loses_no_order() {
+    let Parties { shell, relay, .. } = parties("resets", &[]);
+    let calls = relay_with_news(relay, 6);
+    run(shell);
+    let (mut stream, mut body) = calls.recv().unwrap();
+    let answer = taken(1);
+    let mut last: Option<Vec<String>> = None;
+    for cut in (0..answer.len()).step_by(answer.len() / 12) {
+        let asked = orders(&body);
+        if let Some(last) = last {
+            assert_eq!(asked[..last.len() - 1], last[1..], "what was not taken comes first, in its order");
+        }
+        if asked.len() == 1 {
+            return;
+        }
+        stream.write_all(&answer.as_bytes()[..cut]).unwrap();
+        reset(stream);
+        let (mut again, repeated) = calls.recv().unwrap();
+        let repeated = orders(&repeated);
+        assert_eq!(repeated[..asked.len()], asked[..], "cut at {cut}");
+        again.write_all(answer.as_bytes()).unwrap();
+        last = Some(repeated);
+        let (_, next) = request(&mut again).unwrap();
+        (stream, body) = (again, next);
+    }
+}
+
+/// A list cut off at any byte is no list, and what is known stands: the next call asks from the same revision.
+#[test]
+fn discovery_that_ends_within_its_answer_is_asked_again_from_where_it_was() {
+    let Parties { shell, discovery, .. } = parties("list-cuts", &[]);
+    run(shell);
+    let answer = response("{\"revision\":52,\"complete\":false,\"members\":[]}");
+    for cut in [0, answer.len() / 2, answer.len() - 1] {
+        let mut stream = accept(&discovery);
+        let (path, _) = request(&mut stream).unwrap();
+        assert!(path.contains("?index=41&"), "cut at {cut}: {path}");
+        stream.write_all(&answer.as_bytes()[..cut]).unwrap();
+        reset(stream);
+    }
+    let mut stream = accept(&discovery);
+    assert!(request(&mut stream).unwrap().0.contains("?index=41&"));
+    stream.write_all(answer.as_bytes()).unwrap();
+    assert!(request(&mut stream).unwrap().0.contains("?index=52&wait=5000"));
+}
+
+/// A signal is heeded as soon as anybody can reach the coordinator.
+#[test]
+fn a_signal_before_the_first_round_asks_for_the_end() {
+    let Parties { mut shell, .. } = parties("early", &[Signal::USR1.as_raw()]);
+    kill_process(getpid(), Signal::USR1).unwrap();
+    assert!(matches!(shell.run(), Ended::Asked));
+}
--- a/crates/craneknot-node/tests/helpers/mod.rs
+++ b/crates/craneknot-node/tests/helpers/mod.rs
@@ -33,3 +33,5 @@
 pub fn config() -> Config {
     Config::read(configuration(6).to_string().as_bytes()).unwrap()
 }
+
+pub mod peers;
--- /dev/null
+++ b/crates/craneknot-node/tests/walks.rs
@@ -0,0 +1,298 @@
+//! Seeded walks over the pure parts: calls, news, timers and reloads cross at any step, and what must hold is checked
+//! after each. A failure names its seed.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use craneknot::interface::*;
+use craneknot_node::feeds::Feeds;
+use craneknot_node::link::{Act, LinkId, Links};
+use craneknot_node::outbox::{Outbox, Written};
+use craneknot_platform::news::News;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+
+mod helpers;
+use helpers::peers::orders;
+use helpers::{ms, ADDRESS, OTHER};
+
+const PROXIES: u16 = 6;
+
+/// A relay that carries calls out or does not, and the proxies that are joined to it.
+struct Calls {
+    outbox: Outbox,
+    links: Links,
+    now: u64,
+    /// The call in flight, as the relay has it.
+    asked: Option<(LinkId, Vec<String>)>,
+    joined: BTreeSet<u16>,
+    /// All that was ever carried out, in order.
+    done: Vec<String>,
+}
+
+impl Calls {
+    fn turn(&mut self) {
+        let mut acts = Vec::new();
+        self.outbox.turn(ms(self.now), &mut self.links, &mut acts);
+        self.take(acts);
+        let next = self.outbox.next_at();
+        assert!(next.is_none_or(|next| next > ms(self.now)), "a wait in the past: {next:?} at {}", self.now);
+        assert!(next.is_some() || self.outbox.is_idle(), "something waits, and no timer");
+    }
+
+    fn take(&mut self, acts: Vec<Act>) {
+        for act in acts {
+            match act {
+                Act::Dial { link, request, .. } | Act::Send { link, request } => {
+                    assert!(self.asked.is_none(), "one call at a time");
+                    self.asked = Some((link, orders(std::str::from_utf8(&request).unwrap())));
+                }
+                Act::Drop { link } => drop(self.asked.take_if(|(asked, _)| *asked == link)),
+            }
+        }
+    }
+
+    /// Carries out as many orders as the relay can use, and counts them.
+    fn carry_out(&mut self, orders: &[String]) -> usize {
+        let usable = |order: &&String| match order.split(',').collect::<Vec<_>>()[..] {
+            ["bind", proxy, ..] => self.joined.contains(&proxy.parse().unwrap()),
+            _ => true,
+        };
+        let taken: Vec<String> = orders.iter().take_while(usable).cloned().collect();
+        self.done.extend(taken.iter().cloned());
+        taken.len()
+    }
+
+    /// The call in flight ends, one way or the other.
+    fn end_call(&mut self, way: u32) {
+        let Some((_, orders)) = self.asked.clone() else { return };
+        let mut acts = Vec::new();
+        let now = ms(self.now);
+        let body = |count: usize| format!("<Response><ok_count>{count}</ok_count></Response>").into_bytes();
+        match way {
+            // Broken off, carried out or not; or silent.
+            0 | 1 => {
+                if way == 0 {
+                    self.carry_out(&orders);
+                }
+                self.asked = None;
+                self.outbox.lost(now);
+            }
+            2 => drop(self.carry_out(&orders)),
+            3 => {
+                self.asked = None;
+                let refused = b"<Response><error>throttled</error></Response>";
+                self.outbox.answered(now, refused, true, &mut acts).unwrap();
+            }
+            4 => {
+                self.carry_out(&orders);
+                self.asked = None;
+                assert!(self.outbox.answered(now, b"<Resp", true, &mut acts).is_err());
+            }
+            _ => {
+                let count = self.carry_out(&orders);
+                self.asked = None;
+                // An order that is given up is told as an error.
+                let _ = self.outbox.answered(now, &body(count), way.is_multiple_of(2), &mut acts);
+            }
+        }
+        self.take(acts);
+    }
+}
+
+/// The place where each was carried out last, in the order in which they were given.
+fn last_places(done: &[String], given: &[String]) -> Vec<Option<usize>> {
+    given.iter().map(|order| done.iter().rposition(|done| done == order)).collect()
+}
+
+#[test]
+fn no_order_is_lost_or_overtaken_however_calls_end() {
+    for seed in 0..300 {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let outbox = Outbox::new(ADDRESS, ms(0));
+        let mut calls = Calls {
+            outbox,
+            links: Links::default(),
+            now: 0,
+            asked: None,
+            joined: (0..PROXIES).collect(),
+            done: Vec::new(),
+        };
+        // What was given: orders for all, and for each proxy since it is told as joined.
+        let (mut common, mut own) = (Vec::new(), vec![Vec::new(); usize::from(PROXIES)]);
+        let mut told: BTreeSet<u16> = (0..PROXIES).collect();
+        let (mut number, mut address) = (0, ADDRESS);
+        for step in 0..400 {
+            let quiet = step >= 300; // the relay answers, and nobody comes or goes
+            calls.now += rng.random_range(0..if quiet { 400 } else { 120 });
+            let proxy = rng.random_range(0..PROXIES);
+            match rng.random_range(0..10) {
+                0..3 if !quiet => {
+                    number += 1;
+                    let order = format!("clear,{number}");
+                    common.push(order.clone());
+                    calls.outbox.offer([Written { text: order, proxy: None }]);
+                }
+                3..5 if !quiet && told.contains(&proxy) => {
+                    number += 1;
+                    let order = format!("bind,{proxy},{number},lookup");
+                    own[usize::from(proxy)].push(order.clone());
+                    calls.outbox.offer([Written { text: order, proxy: Some(ProxyId(proxy)) }]);
+                }
+                // It leaves; news of that comes later, or with its return.
+                5 if !quiet => drop(calls.joined.remove(&proxy)),
+                6 if !quiet && !calls.joined.contains(&proxy) => {
+                    calls.outbox.left(ProxyId(proxy));
+                    told.remove(&proxy);
+                    own[usize::from(proxy)].clear();
+                    if rng.random() {
+                        calls.joined.insert(proxy);
+                        told.insert(proxy);
+                    }
+                }
+                7 if !quiet && rng.random_range(0..10) == 0 => {
+                    address = if address == ADDRESS { OTHER } else { ADDRESS };
+                    let mut acts = Vec::new();
+                    calls.outbox.move_to(ms(calls.now), address, &mut acts);
+                    calls.take(acts);
+                }
+                _ => calls.end_call(if quiet { 9 } else { rng.random_range(0..10) }),
+            }
+            calls.turn();
+        }
+        let places = last_places(&calls.done, &common);
+        assert!(places.iter().all(Option::is_some) && places.is_sorted(), "seed {seed}: {places:?}");
+        for proxy in told.intersection(&calls.joined) {
+            let given = &own[usize::from(*proxy)];
+            let places = last_places(&calls.done, given);
+            let last = calls.done.iter().rfind(|done| done.starts_with(&format!("bind,{proxy},")));
+            assert!(
+                places.iter().all(Option::is_some) && places.is_sorted(),
+                "seed {seed}, {proxy}: {places:?}"
+            );
+            assert!(
+                given.is_empty() || last == given.last(),
+                "seed {seed}: {proxy} follows an earlier binding"
+            );
+        }
+        assert!(calls.outbox.waiting() <= own.iter().map(Vec::len).sum::<usize>(), "seed {seed}");
+    }
+}
+
+/// One connection for news: what is on its way there, and whether it brings it.
+struct Pipe {
+    link: LinkId,
+    address: std::net::SocketAddr,
+    way: VecDeque<(u64, Option<News>)>,
+    silent_until: u64,
+}
+
+fn joined(proxy: u16) -> News {
+    News::Joined { proxy: ProxyId(proxy), zone: ZoneId(0), usual_rate: 1.0 }
+}
+
+#[test]
+fn whatever_becomes_of_the_streams_of_news_who_is_joined_is_known_and_nobody_joins_twice() {
+    for seed in 0..300 {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let (mut feeds, mut links) = (Feeds::new(ADDRESS, ms(0)), Links::default());
+        let mut pipes: Vec<Pipe> = Vec::new();
+        let (mut address, mut closes_at) = (ADDRESS, u64::MAX);
+        // Since when each proxy is joined in truth, and is told as joined.
+        let (mut truth, mut told) = (BTreeMap::<u16, u64>::new(), BTreeMap::<u16, u64>::new());
+        for now in (0..40_000).step_by(20) {
+            let quiet = now >= 30_000;
+            let mut news = Vec::new();
+            if !quiet && rng.random_range(0..10) == 0 {
+                let proxy = rng.random_range(0..PROXIES);
+                if truth.remove(&proxy).is_some() {
+                    news.push(News::Left { proxy: ProxyId(proxy) });
+                }
+                if rng.random() {
+                    truth.insert(proxy, now);
+                    news.push(joined(proxy));
+                }
+            }
+            // A proxy's stream leads to the relay wherever it listens; all streams of news tell the same.
+            for pipe in &mut pipes {
+                let way = now + rng.random_range(0..100);
+                let way = pipe.way.back().map_or(way, |(last, _)| way.max(*last));
+                pipe.way.extend(news.iter().cloned().map(|news| (way, Some(news))));
+                if now % 1_000 == 0 {
+                    pipe.way.push_back((way, None));
+                }
+            }
+            if !quiet && rng.random_range(0..400) == 0 && closes_at == u64::MAX {
+                address = if address == ADDRESS { OTHER } else { ADDRESS };
+                feeds.move_to(ms(now), address);
+                closes_at = now + 1_500;
+            }
+            let mut out = Vec::new();
+            let (mut broken, mut heard) = (Vec::new(), Vec::new());
+            for pipe in &mut pipes {
+                let closed = now >= closes_at && pipe.address != address;
+                if closed || !quiet && rng.random_range(0..300) == 0 {
+                    broken.push(pipe.link);
+                } else if !quiet && rng.random_range(0..600) == 0 {
+                    pipe.silent_until = now + rng.random_range(0..6_000);
+                }
+                if now >= pipe.silent_until {
+                    let due = pipe.way.iter().take_while(|(at, _)| *at <= now).count();
+                    if due > 0 {
+                        heard.push((pipe.link, pipe.way.drain(..due).filter_map(|(_, news)| news).collect()));
+                    }
+                }
+            }
+            if now >= closes_at {
+                closes_at = u64::MAX;
+            }
+            for (link, news) in heard {
+                feeds.heard(ms(now), link, news, &mut out);
+            }
+            for link in broken {
+                pipes.retain(|pipe| pipe.link != link);
+                feeds.lost(ms(now), link, &mut out);
+            }
+            let mut acts = Vec::new();
+            feeds.turn(ms(now), &mut links, &mut acts, &mut out);
+            for act in acts {
+                match act {
+                    Act::Dial { link, address: to, .. } => {
+                        // What stands is told first.
+                        let way = truth.keys().map(|proxy| (now + 30, Some(joined(*proxy))));
+                        let way = std::iter::once((now + 30, None)).chain(way).collect();
+                        if to == address {
+                            pipes.push(Pipe { link, address: to, way, silent_until: 0 });
+                        }
+                    }
+                    Act::Drop { link } => pipes.retain(|pipe| pipe.link != link),
+                    Act::Send { .. } => panic!("a stream of news takes no more calls"),
+                }
+            }
+            for news in out {
+                match news {
+                    News::Joined { proxy, .. } => {
+                        let twice = told.insert(proxy.0, now);
+                        assert!(twice.is_none(), "seed {seed}: {proxy:?} joins twice at {now}");
+                    }
+                    News::Left { proxy } => {
+                        assert!(
+                            told.remove(&proxy.0).is_some(),
+                            "seed {seed}: {proxy:?} leaves twice at {now}"
+                        );
+                    }
+                    News::Applied { .. } => {}
+                }
+            }
+            let next = feeds.next_at(ms(now));
+            assert!(
+                next.is_some_and(|next| next > ms(now)),
+                "seed {seed}: a wait in the past at {now}: {next:?}"
+            );
+            assert!(pipes.len() <= 4, "seed {seed}: {} streams at {now}", pipes.len());
+        }
+        assert!(truth.keys().eq(told.keys()), "seed {seed}: {truth:?} {told:?}");
+        for (proxy, since) in &truth {
+            assert!(told[proxy] >= *since, "seed {seed}: the last joining of {proxy} was not told");
+        }
+    }
+}
--- a/crates/craneknot-platform/src/config.rs
+++ b/crates/craneknot-platform/src/config.rs
@@ -25,6 +25,8 @@
     pub names: GivenNames,
     /// The list as this coordinator last had it; it may be old.
     pub known: Option<Roster>,
+    /// What of it can't be read, and is done without: discovery tells the list anyway.
+    pub notes: Vec<String>,
 }
 
 impl Config {
@@ -41,7 +43,18 @@
         let mut names = GivenNames::default();
         let settings = given::settings(object.need("settings")?, &mut names)
             .map_err(|what| format!("configuration: settings: {what}"))?;
-        let known = object.get("known").map(|known| discovery::roster(known, &mut names)).transpose()?;
+        let mut notes = Vec::new();
+        let known = object.get("known").filter(|known| !known.is_null());
+        let known = known.and_then(|known| match discovery::roster(known, &mut names) {
+            Ok(roster) => {
+                notes.extend(roster.malformed.iter().map(|(_, cause)| format!("known: {cause}")));
+                Some(roster)
+            }
+            Err(cause) => {
+                notes.push(format!("known: {cause}"));
+                None
+            }
+        });
         Ok(Config {
             name: object.text("name")?.to_owned(),
             listen: address(&object, "listen")?,
@@ -52,6 +65,7 @@
             settings,
             names,
             known,
+            notes,
         })
     }
 }
--- a/crates/craneknot-platform/src/discovery.rs
+++ b/crates/craneknot-platform/src/discovery.rs
@@ -21,6 +21,8 @@
     /// The whole list; else what has changed.
     pub complete: bool,
     pub servers: Vec<(Listing, SocketAddr)>,
+    /// Entries that can't be read: whose they are, as far as that can be told, and why.
+    pub malformed: Vec<(Option<ServerId>, String)>,
 }
 
 /// The path of a call for the whole list.
@@ -41,9 +43,23 @@
 pub fn roster(value: &Value, names: &mut GivenNames) -> Result<Roster, String> {
     let object = Object::new("list", value)?;
     let members = object.need("members")?.as_array().ok_or_else(|| object.wrong("members", "a list"))?;
-    let servers = members.iter().map(|member| server(member, names)).collect::<Result<_, _>>()?;
     let revision = object.whole("revision", u64::MAX)?;
-    Ok(Roster { revision, complete: object.truth("complete")?, servers })
+    let complete = object.truth("complete")?;
+    let (mut servers, mut malformed) = (Vec::with_capacity(members.len()), Vec::new());
+    for (place, member) in members.iter().enumerate() {
+        match server(member, names) {
+            Ok(entry) => servers.push(entry),
+            Err(cause) => {
+                let id = member.get("id").and_then(Value::as_str).map(|id| ServerId(Arc::from(id)));
+                malformed.push((id, format!("list: members[{place}]: {cause}")));
+            }
+        }
+    }
+    // One entry costs itself; where none can be read nothing is known of the list.
+    match malformed.first() {
+        Some((_, cause)) if servers.is_empty() => Err(cause.clone()),
+        Some(_) | None => Ok(Roster { revision, complete, servers, malformed }),
+    }
 }
 
 fn server(value: &Value, names: &mut GivenNames) -> Result<(Listing, SocketAddr), String> {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -72,6 +72,7 @@
 const MARK_LOST: Nanos = Nanos::from_millis(10_000); // ms; an answer this late is lost, with its stream
 const ASK_AGAIN: Nanos = Nanos::from_millis(500); // ms; first wait before the list is asked for again
 const ASK_AGAIN_MOST: Nanos = Nanos::from_millis(4_000); // ms; the longest: it is one service for all
+const FORGET: Nanos = Nanos::from_millis(60_000); // ms; a server gone for so long comes back as a new one
 const PLACES: usize = 256; // placements a group can have tables for: table numbers end at 65535
 const RATE_ALL: f64 = 1e6; // operations a second; more than any proxy carries: a level that lets all in
 
@@ -156,6 +157,7 @@
         }
         self.look_over();
         self.move_servers();
+        self.forget_servers();
         self.probe(&mut orders);
         if self.settings.slices == 0 {
             self.follow_pace();
@@ -354,6 +356,24 @@
         }
     }
 
+    /// Forgets servers long gone, once no table names them: replaced day by day, they would pile up.
+    fn forget_servers(&mut self) {
+        let (now, groups, tables) = (self.now, &mut self.groups, &self.tables);
+        let long_gone = |server: &Server| {
+            server.state == Away
+                && server.listing.readiness == Readiness::Removed
+                && now - server.since >= FORGET
+        };
+        let named = |id: &ServerId| tables.values().any(|table| table.lines.contains_key(id));
+        self.servers.retain(|id, server| {
+            let stays = !long_gone(server) || named(id);
+            if !stays {
+                groups[server.group].members.remove(id);
+            }
+            stays
+        });
+    }
+
     fn probe(&mut self, orders: &mut Vec<Order>) {
         for (id, server) in self.servers.iter_mut().filter(|_| self.settings.probes) {
             if matches!(server.state, Doubted | Out) && self.now - server.probed >= PROBE_EVERY {
--- a/src/state.rs
+++ b/src/state.rs
@@ -590,6 +590,11 @@
         self.groups.iter().map(view).collect()
     }
 
+    /// Servers that are remembered, those lately gone included.
+    pub fn servers_known(&self) -> usize {
+        self.servers.len()
+    }
+
     /// Operations a second that a unit of listed weight could do, at its best lately.
     pub fn best_yield(&self) -> f64 {
         self.best_yield.read(self.now)
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -268,3 +268,26 @@
     let used: BTreeSet<_> = (0..20).flat_map(|k| tables(2 * k)).collect();
     assert!(used.len() >= 2, "and all groups are used");
 }
+
+/// Found on reading: beliefs of servers that were gone stayed for good, and each turn looked over all of them.
+#[test]
+fn servers_that_were_replaced_are_forgotten_and_one_lately_gone_is_not() {
+    let mut world = calm_world(LevelUnit::Share);
+    let mut most = 0;
+    for number in 10..400 {
+        // Each is listed for ten seconds, long started, and drained before it goes.
+        let entries = [World::change(number, None, Readiness::Ready)];
+        world.step(1.0, &entries);
+        if number >= 20 {
+            world.step(1.0, &[World::change(number - 10, None, Readiness::Draining)]);
+            world.step(1.0, &[World::change(number - 10, None, Readiness::Removed)]);
+        }
+        pass(&mut world, 1, &[], 9, Some(0.5));
+        most = most.max(world.controller.servers_known());
+    }
+    assert!(most <= 50, "{most} are remembered, 20 of them listed and some 15 lately gone");
+    assert!(most >= 30, "{most}: who comes back soon is known");
+    for proxy in 0..6 {
+        assert!(world.lines(proxy, 0).len() >= 4, "tables hold who is listed: {:?}", world.lines(proxy, 0));
+    }
+}
