Node: whoever asks as hundreds come at once is answered; walks over the whole coordinator

Cause: the reactor accepted up to 256 connections in one poll, and a guest room of 64 (256 descriptors) pushed out the oldest as each was told, before any of their bytes had been read: a peer that asked at once was closed without an answer when a lot of silent strangers came with it. Seen in a test over loopback with 553 peers waiting in the system's queue. A poll now accepts half a guest room, so that whoever asks as it comes is read before the next lot; and a guest that has its answer gives way before one that has not.

--- a/crates/craneknot-node/src/door.rs
+++ b/crates/craneknot-node/src/door.rs
@@ -58,10 +58,16 @@
 
 impl Door {
     pub fn new(sockets: usize) -> Self {
-        let guests_most = (sockets / GUEST_PART).max(1);
+        let guests_most = (sockets / GUEST_PART).max(2);
         Door { peers: BTreeMap::new(), guests: BTreeMap::new(), guests_most, malformed: 0 }
     }
 
+    /// Connections to be accepted at a time: whoever asks as it comes is heard before a guest of the next lot can
+    /// take its place.
+    pub fn accepts(sockets: usize) -> usize {
+        (sockets / GUEST_PART / 2).max(1)
+    }
+
     /// Bytes to be read ahead of a peer that has just come.
     pub fn first_room() -> usize {
         GUEST_ROOM
@@ -69,8 +75,11 @@
 
     pub fn came(&mut self, now: Nanos, id: GuestId, services: &mut Vec<Service>) {
         if self.guests.len() >= self.guests_most {
-            // Ids grow, and so does time: the first is the oldest.
-            if let Some((oldest, _)) = self.guests.pop_first() {
+            // Ids grow, and so does time: the first is the oldest. One that has its answer is owed nothing more.
+            let answered = |id: &&GuestId| self.peers.get(id).is_some_and(|peer| peer.answered);
+            let oldest = self.guests.keys().find(answered).or(self.guests.keys().next()).copied();
+            if let Some(oldest) = oldest {
+                self.guests.remove(&oldest);
                 self.peers.remove(&oldest);
                 services.push(Service::Close(oldest, "too many that have not joined".into()));
             }
--- a/crates/craneknot-node/src/shell.rs
+++ b/crates/craneknot-node/src/shell.rs
@@ -90,6 +90,7 @@
             input: 256 * 1024,
             output: OUTPUT,
             connections: config.sockets.saturating_sub(SPARE).max(8),
+            accepts: Door::accepts(config.sockets),
         };
         let mut reactor = Reactor::new(clock, limits)?;
         // Before anybody can reach it: a signal that is not heeded yet would end it at once.
--- a/crates/craneknot-node/tests/walks.rs
+++ b/crates/craneknot-node/tests/walks.rs
@@ -3,17 +3,21 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use bytes::Bytes;
 use craneknot::interface::*;
+use craneknot_node::desk::Desk;
 use craneknot_node::event_streams::EventStreams;
 use craneknot_node::link::{Act, LinkId, Links};
 use craneknot_node::outbox::{Outbox, Written};
 use craneknot_platform::news::News;
+use http::{Response, StatusCode};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
+use serde_json::json;
 
 mod helpers;
 use helpers::peers::orders;
-use helpers::{ms, ADDRESS, OTHER};
+use helpers::{config, ms, ADDRESS, OTHER};
 
 const PROXIES: u16 = 6;
 
@@ -296,3 +300,193 @@
         }
     }
 }
+
+/// The whole coordinator without sockets, and every party it deals with.
+struct Parties {
+    desk: Desk,
+    now: u64,
+    /// Connections that it holds, by what they were dialled for, with the path asked last.
+    links: BTreeMap<LinkId, (Party, String)>,
+    /// Calls that wait for an answer.
+    asked: BTreeSet<LinkId>,
+    joined: BTreeSet<u16>,
+    revision: u64,
+    /// The shutdown has begun.
+    stopped: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Party {
+    News,
+    Calls,
+    List,
+    Probe,
+}
+
+impl Parties {
+    fn turn(&mut self) {
+        let todo = self.desk.turn(ms(self.now));
+        for act in todo.acts {
+            let (link, request, dialled) = match act {
+                Act::Dial { link, request, .. } => (link, request, true),
+                Act::Send { link, request } => (link, request, false),
+                Act::Drop { link } => {
+                    self.links.remove(&link);
+                    self.asked.remove(&link);
+                    continue;
+                }
+            };
+            let text = String::from_utf8_lossy(&request).into_owned();
+            let path = text.split(' ').nth(1).unwrap().to_owned();
+            let party = match path.as_str() {
+                "/api/events" => Party::News,
+                "/api/" => Party::Calls,
+                "/metrics/load" => Party::Probe,
+                _ => Party::List,
+            };
+            assert!(!self.stopped || party == Party::Calls, "{path} after the shutdown began");
+            assert_eq!(self.links.insert(link, (party, text)).is_none(), dialled, "a name is used once");
+            assert!(self.asked.insert(link), "one request in flight on a connection");
+        }
+        let count = |party: Party| self.links.values().filter(|(of, _)| *of == party).count();
+        assert!(count(Party::Calls) <= 1 && count(Party::List) <= 1, "one connection each");
+        assert!(count(Party::News) <= 4 && count(Party::Probe) <= 16);
+        let next = self.desk.next_at(ms(self.now));
+        assert!(next.is_none_or(|next| next > ms(self.now)), "a wait in the past: {next:?} at {}", self.now);
+        assert!(next.is_some() || self.stopped, "no timer");
+    }
+
+    fn answer(&mut self, link: LinkId, status: u16, body: &str, keeps: bool) {
+        self.asked.remove(&link);
+        let mut response = Response::new(Bytes::copy_from_slice(body.as_bytes()));
+        *response.status_mut() = StatusCode::from_u16(status).unwrap();
+        self.desk.answered(ms(self.now), link, &response, keeps);
+    }
+
+    fn lose(&mut self, link: LinkId) {
+        self.links.remove(&link);
+        self.asked.remove(&link);
+        self.desk.link_lost(ms(self.now), link, "reset");
+    }
+
+    fn say(&mut self, link: LinkId, text: &str) {
+        let bytes = Bytes::copy_from_slice(text.as_bytes());
+        self.desk.event_stream_input(ms(self.now), link, StatusCode::OK, &bytes);
+    }
+
+    /// What the party at the other end does next, well or badly.
+    fn serve(&mut self, rng: &mut Pcg32, link: LinkId) {
+        let (party, text) = self.links[&link].clone();
+        match party {
+            Party::News => {
+                if self.asked.remove(&link) {
+                    let attach = |proxy: &u16| {
+                        format!("event: attach\ndata: node={proxy}&locality=a&w=1.5&cold=1\n\n")
+                    };
+                    let all: String = self.joined.iter().map(attach).collect();
+                    self.say(link, &format!(":\n{all}"));
+                } else {
+                    self.say(link, ":\n");
+                }
+            }
+            Party::Calls if self.asked.contains(&link) => {
+                let (_, body) = text.split_once("\r\n\r\n").unwrap();
+                let orders = orders(body);
+                let bad = |order: &String| {
+                    let gone = |proxy: &str| !self.joined.contains(&proxy.parse().unwrap());
+                    order.strip_prefix("bind,").is_some_and(|rest| gone(rest.split(',').next().unwrap()))
+                };
+                let taken = orders.iter().position(bad).unwrap_or(orders.len());
+                let body = format!("<Response><ok_count>{taken}</ok_count></Response>");
+                let body = if rng.random_range(0..10) == 0 { "<Resp".into() } else { body };
+                self.answer(link, 200, &body, rng.random());
+            }
+            Party::List if self.asked.contains(&link) => {
+                self.revision += rng.random_range(0..3);
+                let revision = self.revision - u64::from(rng.random_range(0..6) == 0);
+                let entry = |k: usize, rng: &mut Pcg32| {
+                    let phase = ["SERVING", "SERVING", "DRAINING", "DELETED", "odd"][rng.random_range(0..5)];
+                    json!({"id": format!("s-{k}"), "host_port": format!("127.0.0.1:{}", 9_000 + k), "locality": "a",
+                           "flavor": "m2", "phase": phase, "up_since_ms": 0})
+                };
+                let complete: bool = rng.random();
+                let many = if complete { 8 } else { rng.random_range(0..3) };
+                let members: Vec<_> = (0..many).map(|k| entry(k + rng.random_range(0..5), rng)).collect();
+                let list =
+                    json!({"revision": revision, "complete": complete, "members": members}).to_string();
+                let status = if rng.random_range(0..5) == 0 { 503 } else { 200 };
+                self.answer(link, status, &list, rng.random());
+            }
+            Party::Probe if self.asked.contains(&link) => {
+                self.answer(link, if rng.random() { 200 } else { 503 }, "TEXT util=0.4", false);
+            }
+            Party::Calls | Party::List | Party::Probe => {}
+        }
+    }
+}
+
+/// Signals, list, news, calls, probes and timers cross at any step.
+#[test]
+fn the_whole_coordinator_keeps_its_word_however_its_parties_cross() {
+    for seed in 0..150 {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let desk = Desk::new(config(), ms(0));
+        let (links, asked, joined) = Default::default();
+        let mut parties = Parties { desk, now: 0, links, asked, joined, revision: 41, stopped: false };
+        for step in 0..1_500 {
+            parties.now += rng.random_range(1..40);
+            let proxy = rng.random_range(0..20);
+            let streams = |parties: &Parties| -> Vec<LinkId> {
+                let told = parties.links.iter().filter(|(link, _)| !parties.asked.contains(link));
+                told.filter(|(_, (party, _))| *party == Party::News).map(|(link, _)| *link).collect()
+            };
+            match rng.random_range(0..20) {
+                0..3 if step < 1_300 => {
+                    let news = if parties.joined.remove(&proxy) {
+                        format!("event: detach\ndata: node={proxy}\n\n")
+                    } else {
+                        parties.joined.insert(proxy);
+                        format!("event: attach\ndata: node={proxy}&locality=a&w=1.5&cold=0\n\n")
+                    };
+                    streams(&parties).into_iter().for_each(|link| parties.say(link, &news));
+                }
+                3 if step < 1_300 => {
+                    let of = parties.links.keys().copied().nth(rng.random_range(0..6));
+                    of.into_iter().for_each(|link| parties.lose(link));
+                }
+                4 if step < 1_300 && rng.random_range(0..10) == 0 => {
+                    let mut moved = config();
+                    moved.relay = if rng.random() { ADDRESS } else { OTHER };
+                    moved.discovery = if rng.random() { ADDRESS } else { OTHER };
+                    parties.desk.reconfigure(ms(parties.now), &moved);
+                }
+                _ => {
+                    for link in parties.links.keys().copied().collect::<Vec<_>>() {
+                        // Whoever is not served falls silent.
+                        if rng.random_range(0..3) > 0 {
+                            parties.serve(&mut rng, link);
+                        }
+                    }
+                }
+            }
+            parties.turn();
+        }
+        let status = parties.desk.status();
+        assert_eq!(status.proxies, parties.joined.len(), "seed {seed}: {status:?}");
+        assert!(status.servers <= 12 && status.orders_waiting <= 4_096, "seed {seed}: {status:?}");
+        parties.desk.shut_down();
+        parties.stopped = true;
+        for _ in 0..40 {
+            parties.now += 10;
+            parties.turn();
+            let calls = parties.links.iter().filter(|(_, (party, _))| *party == Party::Calls);
+            for link in calls.map(|(link, _)| *link).collect::<Vec<_>>() {
+                parties.serve(&mut rng, link);
+            }
+        }
+        parties.now += 1_000;
+        parties.turn();
+        let status = parties.desk.status();
+        assert!(status.orders_waiting <= 40, "seed {seed}: {status:?}");
+    }
+}
--- a/crates/craneknot-reactor/src/reactor.rs
+++ b/crates/craneknot-reactor/src/reactor.rs
@@ -27,11 +27,13 @@
     /// Accepted connections at once; beyond it new ones are closed on arrival. Dialled ones do not count: peers
     /// that dial in must not keep the owner from dialling out.
     pub connections: usize,
+    /// Connections accepted in one poll: the owner looks at these before more come.
+    pub accepts: usize,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { input: 256 * 1024, output: 16 * 1024 * 1024, connections: 16_000 }
+        Limits { input: 256 * 1024, output: 16 * 1024 * 1024, connections: 16_000, accepts: 256 }
     }
 }
 
@@ -134,7 +136,6 @@
 }
 
 const REST: Duration = Duration::from_millis(100); // a listener rests so long when the system has no room
-const ACCEPTS: usize = 256; // a turn: a storm of connections must not hold up those that stand
 const READS: usize = 16; // of 16 KiB a turn and connection: a fast peer must not hold up others
 
 impl<T> Reactor<T> {
@@ -201,7 +202,7 @@
     pub fn unlisten(&mut self, listener: ListenerId) {
         let stands = matches!(self.sources.get(listener.key), Some(Source::Listener { made, .. }) if *made == listener.made);
         if stands {
-            self.accept(listener.key);
+            self.accept(listener.key, usize::MAX);
             let Source::Listener { socket, .. } = self.sources.remove(listener.key) else { unreachable!() };
             let _ = self.poller.delete(&socket);
         }
@@ -461,13 +462,14 @@
                 while matches!(pipe.read(&mut sink), Ok(count) if count > 0) {}
                 self.happened.push_back(Happened::Signal(*number));
             }
-            Some(Source::Listener { .. }) => self.accept(key),
+            Some(Source::Listener { .. }) => self.accept(key, self.limits.accepts),
             Some(Source::Conn(_)) => self.serve(key, event),
         }
     }
 
-    fn accept(&mut self, key: usize) {
-        for _ in 0..ACCEPTS {
+    /// A storm of connections must not hold up those that stand: so many at a time.
+    fn accept(&mut self, key: usize, most: usize) {
+        for _ in 0..most {
             let Some(Source::Listener { made, socket }) = self.sources.get(key) else { return };
             let listener = ListenerId { key, made: *made };
             match socket.accept() {
