--- a/crates/craneknot-node/tests/parts.rs
+++ b/crates/craneknot-node/tests/parts.rs
@@ -71,7 +71,20 @@
 }
 
 #[test]
-fn a_spoilt_report_costs_itself_alone_and_a_garbled_line_the_connection() {
+fn a_guest_that_has_its_answer_gives_way_before_one_that_waits_for_it() {
+    let (mut door, names, mut services) = (Door::new(256), config().names, Vec::new());
+    (0..64).for_each(|id| door.came(ms(id), GuestId(id), &mut services));
+    take(&mut door, 40, "{\"type\":\"hb\"}\n", &names);
+    assert!(services.is_empty());
+    (64..66).for_each(|id| door.came(ms(id), GuestId(id), &mut services));
+    assert!(
+        matches!(services[..], [Service::Close(GuestId(40), _), Service::Close(GuestId(0), _)]),
+        "{services:?}"
+    );
+}
+
+#[test]
+fn a_malformed_report_costs_itself_alone_and_a_corrupt_line_the_connection() {
     let (mut door, names) = (Door::new(256), config().names);
     door.came(ms(0), GuestId(1), &mut Vec::new());
     let spoilt = DEMAND.replace("17", "\"nan\"");
--- a/crates/craneknot-platform/src/config.rs
+++ b/crates/craneknot-platform/src/config.rs
@@ -41,8 +41,11 @@
         let seed = object.text("seed")?;
         let seed = u64::from_str_radix(seed, 16).map_err(|_| object.wrong("seed", "up to 16 hex digits"))?;
         let mut names = GivenNames::default();
-        let settings = given::settings(object.need("settings")?, &mut names)
+        let mut settings = given::settings(object.need("settings")?, &mut names)
             .map_err(|what| format!("configuration: settings: {what}"))?;
+        // Whatever the settings say of a simulator's list, here discovery tells only who asks: where the list counted
+        // as pushed nobody asked, and drains were never heard of.
+        settings.list_on_request = true;
         let mut notes = Vec::new();
         let known = object.get("known").filter(|known| !known.is_null());
         let known = known.and_then(|known| match discovery::roster(known, &mut names) {
--- a/crates/craneknot-platform/tests/messages.rs
+++ b/crates/craneknot-platform/tests/messages.rs
@@ -40,6 +40,18 @@
     }
 }
 
+/// Found on a deployment written here: with a pushed list nobody watched discovery, and the rule on drains broke.
+#[test]
+fn discovery_is_watched_whatever_the_settings_say_of_the_list() {
+    for (mode, within) in [("pushed", None), ("on_request", Some(10.0))] {
+        let mut value = configuration();
+        value["settings"]["registry-mode"] = mode.into();
+        value["settings"]["rules"]["ask-within"] = within.into();
+        let config = Config::read(value.to_string().as_bytes()).unwrap();
+        assert!(config.settings.list_on_request, "{mode}");
+    }
+}
+
 /// The list that is known from before is a help, not a condition: discovery tells the list anyway.
 #[test]
 fn a_malformed_entry_of_the_known_list_costs_itself_and_is_told_with_its_place() {
