Node: a leader of news that is quiet gives way after 1.5 s to a stream that speaks

A sign of life comes every second; a leader without one for 1.5 s gives way if another stream has had one. Test seen to fail before it.

--- a/crates/craneknot-node/src/event_streams.rs
+++ b/crates/craneknot-node/src/event_streams.rs
@@ -16,6 +16,7 @@
 
 const HELD: usize = 2; // streams: with one, news is missed whenever it breaks
 const SILENT: Nanos = Nanos::from_millis(2_500); // ms; a sign of life comes every second
+const QUIET: Nanos = Nanos::from_millis(1_500); // ms; a leader this long without its sign, while another has had one
 const OPEN_MOST: Nanos = Nanos::from_millis(1_500); // ms; to be connected and hear the first byte
 const SETTLED: Nanos = Nanos::from_millis(500); // ms; what stands has been told by then, on a new stream
 const OVERLAP: Nanos = Nanos::from_millis(500); // ms; before a leader's last word, news may have been on its way
@@ -214,12 +215,16 @@
 
     /// Lets another stream lead where none does, or the leader is silent and another speaks.
     fn choose_lead(&mut self, now: Nanos, out: &mut Vec<News>) {
-        let leads = self.streams.iter().find(|stream| Some(stream.link) == self.lead);
-        if leads.is_some_and(|stream| stream.speaks(now)) {
+        // Who joins while the leader is quiet is bound late, and keeps lines of servers that are gone: another that
+        // speaks has what the leader has not.
+        let quiet = |stream: &EventStream| now - stream.heard >= QUIET;
+        let leads = self.streams.iter().find(|stream| Some(stream.link) == self.lead && stream.speaks(now));
+        if leads.is_some_and(|leader| !quiet(leader)) {
             return;
         }
-        // The one that has been open longest has settled first.
         let speaking = self.streams.iter().filter(|stream| stream.speaks(now));
+        let speaking = speaking.filter(|stream| leads.is_none() || !quiet(stream));
+        // The one that has been open longest has settled first.
         let Some(next) = speaking.min_by_key(|stream| stream.open) else { return };
         self.lead = Some(next.link);
         self.settling = next.open;
@@ -269,7 +274,9 @@
             None => Some(stream.dialled + OPEN_MOST),
             Some(_) => stream.speaks(now).then_some(stream.heard + SILENT),
         });
+        let leader = self.streams.iter().find(|stream| Some(stream.link) == self.lead);
+        let quiet = leader.map(|leader| leader.heard + QUIET).filter(|at| *at > now);
         let dial = self.wants_more(now).then_some(self.dial_at);
-        settled.into_iter().chain(streams).chain(dial).min()
+        settled.into_iter().chain(streams).chain(quiet).chain(dial).min()
     }
 }
--- a/crates/craneknot-node/tests/parts.rs
+++ b/crates/craneknot-node/tests/parts.rs
@@ -522,6 +522,28 @@
     assert_eq!(relay.told(), [left(1)]);
 }
 
+/// Found by reading: who joined while the leader was silent and the other stream spoke was told after 2.5 s, when the
+/// time in which it must be off lost servers may be over.
+#[test]
+fn who_joins_while_the_leader_is_quiet_is_told_by_the_stream_that_speaks() {
+    let (mut relay, [first, second]) = Relay::with_two(&[1]);
+    relay.turn(900);
+    [first, second].iter().for_each(|link| relay.hear(1_000, *link, vec![]));
+    relay.hear(1_050, second, vec![joined(2)]);
+    relay.hear(2_000, second, vec![]);
+    relay.turn(2_400);
+    assert_eq!(relay.told(), [], "its sign may be late");
+    assert_eq!(relay.streams.next_at(ms(2_400)), Some(ms(2_500)));
+    relay.turn(2_500);
+    assert_eq!(relay.told(), [joined(2)]);
+    assert!(relay.streams.has(first), "it may speak on");
+    relay.hear(2_600, first, vec![joined(2)]);
+    assert_eq!(relay.told(), [], "and has nothing new to tell");
+    // Where both are quiet neither has more than the other.
+    relay.turn(4_200);
+    assert_eq!(relay.told(), []);
+}
+
 /// Found on reading again: a silent leader that is kept set a time in the past, and the loop did not rest until it spoke.
 #[test]
 fn while_the_relay_is_silent_the_next_look_is_never_in_the_past() {
