--- a/crates/craneknot-node/src/outbox.rs
+++ b/crates/craneknot-node/src/outbox.rs
@@ -55,7 +55,7 @@
 }
 
 /// The orders of a proxy that the relay does not know: it may have left, news of which is on its way, or the
-/// relay's count was spoilt. They wait, in order, and hold up nobody else's.
+/// relay's count was malformed. They wait, in order, and hold up nobody else's.
 struct Held {
     until: Nanos,
     orders: VecDeque<Queued>,
