--- a/crates/craneknot-node/src/outbox.rs
+++ b/crates/craneknot-node/src/outbox.rs
@@ -254,7 +254,7 @@
         }
     }
 
-    /// The first order of the queue was not taken. A count that was spoilt on its way must not lose an order, so
+    /// The first order of the queue was not taken. A count malformed on its way must not lose an order, so
     /// that it is tried once more, then given up and returned. One for a proxy waits for that with all of that
     /// proxy's: where hundreds leave at once, the others' orders must not wait for each of them.
     fn refused(&mut self, now: Nanos) -> Option<Written> {
