--- /dev/null
+++ b/crates/craneknot-cli/tests/helpers/mod.rs
@@ -0,0 +1,97 @@
+//! `craneknot node` as a real process, with heartbeats and signals.
+#![allow(dead_code)] // each test program takes its part of it
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::{json, Value};
+
+#[path = "../../../craneknot-node/tests/helpers/peers.rs"]
+pub mod peers;
+use peers::patient;
+
+pub const HEARTBEAT: &[u8] = b"{\"type\":\"hb\"}\n";
+pub const HEARTBEAT_ANSWER: &[u8] = b"{\"type\":\"hb_ok\"}\n";
+
+/// A coordinator process, which is killed when this is dropped.
+pub struct Node {
+    pub child: Child,
+    pub address: SocketAddr,
+}
+
+impl Node {
+    pub fn start(folder: &Path, value: &Value) -> Self {
+        Self::start_with(folder, value, &[])
+    }
+
+    /// Starts it with these variables in its environment.
+    pub fn start_with(folder: &Path, value: &Value, variables: &[(&str, &str)]) -> Self {
+        let file = folder.join("config.json");
+        std::fs::write(&file, value.to_string()).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_craneknot"));
+        command.args(["--log", "json", "node"]).arg(&file).stdout(Stdio::null()).stderr(Stdio::piped());
+        command.envs(variables.iter().copied());
+        let mut child = command.spawn().unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap()).lines();
+        let address = log.by_ref().find_map(|line| {
+            let line: Value = serde_json::from_str(&line.unwrap()).unwrap();
+            line.pointer("/fields/address").and_then(Value::as_str).map(|address| address.parse().unwrap())
+        });
+        // What it logs later must not fill the pipe.
+        std::thread::spawn(move || log.for_each(drop));
+        Node { child, address: address.expect("it tells where it listens") }
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).unwrap();
+    }
+
+    pub fn dial(&self) -> TcpStream {
+        patient(TcpStream::connect(self.address).unwrap())
+    }
+
+    /// A client that has asked once and has been answered.
+    pub fn answered_client(&self) -> TcpStream {
+        let mut client = self.dial();
+        client.write_all(HEARTBEAT).unwrap();
+        assert!(is_answered(&mut client));
+        client
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Whether the next thing that a client gets is the answer to its heartbeat.
+pub fn is_answered(client: &mut TcpStream) -> bool {
+    let mut answer = vec![0; HEARTBEAT_ANSWER.len()];
+    client.read_exact(&mut answer).is_ok() && answer == HEARTBEAT_ANSWER
+}
+
+/// The library of failing system calls, which the workspace builds beside the program.
+pub fn fault_library() -> PathBuf {
+    let library = Path::new(env!("CARGO_BIN_EXE_craneknot")).with_file_name("libcraneknot_fault_shim.so");
+    assert!(library.exists(), "{} is missing: build the workspace first", library.display());
+    library
+}
+
+pub fn configuration(relay: SocketAddr) -> Value {
+    let whole = include_str!("../../../craneknot-platform/tests/configuration.json");
+    let mut value: Value = serde_json::from_str(whole).unwrap();
+    value["listen"] = "127.0.0.1:0".into();
+    value["discovery"] = "127.0.0.1:1".into();
+    value["distributor"]["address"] = relay.to_string().into();
+    let server = |k: usize| {
+        json!({"id": format!("s-{k}"), "host_port": format!("127.0.0.1:{}", 9_000 + k), "locality": "a",
+               "flavor": "m2", "phase": "SERVING"})
+    };
+    value["known"]["members"] = (0..6).map(server).collect();
+    value
+}
--- a/crates/craneknot-cli/tests/node.rs
+++ b/crates/craneknot-cli/tests/node.rs
@@ -1,71 +1,17 @@
 //! `craneknot node` as a process: signals that cross requests in flight.
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver};
 use std::sync::Arc;
 
-use rustix::process::{kill_process, Pid, Signal};
-use serde_json::{json, Value};
+use rustix::process::Signal;
 
-#[path = "../../craneknot-node/tests/helpers/peers.rs"]
-#[allow(dead_code)] // this test program takes its part of it
-mod peers;
-use peers::{accept, listener, news, orders, patient, request, taken};
-
-const ALIVE: &[u8] = b"{\"type\":\"hb\"}\n";
-const ALIVE_OK: &[u8] = b"{\"type\":\"hb_ok\"}\n";
-
-struct Node {
-    child: Child,
-    address: SocketAddr,
-}
-
-impl Node {
-    fn start(folder: &Path, value: &Value) -> Self {
-        let file = folder.join("config.json");
-        std::fs::write(&file, value.to_string()).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_craneknot"));
-        command.args(["--log", "json", "node"]).arg(&file).stdout(Stdio::null()).stderr(Stdio::piped());
-        let mut child = command.spawn().unwrap();
-        let mut log = BufReader::new(child.stderr.take().unwrap()).lines();
-        let address = log.by_ref().find_map(|line| {
-            let line: Value = serde_json::from_str(&line.unwrap()).unwrap();
-            line.pointer("/fields/address").and_then(Value::as_str).map(|address| address.parse().unwrap())
-        });
-        // What it logs later must not fill the pipe.
-        std::thread::spawn(move || log.for_each(drop));
-        Node { child, address: address.expect("it tells where it listens") }
-    }
-
-    fn signal(&self, signal: Signal) {
-        kill_process(Pid::from_child(&self.child), signal).unwrap();
-    }
-}
-
-impl Drop for Node {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-fn configuration(relay: SocketAddr) -> Value {
-    let whole = include_str!("../../craneknot-platform/tests/configuration.json");
-    let mut value: Value = serde_json::from_str(whole).unwrap();
-    value["listen"] = "127.0.0.1:0".into();
-    value["discovery"] = "127.0.0.1:1".into();
-    value["distributor"]["address"] = relay.to_string().into();
-    let server = |k: usize| {
-        json!({"id": format!("s-{k}"), "host_port": format!("127.0.0.1:{}", 9_000 + k), "locality": "a",
-               "flavor": "m2", "phase": "SERVING"})
-    };
-    value["known"]["members"] = (0..6).map(server).collect();
-    value
-}
+mod helpers;
+use helpers::peers::{accept, listener, news, orders, patient, request, taken};
+use helpers::{configuration, Node, HEARTBEAT as ALIVE, HEARTBEAT_ANSWER as ALIVE_OK};
 
 /// Takes one order of each of three calls, then keeps its answer back until told to take all; tells what it took.
 fn relay(proxies: u16) -> (SocketAddr, Receiver<String>, Arc<AtomicBool>) {
