Node: one ledger of what is owed; open connections are served until the kill

A news event out of range cost the stream. Change: PendingWork is the one ledger (requests read, lines read in part, answers unsent, orders), asked by shutdown, eviction, idle close and hand-over; connections wait in the backlog until there is room; SIGTERM serves open connections for 2 s at most, and comes in series without effect; lingering close; signals as flags; momentary failures of system calls in one table; a bad news event costs itself; a server's age is bounded by what was seen here; a guard on orders; takeovers and violations are logged.

--- a/crates/craneknot-node/src/desk.rs
+++ b/crates/craneknot-node/src/coordinator.rs
@@ -14,11 +14,15 @@
 use craneknot_settings::given::GivenNames;
 use http::{Response, StatusCode};
 
-use crate::door::{Door, GuestId, Service};
+use crate::clients::{ClientAction, ClientId, Clients};
+use crate::descriptors::Descriptors;
 use crate::event_streams::EventStreams;
 use crate::link::{Act, LinkId, Links};
-use crate::outbox::{Outbox, Written};
+use crate::order_queue::{EncodedOrder, OrderQueue};
+use crate::pending::{CloseReason, PendingWork, Violations};
 use crate::probes::{self, Probes};
+use crate::server_age::ServerStarts;
+use crate::takeover::{Takeover, TakeoverWatch};
 use crate::watch::Watch;
 
 const GAP: Nanos = Nanos::from_millis(5); // ms; what comes together is decided on together
@@ -27,10 +31,12 @@
 /// What the shell is to do.
 #[derive(Debug, Default)]
 pub struct Todo {
-    pub services: Vec<Service>,
+    pub client_actions: Vec<ClientAction>,
     pub acts: Vec<Act>,
     /// For the log.
     pub notes: Vec<String>,
+    /// A takeover that is over, for the log.
+    pub takeover: Option<Takeover>,
 }
 
 /// What an operator wants to know at a glance.
@@ -39,7 +45,10 @@
     pub proxies: usize,
     pub servers: usize,
     pub collectors: usize,
-    pub guests: usize,
+    /// Clients that have not joined.
+    pub unidentified: usize,
+    /// Clients that something is owed to.
+    pub clients_pending: usize,
     pub reports: u64,
     pub reports_malformed: u64,
     pub orders: u64,
@@ -47,18 +56,24 @@
     pub orders_rejected: u64,
     pub calls_retried: u64,
     pub event_streams: usize,
+    /// News that were left out, since a field was absent, wrong or out of range.
+    pub news_malformed: u64,
+    pub violations: Violations,
 }
 
-pub struct Desk {
+pub struct Coordinator {
     controller: Controller,
     names: GivenNames,
     proxies: u32,
     /// The servers as last listed, but for those removed.
     listed: BTreeMap<ServerId, (Listing, SocketAddr)>,
     links: Links,
-    door: Door,
+    clients: Clients,
+    pending: PendingWork,
+    starts: ServerStarts,
+    takeovers: TakeoverWatch,
     streams: EventStreams,
-    outbox: Outbox,
+    order_queue: OrderQueue,
     watch: Watch,
     probes: Probes,
     events: Vec<Event>,
@@ -69,22 +84,30 @@
     todo: Todo,
     reports: u64,
     orders: u64,
+    news_malformed: u64,
+    /// By class: what happens when one of its operations runs twice.
+    repeats: Vec<Repeats>,
 }
 
-impl Desk {
+impl Coordinator {
     pub fn new(config: Config, now: Nanos) -> Self {
+        let descriptors = Descriptors::divide(config.sockets);
         let revision = config.known.as_ref().map(|known| known.revision);
-        let mut desk = Desk {
+        let mut coordinator = Coordinator {
             proxies: config.settings.proxies,
+            repeats: config.settings.classes.iter().map(|class| class.repeats).collect(),
             controller: Controller::new(config.settings, config.seed, now),
             names: config.names,
             listed: BTreeMap::new(),
             links: Links::default(),
-            door: Door::new(config.sockets),
+            clients: Clients::new(descriptors.unidentified),
+            pending: PendingWork::default(),
+            starts: ServerStarts::default(),
+            takeovers: TakeoverWatch::default(),
             streams: EventStreams::new(config.relay, now),
-            outbox: Outbox::new(config.relay, now),
+            order_queue: OrderQueue::new(config.relay, now),
             watch: Watch::new(config.discovery, revision),
-            probes: Probes::default(),
+            probes: Probes::new(descriptors.probes),
             events: Vec::new(),
             stepped: Nanos(0),
             wake_at: Some(now),
@@ -92,33 +115,67 @@
             todo: Todo { notes: config.notes, ..Todo::default() },
             reports: 0,
             orders: 0,
+            news_malformed: 0,
         };
         if let Some(known) = config.known {
-            desk.take_roster(known, Some(ListScope::Remembered));
+            coordinator.take_roster(now, known, Some(ListScope::Remembered));
         }
-        desk
+        coordinator
     }
 
     /// A new configuration counts for where discovery and the relay are; all else is as at the start.
     pub fn reconfigure(&mut self, now: Nanos, config: &Config) {
         self.streams.move_to(now, config.relay);
-        self.outbox.move_to(now, config.relay, &mut self.todo.acts);
+        self.order_queue.move_to(now, config.relay, &mut self.todo.acts);
         self.watch.move_to(config.discovery, &mut self.todo.acts);
     }
 
-    pub fn guest_came(&mut self, now: Nanos, id: GuestId) {
-        self.door.came(now, id, &mut self.todo.services);
+    /// A client was accepted.
+    pub fn client_connected(&mut self, now: Nanos, id: ClientId) {
+        self.clients.came(now, id);
     }
 
-    pub fn guest_gone(&mut self, id: GuestId) {
-        self.door.gone(id);
+    /// How many more clients may be accepted. In a shutdown nobody joins any more, and all descriptors are theirs.
+    pub fn accept_room(&self) -> usize {
+        if self.shutting_down {
+            usize::MAX
+        } else {
+            self.clients.room()
+        }
+    }
+
+    /// A client's connection has ended; what was owed on it is cleared, or counted.
+    pub fn client_gone(&mut self, id: ClientId, reason: CloseReason) {
+        self.clients.gone(id);
+        self.pending.closed(id, reason);
     }
 
-    pub fn guest_input(&mut self, now: Nanos, id: GuestId, input: &mut BytesMut) {
-        self.door.heard(now, id);
+    /// An answer was given to a client's connection; `unsent`: the system has not taken all of it.
+    pub fn client_answered(&mut self, id: ClientId, unsent: bool) {
+        self.pending.request_answered(id, unsent);
+    }
+
+    /// All that was given to a client's connection is written.
+    pub fn client_flushed(&mut self, id: ClientId) {
+        self.pending.flushed(id);
+    }
+
+    /// Whether anything is owed to a client.
+    pub fn owes(&self, id: ClientId) -> bool {
+        self.pending.owes(id)
+    }
+
+    /// Bytes have come of a client.
+    pub fn client_input(&mut self, now: Nanos, id: ClientId, input: &mut BytesMut) {
+        self.clients.heard(now, id);
         let before = self.events.len();
-        self.door.take(id, input, &self.names, self.proxies, &mut self.events, &mut self.todo.services);
-        self.reports += (self.events.len() - before) as u64;
+        let (pending, actions) = (&mut self.pending, &mut self.todo.client_actions);
+        self.clients.take(now, id, input, &self.names, self.proxies, pending, &mut self.events, actions);
+        let reports = self.events.len() - before;
+        self.reports += reports as u64;
+        if reports > 0 {
+            self.takeovers.reported(now);
+        }
     }
 
     /// Whether a link's answer never ends, and is wanted as it comes.
@@ -137,10 +194,14 @@
         }
         let Some(decoder) = self.streams.decoder(link) else { return };
         match decoder.take(bytes, &mut self.names, self.proxies) {
-            Ok(news) => {
+            Ok(decoded) => {
+                for cause in decoded.malformed {
+                    self.news_malformed += 1;
+                    self.note(cause);
+                }
                 let mut out = Vec::new();
-                self.streams.heard(now, link, news, &mut out);
-                self.take_news(out);
+                self.streams.heard(now, link, decoded.news, &mut out);
+                self.take_news(now, out);
             }
             Err(cause) => self.drop_event_stream(now, link, &cause),
         }
@@ -151,15 +212,22 @@
         self.link_lost(now, link, cause);
     }
 
-    fn take_news(&mut self, news: Vec<News>) {
+    fn take_news(&mut self, now: Nanos, news: Vec<News>) {
         for news in news {
             self.events.push(match news {
-                News::Joined { proxy, zone, usual_rate } => Event::ProxyJoined { proxy, zone, usual_rate },
+                News::Joined { proxy, zone, usual_rate } => {
+                    self.takeovers.joined(now, proxy);
+                    Event::ProxyJoined { proxy, zone, usual_rate }
+                }
                 News::Left { proxy } => {
-                    self.outbox.left(proxy);
+                    self.takeovers.left(proxy);
+                    self.order_queue.left(proxy);
                     Event::ProxyLeft { proxy }
                 }
-                News::Applied { proxy, mark } => Event::Applied { proxy, mark },
+                News::Applied { proxy, mark } => {
+                    self.takeovers.applied(now);
+                    Event::Applied { proxy, mark }
+                }
             });
         }
     }
@@ -167,8 +235,8 @@
     /// A whole answer has come; `keeps`: the connection may be used again.
     pub fn answered(&mut self, now: Nanos, link: LinkId, response: &Response<Bytes>, keeps: bool) {
         let (status, body) = (response.status(), response.body());
-        if self.outbox.has(link) {
-            if let Err(cause) = self.outbox.answered(now, body, keeps, &mut self.todo.acts) {
+        if self.order_queue.has(link) {
+            if let Err(cause) = self.order_queue.answered(now, body, keeps, &mut self.todo.acts) {
                 self.note(cause);
             }
         } else if self.watch.has(link) {
@@ -179,7 +247,10 @@
             };
             match list {
                 Ok(roster) => match self.watch.answered(now, &roster, keeps, &mut self.todo.acts) {
-                    Ok(()) => self.take_roster(roster, None),
+                    Ok(()) => {
+                        self.take_roster(now, roster, None);
+                        self.starts.list_taken(now);
+                    }
                     Err(cause) => self.list_failed(&cause),
                 },
                 Err(cause) => {
@@ -198,8 +269,8 @@
 
     /// A link has ended by itself, or never came up.
     pub fn link_lost(&mut self, now: Nanos, link: LinkId, cause: &str) {
-        if self.outbox.has(link) {
-            self.outbox.lost(now);
+        if self.order_queue.has(link) {
+            self.order_queue.lost(now);
         } else if self.watch.has(link) {
             if self.watch.lost(now) {
                 self.list_failed(cause);
@@ -208,7 +279,7 @@
             self.note(format!("a stream of news has ended: {cause}"));
             let mut out = Vec::new();
             self.streams.lost(now, link, &mut out);
-            self.take_news(out);
+            self.take_news(now, out);
         } else if let Some((server, took)) = self.probes.end(now, link) {
             self.probe_failed(server, took);
         }
@@ -224,19 +295,21 @@
         self.events.push(Event::List { scope: ListScope::Failed, entries: [].into() });
     }
 
-    fn take_roster(&mut self, roster: Roster, scope: Option<ListScope>) {
+    fn take_roster(&mut self, now: Nanos, roster: Roster, scope: Option<ListScope>) {
         let told = if roster.complete { ListScope::Whole } else { ListScope::Changes };
         let before = if roster.complete { std::mem::take(&mut self.listed) } else { BTreeMap::new() };
         let mut entries = Vec::with_capacity(roster.servers.len());
         for (id, cause) in roster.malformed {
             // Whose entry can't be read stands as it was: it is listed all the same.
             if let Some(entry) = id.as_ref().and_then(|id| before.get(id)) {
+                self.starts.still_listed(now, &entry.0.server);
                 self.listed.insert(entry.0.server.clone(), entry.clone());
                 entries.push(entry.0.clone());
             }
             self.note(cause);
         }
-        for (listing, address) in roster.servers {
+        for (mut listing, address) in roster.servers {
+            listing.started = self.starts.observe(now, &listing.server, listing.started);
             match listing.readiness {
                 Readiness::Ready | Readiness::Draining => {
                     self.listed.insert(listing.server.clone(), (listing.clone(), address));
@@ -256,28 +329,43 @@
 
     /// Does what is due, and gives what the shell is to do.
     pub fn turn(&mut self, now: Nanos) -> Todo {
-        self.door.turn(now, &mut self.todo.services);
         if !self.shutting_down {
+            self.clients.turn(now, &mut self.todo.client_actions);
             self.decide(now);
         }
-        self.outbox.turn(now, &mut self.links, &mut self.todo.acts);
+        self.order_queue.turn(now, &mut self.links, &mut self.todo.acts);
+        self.pending.set_orders(self.order_queue.waiting());
+        self.pending.orders_overtaken(self.order_queue.take_overtaken());
+        self.todo.takeover = self.takeovers.finished(now, self.streams.told());
         std::mem::take(&mut self.todo)
     }
 
-    /// Asked to end: what is ordered goes out, whoever has come is answered, and nothing new begins.
+    /// Asked to end: what is ordered goes out, whoever asks on an open connection is answered, and nothing new is
+    /// decided.
     pub fn shut_down(&mut self) {
         self.shutting_down = true;
     }
 
-    /// Whether nothing is owed any more: no order waits, and nobody who has come is still to be heard.
-    pub fn settled(&self) -> bool {
-        self.outbox.is_idle() && self.door.unanswered() == 0
+    /// Whether nobody is connected and no order waits.
+    pub fn is_finished(&self) -> bool {
+        self.clients.is_empty() && self.pending.is_settled()
+    }
+
+    /// Whether nothing is owed to any client.
+    pub fn clients_settled(&self) -> bool {
+        self.pending.clients() == 0
+    }
+
+    /// The process ends now; what is owed counts as violated.
+    pub fn abandon(&mut self) -> Violations {
+        self.pending.abandon();
+        self.pending.violations()
     }
 
     fn decide(&mut self, now: Nanos) {
         let mut news = Vec::new();
         self.streams.turn(now, &mut self.links, &mut self.todo.acts, &mut news);
-        self.take_news(news);
+        self.take_news(now, news);
         let overdue = self.probes.overdue(now, &mut self.todo.acts);
         overdue.into_iter().for_each(|(server, took)| self.probe_failed(server, took));
         if self.watch.turn(now, &mut self.links, &mut self.todo.acts) {
@@ -308,30 +396,54 @@
                     let (links, acts) = (&mut self.links, &mut self.todo.acts);
                     self.probes.begin(now, server, *address, links, acts);
                 }
-                Order::Bind { proxy, .. } => self.order(&order, Some(*proxy)),
-                Order::Line { .. } | Order::Level { .. } | Order::Mark { .. } => self.order(&order, None),
+                Order::Bind { proxy, .. } => self.order(now, &order, Some(*proxy)),
+                Order::Line { .. } | Order::Level { .. } | Order::Mark { .. } => {
+                    self.order(now, &order, None)
+                }
             }
         }
     }
 
+    /// Whether an order may go out, whatever the decisions believe: no line for a server that is not listed as ready, no
+    /// binding of a proxy that is not joined, and no further try of what must not run twice.
+    fn is_allowed(&self, order: &Order) -> bool {
+        match order {
+            Order::Line { server, weight, .. } => {
+                let listed = self.listed.get(server);
+                *weight <= 0.0 || listed.is_some_and(|(listing, _)| listing.readiness == Readiness::Ready)
+            }
+            Order::Bind { proxy, .. } => self.streams.is_told(*proxy),
+            Order::Level { classes, tries: FurtherTries::Once | FurtherTries::Twice, .. } => {
+                let named = (0u8..).zip(&self.repeats).filter(|(class, _)| classes.has(ClassId(*class)));
+                named.into_iter().all(|(_, repeats)| *repeats == Repeats::Safe)
+            }
+            _ => true,
+        }
+    }
+
     /// Puts an order in line for the relay; of no use without that proxy.
-    fn order(&mut self, order: &Order, proxy: Option<ProxyId>) {
+    fn order(&mut self, now: Nanos, order: &Order, proxy: Option<ProxyId>) {
+        if !self.is_allowed(order) {
+            self.pending.order_forbidden();
+            return self.note(format!("an order that would break a rule is not sent: {order:?}"));
+        }
         self.orders += 1;
-        let written = |text| Written { text, proxy, subject: relay::subject(order) };
-        self.outbox.offer(relay::order(order, &self.names).map(written));
+        self.takeovers.ordered(now, order);
+        let encoded = |text| EncodedOrder { text, proxy, subject: relay::subject(order) };
+        self.order_queue.offer(relay::order(order, &self.names).map(encoded));
     }
 
     /// When the next turn is due though nothing comes in.
     pub fn next_at(&self, now: Nanos) -> Option<Nanos> {
         if self.shutting_down {
-            return [self.door.next_at(), self.outbox.next_at()].into_iter().flatten().min();
+            return self.order_queue.next_at();
         }
         let step = (!self.events.is_empty()).then_some(self.stepped + GAP);
         let times = [
             step,
             self.wake_at,
-            self.door.next_at(),
-            self.outbox.next_at(),
+            self.clients.next_at(),
+            self.order_queue.next_at(),
             self.watch.next_at(),
             self.probes.next_at(),
             self.streams.next_at(now),
@@ -345,19 +457,22 @@
     }
 
     pub fn status(&self) -> Status {
-        let (collectors, guests) = self.door.counts();
+        let (collectors, unidentified) = self.clients.counts();
         Status {
             proxies: self.streams.told(),
             servers: self.listed.len(),
             collectors,
-            guests,
+            unidentified,
+            clients_pending: self.pending.clients(),
             reports: self.reports,
-            reports_malformed: self.door.malformed,
+            reports_malformed: self.clients.malformed,
             orders: self.orders,
-            orders_waiting: self.outbox.waiting(),
-            orders_rejected: self.outbox.rejected,
-            calls_retried: self.outbox.retried,
+            orders_waiting: self.order_queue.waiting(),
+            orders_rejected: self.order_queue.rejected,
+            calls_retried: self.order_queue.retried,
             event_streams: self.streams.streams(),
+            news_malformed: self.news_malformed,
+            violations: self.pending.violations(),
         }
     }
 }
--- a/crates/craneknot-node/src/event_streams.rs
+++ b/crates/craneknot-node/src/event_streams.rs
@@ -267,6 +267,11 @@
         self.told.len()
     }
 
+    /// Whether a proxy is told as joined.
+    pub fn is_told(&self, proxy: ProxyId) -> bool {
+        self.told.contains(&proxy)
+    }
+
     /// When the next turn is due though nothing comes in. A leader that is silent, and kept, sets no time.
     pub fn next_at(&self, now: Nanos) -> Option<Nanos> {
         let settled = self.settling.map(|since| since + SETTLED);
--- a/crates/craneknot-node/src/lib.rs
+++ b/crates/craneknot-node/src/lib.rs
@@ -1,15 +1,20 @@
-//! A real coordinator on the users' platform. [`desk`] is the whole of it without I/O: it streams the decisions
+//! A real coordinator on the users' platform. [`coordinator`] is the whole of it without I/O: it streams the decisions
 //! (`craneknot::Controller`) what occurs and carries out their orders; [`shell`] puts it on sockets.
 //!
 //! What is decided here is the program's own, each in a file of its own with the clock passed in: who may speak
-//! at the coordinator's address ([`door`]), which stream of news counts ([`event_streams`]), when a call in doubt is made
-//! again ([`outbox`]), how the list is followed ([`watch`]), which probes are in flight ([`probes`]).
+//! at the coordinator's address ([`clients`]), what is owed to whom ([`pending`]), which stream of news counts
+//! ([`event_streams`]), when a call in doubt is made again ([`order_queue`]), how the list is followed ([`watch`]), how old
+//! a server is ([`server_age`]), what descriptors are for ([`descriptors`]), which probes are in flight ([`probes`]).
 
-pub mod desk;
-pub mod door;
+pub mod clients;
+pub mod coordinator;
+pub mod descriptors;
 pub mod event_streams;
 pub mod link;
-pub mod outbox;
+pub mod order_queue;
+pub mod pending;
 pub mod probes;
+pub mod server_age;
 pub mod shell;
+pub mod takeover;
 pub mod watch;
--- a/crates/craneknot-node/src/outbox.rs
+++ b/crates/craneknot-node/src/order_queue.rs
@@ -24,7 +24,7 @@
 
 /// An order as the relay reads it, and the proxy without which it is of no use.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Written {
+pub struct EncodedOrder {
     pub text: String,
     pub proxy: Option<ProxyId>,
     /// What it sets: a later order of the same subject leaves nothing of it.
@@ -41,19 +41,15 @@
 
 /// An order in line.
 struct Queued {
-    order: Written,
+    order: EncodedOrder,
+    /// Its place among all that were ever offered.
+    number: u64,
     /// Its proxy left while it was in flight: it is not sent again.
     void: bool,
     /// The relay could not use it once.
     second: bool,
 }
 
-impl From<Written> for Queued {
-    fn from(order: Written) -> Self {
-        Queued { order, void: false, second: false }
-    }
-}
-
 /// The orders of a proxy that the relay does not know: it may have left, news of which is on its way, or the
 /// relay's count was malformed. They wait, in order, and hold up nobody else's.
 struct Held {
@@ -61,7 +57,7 @@
     orders: VecDeque<Queued>,
 }
 
-pub struct Outbox {
+pub struct OrderQueue {
     relay: Callee,
     queue: VecDeque<Queued>,
     held: BTreeMap<ProxyId, Held>,
@@ -73,11 +69,16 @@
     /// Orders given up on, since the relay can't use them; calls made again.
     pub rejected: u64,
     pub retried: u64,
+    /// Orders offered, ever.
+    offered: u64,
+    /// By proxy (nothing: for all), the last order known to be taken.
+    taken: BTreeMap<Option<ProxyId>, u64>,
+    overtaken: u64,
 }
 
-impl Outbox {
+impl OrderQueue {
     pub fn new(address: SocketAddr, now: Nanos) -> Self {
-        Outbox {
+        OrderQueue {
             relay: Callee::new(address),
             queue: VecDeque::new(),
             held: BTreeMap::new(),
@@ -86,13 +87,18 @@
             failures: 0,
             rejected: 0,
             retried: 0,
+            offered: 0,
+            taken: BTreeMap::new(),
+            overtaken: 0,
         }
     }
 
-    pub fn offer(&mut self, orders: impl IntoIterator<Item = Written>) {
+    pub fn offer(&mut self, orders: impl IntoIterator<Item = EncodedOrder>) {
         for order in orders {
+            self.offered += 1;
             let held = order.proxy.and_then(|proxy| self.held.get_mut(&proxy));
-            held.map_or(&mut self.queue, |held| &mut held.orders).push_back(order.into());
+            let queued = Queued { order, number: self.offered, void: false, second: false };
+            held.map_or(&mut self.queue, |held| &mut held.orders).push_back(queued);
         }
         if self.queue.len() >= self.fold_at {
             self.fold();
@@ -130,6 +136,7 @@
     /// since its answer counts them.
     pub fn left(&mut self, proxy: ProxyId) {
         self.held.remove(&proxy);
+        self.taken.remove(&Some(proxy));
         let sent = self.in_flight();
         for queued in self.queue.iter_mut().filter(|queued| queued.order.proxy == Some(proxy)) {
             queued.void = true;
@@ -227,7 +234,7 @@
         match relay::answer(body, orders) {
             Ok(Answer::Taken(taken)) => {
                 self.failures = 0;
-                self.queue.drain(..taken);
+                self.acknowledge(taken);
                 // The relay can't use the next one, unless it is void by now.
                 let refused = taken < orders && self.queue.front().is_some_and(|next| !next.void);
                 let given_up = if refused { self.refused(now) } else { None };
@@ -254,10 +261,25 @@
         }
     }
 
+    /// The first orders of the queue were taken. That none of a proxy's, or of those for all, overtook another is
+    /// checked here, where it is known what the relay did.
+    fn acknowledge(&mut self, count: usize) {
+        for queued in self.queue.drain(..count) {
+            let last = self.taken.entry(queued.order.proxy).or_default();
+            self.overtaken += u64::from(queued.number < *last);
+            *last = queued.number;
+        }
+    }
+
+    /// Orders taken out of the order in which they were given, since the last call.
+    pub fn take_overtaken(&mut self) -> u64 {
+        std::mem::take(&mut self.overtaken)
+    }
+
     /// The first order of the queue was not taken. A count malformed on its way must not lose an order, so
     /// that it is tried once more, then given up and returned. One for a proxy waits for that with all of that
     /// proxy's: where hundreds leave at once, the others' orders must not wait for each of them.
-    fn refused(&mut self, now: Nanos) -> Option<Written> {
+    fn refused(&mut self, now: Nanos) -> Option<EncodedOrder> {
         let first = self.queue.front_mut()?;
         if first.second {
             self.rejected += 1;
--- a/crates/craneknot-node/src/probes.rs
+++ b/crates/craneknot-node/src/probes.rs
@@ -11,14 +11,19 @@
 use crate::link::{Act, LinkId, Links};
 
 const TIME_OUT: Nanos = Nanos::from_millis(600); // ms; less than the decisions' time between probes
-const MOST: usize = 16; // at once: they take descriptors, and servers' work
 
-#[derive(Default)]
+/// The probes in flight.
 pub struct Probes {
+    most: usize,
     in_flight: BTreeMap<LinkId, (ServerId, Nanos)>,
 }
 
 impl Probes {
+    /// `most`: probes at once.
+    pub fn new(most: usize) -> Self {
+        Probes { most, in_flight: BTreeMap::new() }
+    }
+
     /// Begins a probe, unless one is in flight there, or too many are in all.
     pub fn begin(
         &mut self,
@@ -28,7 +33,7 @@
         links: &mut Links,
         acts: &mut Vec<Act>,
     ) {
-        if self.in_flight.len() >= MOST || self.in_flight.values().any(|(of, _)| of == server) {
+        if self.in_flight.len() >= self.most || self.in_flight.values().any(|(of, _)| of == server) {
             return;
         }
         let link = links.name();
--- a/crates/craneknot-node/src/shell.rs
+++ b/crates/craneknot-node/src/shell.rs
@@ -6,29 +6,43 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use craneknot::interface::Nanos;
 use craneknot_http::{Limits as HttpLimits, ResponseReader};
 use craneknot_platform::config::Config;
 use craneknot_platform::lines;
-use craneknot_reactor::{Clock, CloseCause, ConnId, Happened, Limits, ListenerId, Reactor};
+use craneknot_reactor::system_errors::is_momentary_at_start;
+use craneknot_reactor::{
+    Clock, CloseCause, ConnId, Happened, Limits, ListenerId, Reactor, SendError, SignalFlags,
+};
 use tracing::{debug, error, info, warn};
 
-use crate::desk::{Desk, Todo};
-use crate::door::{Door, GuestId, Service};
+use crate::clients::{ClientAction, ClientId, Clients};
+use crate::coordinator::{Coordinator, Todo};
+use crate::descriptors::Descriptors;
 use crate::link::{Act, LinkId};
+use crate::pending::CloseReason;
 
-const HANG_UP: i32 = 1; // SIGHUP
-const OUTPUT: usize = 512 * 1024; // bytes waiting for a peer: a call carries far less, a guest gets single lines
-const SPARE: usize = 48; // descriptors for the loop, the log, the coordinator's own links
-const SHUTDOWN_MOST: Nanos = Nanos::from_millis(500); // ms; the platform kills no sooner than 700 ms after SIGTERM
+const INPUT: usize = 256 * 1024; // bytes read ahead of a peer that has joined, or was dialled
+const OUTPUT: usize = 512 * 1024; // bytes waiting for a peer: a call carries far less, a client gets single lines
+const SHUTDOWN_MOST: Nanos = Nanos::from_millis(2_000); // ms; clients may use their connections until the platform kills,
+                                                        // 700 ms after SIGTERM at the earliest
 const STATUS_EVERY: Nanos = Nanos::from_millis(5_000); // ms; one line in the log
+const START_MOST: Duration = Duration::from_secs(8); // a start that fails for a moment is tried again for so long: the
+                                                     // platform wants it ready within 10 s
+const START_RETRY: Duration = Duration::from_millis(50); // between two tries
+const RELOAD_RETRY: Nanos = Nanos::from_millis(200); // ms; until a configuration that can't be read is read again
+const RELOAD_TRIES: u32 = 5; // it may be half written
+
+const SIGHUP: i32 = 1;
+const SIGTERM: i32 = 15;
 
 /// What ends the program.
 #[derive(Debug)]
 pub enum Ended {
-    /// By a signal, with nothing owed; or with what was still owed when its time was over.
+    /// By a signal.
     Asked,
     Failed(io::Error),
 }
@@ -37,6 +51,18 @@
     Turn,
     Status,
     Shutdown,
+    /// The configuration is read again: how often that has failed.
+    Reload(u32),
+}
+
+/// How far a shutdown has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Shutdown {
+    No,
+    /// Open connections are served until the time is over.
+    Draining,
+    /// An operator wants it to end as soon as nobody waits for an answer.
+    Hurried,
 }
 
 /// A connection that was dialled.
@@ -47,25 +73,49 @@
     first: Option<Bytes>,
 }
 
+/// A coordinator on sockets.
 pub struct Shell {
     file: PathBuf,
     reactor: Reactor<Due>,
-    desk: Desk,
+    coordinator: Coordinator,
     listener: ListenerId,
     address: SocketAddr,
-    guests: BTreeMap<ConnId, GuestId>,
-    guest_conns: BTreeMap<GuestId, ConnId>,
+    clients: BTreeMap<ConnId, ClientId>,
+    client_conns: BTreeMap<ClientId, ConnId>,
     links: BTreeMap<ConnId, Link>,
     link_conns: BTreeMap<LinkId, ConnId>,
-    next_guest: u64,
+    next_client: u64,
     turn_at: Option<Nanos>,
-    /// A signal has asked for the end.
-    shutting_down: bool,
+    shutdown: Shutdown,
 }
 
-fn read_config(file: &Path) -> Result<Config, String> {
-    let text = fs::read(file).map_err(|cause| format!("{}: {cause}", file.display()))?;
-    Config::read(&text).map_err(|cause| format!("{}: {cause}", file.display()))
+/// Why a configuration can't be taken.
+#[derive(Debug)]
+enum ConfigError {
+    /// The file can't be read for the moment.
+    Momentary(String),
+    /// It can't be read, or is not in order.
+    Wrong(String),
+}
+
+impl ConfigError {
+    fn into_text(self) -> String {
+        match self {
+            ConfigError::Momentary(text) | ConfigError::Wrong(text) => text,
+        }
+    }
+}
+
+fn read_config(file: &Path) -> Result<Config, ConfigError> {
+    let text = fs::read(file).map_err(|cause| {
+        let told = format!("{}: {cause}", file.display());
+        if is_momentary_at_start(&cause) {
+            ConfigError::Momentary(told)
+        } else {
+            ConfigError::Wrong(told)
+        }
+    })?;
+    Config::read(&text).map_err(|cause| ConfigError::Wrong(format!("{}: {cause}", file.display())))
 }
 
 /// Why a coordinator does not start.
@@ -75,47 +125,62 @@
     System(io::Error),
 }
 
-impl From<io::Error> for NoStart {
-    fn from(cause: io::Error) -> Self {
-        NoStart::System(cause)
+/// Tries a step of the start again while it fails for a moment only, until its time is over.
+fn patiently<T, E>(
+    until: Instant,
+    is_momentary: impl Fn(&E) -> bool,
+    mut step: impl FnMut() -> Result<T, E>,
+) -> Result<T, E> {
+    loop {
+        match step() {
+            Err(cause) if is_momentary(&cause) && Instant::now() < until => std::thread::sleep(START_RETRY),
+            ended => return ended,
+        }
     }
 }
 
 impl Shell {
     /// Reads its configuration and listens. Any of the signals `ends` asks it to end; SIGHUP has the configuration
-    /// read again.
+    /// read again. What fails for a moment only is tried again, for 8 s.
     pub fn new(file: &Path, clock: Arc<dyn Clock>, ends: &[i32]) -> Result<Self, NoStart> {
-        let config = read_config(file).map_err(NoStart::Config)?;
-        let limits = Limits {
-            input: 256 * 1024,
-            output: OUTPUT,
-            connections: config.sockets.saturating_sub(SPARE).max(8),
-            accepts: Door::accepts(config.sockets),
+        let mut heeded = vec![SIGHUP];
+        heeded.extend(ends);
+        // Before anything can fail, and before anybody can reach it: a signal that is not heeded yet would end it.
+        let flags = SignalFlags::register(&heeded).map_err(NoStart::System)?;
+        let until = Instant::now() + START_MOST;
+        let is_unread = |cause: &ConfigError| matches!(cause, ConfigError::Momentary(_));
+        let config = patiently(until, is_unread, || read_config(file))
+            .map_err(|cause| NoStart::Config(cause.into_text()))?;
+        let Descriptors { connections, accepts, .. } = Descriptors::divide(config.sockets);
+        let limits = Limits { input: INPUT, output: OUTPUT, connections, accepts };
+        let make = || -> io::Result<(Reactor<Due>, ListenerId, SocketAddr)> {
+            let mut reactor = Reactor::new(clock.clone(), limits)?;
+            let (listener, address) = reactor.listen(config.listen)?;
+            Ok((reactor, listener, address))
         };
-        let mut reactor = Reactor::new(clock, limits)?;
-        // Before anybody can reach it: a signal that is not heeded yet would end it at once.
-        ends.iter().chain(&[HANG_UP]).try_for_each(|signal| reactor.signal(*signal))?;
+        let made = patiently(until, is_momentary_at_start, make).map_err(NoStart::System)?;
+        let (mut reactor, listener, address) = made;
+        reactor.heed(flags);
         let now = reactor.now();
-        let (listener, address) = reactor.listen(config.listen)?;
         info!(
             coordinator = %config.name, %address, relay = %config.relay, discovery = %config.discovery,
             "listening"
         );
-        let desk = Desk::new(config, now);
+        let coordinator = Coordinator::new(config, now);
         reactor.set_timer(now + STATUS_EVERY, Due::Status);
         Ok(Shell {
             file: file.to_owned(),
             reactor,
-            desk,
+            coordinator,
             listener,
             address,
-            guests: BTreeMap::new(),
-            guest_conns: BTreeMap::new(),
+            clients: BTreeMap::new(),
+            client_conns: BTreeMap::new(),
             links: BTreeMap::new(),
             link_conns: BTreeMap::new(),
-            next_guest: 0,
+            next_client: 0,
             turn_at: None,
-            shutting_down: false,
+            shutdown: Shutdown::No,
         })
     }
 
@@ -138,72 +203,128 @@
     /// Waits for what happens, and acts on it; false: it has ended as a signal asked.
     pub fn round(&mut self) -> io::Result<bool> {
         self.turn();
-        if self.shutting_down && self.desk.settled() {
+        if self.is_finished() {
+            self.end();
             return Ok(false);
         }
+        self.reactor.set_accept_room(self.listener, self.coordinator.accept_room());
         self.reactor.poll(None)?;
         while let Some(happened) = self.reactor.happened() {
-            match happened {
-                Happened::Accepted { conn, .. } => self.accept(conn),
-                Happened::Connected { conn } => {
-                    let first = self.links.get_mut(&conn).and_then(|link| link.first.take());
-                    if let Some(first) = first {
-                        // A connection that has ended already is told of as closed.
-                        let _ = self.reactor.send(conn, [first]);
-                    }
-                }
-                Happened::Came { conn } => self.read(conn),
-                Happened::Flushed { .. } | Happened::Ready(_) => {}
-                Happened::Closed { conn, cause } => {
-                    if let Some(guest) = self.guests.remove(&conn) {
-                        self.guest_conns.remove(&guest);
-                        self.desk.guest_gone(guest);
-                    }
-                    if matches!(cause, CloseCause::PeerClosed) {
-                        self.end_response(conn);
-                    }
-                    self.lose_link(conn, &format!("{cause:?}"));
+            if !self.handle(happened) {
+                self.end();
+                return Ok(false);
+            }
+        }
+        Ok(true)
+    }
+
+    /// Acts on what has happened; false: the time of a shutdown is over.
+    fn handle(&mut self, happened: Happened<Due>) -> bool {
+        match happened {
+            Happened::Accepted { conn, .. } => self.accept(conn),
+            Happened::Connected { conn } => {
+                let first = self.links.get_mut(&conn).and_then(|link| link.first.take());
+                if let Some(first) = first {
+                    // A connection that has ended already is told of as closed.
+                    let _ = self.reactor.send(conn, [first]);
                 }
-                Happened::Timer(Due::Turn) => self.turn_at = None,
-                Happened::Timer(Due::Status) => {
-                    info!(status = ?self.desk.status(), connections = self.reactor.connections(), "status");
-                    self.tell_beliefs();
-                    self.reactor.set_timer(self.reactor.now() + STATUS_EVERY, Due::Status);
+            }
+            Happened::Came { conn } => self.read(conn),
+            Happened::Flushed { conn } => {
+                if let Some(client) = self.clients.get(&conn) {
+                    self.coordinator.client_flushed(*client);
                 }
-                Happened::Timer(Due::Shutdown) => {
-                    warn!(status = ?self.desk.status(), "shutting down with this still owed");
-                    return Ok(false);
+            }
+            Happened::Ready(_) => {}
+            Happened::Closed { conn, cause } => {
+                if let Some(client) = self.clients.remove(&conn) {
+                    self.client_conns.remove(&client);
+                    debug!(client = client.0, ?cause, "a client's connection has ended");
+                    self.coordinator.client_gone(client, CloseReason::ByPeer);
                 }
-                Happened::Signal(HANG_UP) => self.reload(),
-                Happened::Signal(signal) if self.shutting_down => {
-                    info!(signal, "shutting down at once: asked again");
-                    return Ok(false);
+                if matches!(cause, CloseCause::PeerClosed) {
+                    self.end_response(conn);
                 }
-                Happened::Signal(signal) => self.shut_down(signal),
+                self.lose_link(conn, &format!("{cause:?}"));
+            }
+            Happened::Timer(Due::Turn) => self.turn_at = None,
+            Happened::Timer(Due::Status) => {
+                let (connections, retried) = (self.reactor.connections(), self.reactor.system_failures());
+                info!(status = ?self.coordinator.status(), connections, system_calls_retried = retried, "status");
+                self.tell_beliefs();
+                self.reactor.set_timer(self.reactor.now() + STATUS_EVERY, Due::Status);
             }
+            Happened::Timer(Due::Shutdown) => return false,
+            Happened::Timer(Due::Reload(failed)) => self.reload(failed),
+            Happened::Signal(SIGHUP) => self.reload(0),
+            Happened::Signal(signal) => self.shut_down(signal),
         }
-        Ok(true)
+        true
     }
 
-    /// Takes nobody in any more, and stays until what is owed is done: those accepted are answered, and orders go out.
+    /// Whether a shutdown has nothing to wait for.
+    fn is_finished(&self) -> bool {
+        match self.shutdown {
+            Shutdown::No => false,
+            Shutdown::Draining => !self.reactor.is_listening(self.listener) && self.coordinator.is_finished(),
+            Shutdown::Hurried => self.coordinator.clients_settled(),
+        }
+    }
+
+    /// Takes nobody in any more but those whom the system has connected already, and stays while clients use their
+    /// connections or orders wait. A signal that comes again changes nothing, since they come in series; but an
+    /// operator's other one hurries it.
     fn shut_down(&mut self, signal: i32) {
-        info!(signal, "shutting down");
-        self.shutting_down = true;
-        self.reactor.unlisten(self.listener);
-        self.desk.shut_down();
-        self.reactor.set_timer(self.reactor.now() + SHUTDOWN_MOST, Due::Shutdown);
+        match self.shutdown {
+            Shutdown::No => {
+                info!(signal, "shutting down");
+                self.shutdown = Shutdown::Draining;
+                self.coordinator.shut_down();
+                self.reactor.set_accept_room(self.listener, self.coordinator.accept_room());
+                self.reactor.unlisten(self.listener);
+                self.reactor.set_timer(self.reactor.now() + SHUTDOWN_MOST, Due::Shutdown);
+            }
+            Shutdown::Draining if signal != SIGTERM => {
+                info!(signal, "shutting down as soon as whoever has asked is answered");
+                self.shutdown = Shutdown::Hurried;
+            }
+            Shutdown::Draining | Shutdown::Hurried => {}
+        }
+    }
+
+    /// The process ends now: what has come until now is answered, and what stays owed is counted and told.
+    fn end(&mut self) {
+        for conn in self.clients.keys().copied().collect::<Vec<_>>() {
+            if self.reactor.read_last(conn) {
+                self.read(conn);
+            }
+        }
+        self.turn();
+        let violations = self.coordinator.abandon();
+        if violations.total() > 0 {
+            warn!(?violations, "ended with this owed");
+        } else {
+            info!("ended with nothing owed");
+        }
     }
 
-    fn reload(&mut self) {
-        if self.shutting_down {
+    /// Reads the configuration again. One that can't be read may be half written: it is read again a few times.
+    fn reload(&mut self, failed: u32) {
+        if self.shutdown != Shutdown::No {
             return;
         }
         match read_config(&self.file) {
             Ok(config) => {
                 info!(relay = %config.relay, discovery = %config.discovery, "a new configuration");
-                self.desk.reconfigure(self.reactor.now(), &config);
+                self.coordinator.reconfigure(self.reactor.now(), &config);
+            }
+            Err(cause) => {
+                let cause = cause.into_text();
+                error!(%cause, failed, "the configuration is not in order; the old one stands");
+                if failed < RELOAD_TRIES {
+                    self.reactor.set_timer(self.reactor.now() + RELOAD_RETRY, Due::Reload(failed + 1));
+                }
             }
-            Err(cause) => error!(%cause, "the configuration is not in order; the old one stands"),
         }
     }
 
@@ -212,7 +333,7 @@
         if !tracing::enabled!(tracing::Level::DEBUG) {
             return;
         }
-        let controller = self.desk.controller();
+        let controller = self.coordinator.controller();
         debug!(best_yield = controller.best_yield(), "beliefs");
         for (number, group) in controller.beliefs().iter().enumerate() {
             debug!(
@@ -224,18 +345,18 @@
     }
 
     fn accept(&mut self, conn: ConnId) {
-        self.next_guest += 1;
-        let guest = GuestId(self.next_guest);
-        self.reactor.limit_input(conn, Door::first_room());
-        self.guests.insert(conn, guest);
-        self.guest_conns.insert(guest, conn);
-        self.desk.guest_came(self.reactor.now(), guest);
+        self.next_client += 1;
+        let client = ClientId(self.next_client);
+        self.reactor.limit_input(conn, Clients::first_room());
+        self.clients.insert(conn, client);
+        self.client_conns.insert(client, conn);
+        self.coordinator.client_connected(self.reactor.now(), client);
     }
 
     fn lose_link(&mut self, conn: ConnId, cause: &str) {
         if let Some(link) = self.links.remove(&conn) {
             self.link_conns.remove(&link.id);
-            self.desk.link_lost(self.reactor.now(), link.id, cause);
+            self.coordinator.link_lost(self.reactor.now(), link.id, cause);
         }
     }
 
@@ -244,15 +365,15 @@
         let now = self.reactor.now();
         let Some(link) = self.links.get_mut(&conn) else { return };
         if let Ok(Some(response)) = link.reader.next(&mut BytesMut::new(), true, now) {
-            self.desk.answered(now, link.id, &response, false);
+            self.coordinator.answered(now, link.id, &response, false);
         }
     }
 
     fn read(&mut self, conn: ConnId) {
         let now = self.reactor.now();
-        if let Some(guest) = self.guests.get(&conn) {
+        if let Some(client) = self.clients.get(&conn) {
             if let Some(input) = self.reactor.input(conn) {
-                self.desk.guest_input(now, *guest, input);
+                self.coordinator.client_input(now, *client, input);
             }
             self.reactor.taken(conn);
         } else if self.links.contains_key(&conn) {
@@ -268,12 +389,12 @@
             match link.reader.next(input, false, now) {
                 Ok(Some(response)) => {
                     let keeps = ResponseReader::persistent(&response);
-                    self.desk.answered(now, link.id, &response, keeps);
+                    self.coordinator.answered(now, link.id, &response, keeps);
                 }
                 Ok(None) => {
-                    if self.desk.is_event_stream(link.id) {
+                    if self.coordinator.is_event_stream(link.id) {
                         if let Some((status, bytes)) = link.reader.take_part() {
-                            self.desk.event_stream_input(now, link.id, status, &bytes);
+                            self.coordinator.event_stream_input(now, link.id, status, &bytes);
                         }
                     }
                     break;
@@ -287,60 +408,87 @@
         self.reactor.taken(conn);
     }
 
-    /// Lets the desk act, and carries out what it asks for.
+    /// Lets the coordinator act, and carries out what it asks for.
     fn turn(&mut self) {
         let now = self.reactor.now();
-        let Todo { services, acts, notes } = self.desk.turn(now);
+        let Todo { client_actions, acts, notes, takeover } = self.coordinator.turn(now);
         notes.iter().for_each(|note| warn!("{note}"));
-        services.into_iter().for_each(|service| self.serve(service));
+        if let Some(takeover) = takeover {
+            info!(?takeover, "proxies were taken over");
+        }
+        client_actions.into_iter().for_each(|action| self.serve(action));
         acts.into_iter().for_each(|act| self.act(act));
         // One timer that comes too early does no harm; one for each change would pile up.
-        if let Some(next) = self.desk.next_at(now).filter(|next| self.turn_at.is_none_or(|at| *next < at)) {
+        if let Some(next) =
+            self.coordinator.next_at(now).filter(|next| self.turn_at.is_none_or(|at| *next < at))
+        {
             self.reactor.set_timer(next, Due::Turn);
             self.turn_at = Some(next);
         }
     }
 
-    fn serve(&mut self, service: Service) {
-        let conn_of = |id: &GuestId| self.guest_conns.get(id).copied();
-        match service {
-            Service::Answer(id) => {
-                let Some(conn) = conn_of(&id) else { return };
-                let line = Bytes::from_static(lines::heartbeat_answer());
-                if self.reactor.send(conn, [line]).is_err() {
-                    self.forget(id, false);
+    fn serve(&mut self, action: ClientAction) {
+        match action {
+            ClientAction::Answer(id) => self.answer(id),
+            ClientAction::Note(cause, line) => debug!(%cause, line, "left out a report"),
+            ClientAction::Widen(id) => {
+                if let Some(conn) = self.client_conns.get(&id) {
+                    self.reactor.limit_input(*conn, lines::LONGEST);
                 }
             }
-            Service::Note(cause, line) => debug!(%cause, line, "left out a report"),
-            Service::Widen(id) => {
-                if let Some(conn) = conn_of(&id) {
-                    self.reactor.limit_input(conn, lines::LONGEST);
+            ClientAction::Reject(id, cause) => self.reject(id, &cause),
+            ClientAction::Evict(id, cause) => self.evict(id, &cause),
+            ClientAction::Close(id, cause) => {
+                info!(client = id.0, %cause, "closing");
+                if let Some(conn) = self.forget(id, CloseReason::Dropped) {
+                    self.reactor.finish(conn);
                 }
             }
-            Service::Reject(id, cause) => {
-                if let Some(conn) = conn_of(&id) {
-                    let _ = self.reactor.send(conn, [Bytes::from(lines::reject(&cause))]);
-                }
-                self.forget(id, true);
+        }
+    }
+
+    fn answer(&mut self, id: ClientId) {
+        let Some(conn) = self.client_conns.get(&id).copied() else { return };
+        let line = Bytes::from_static(lines::heartbeat_answer());
+        match self.reactor.send(conn, [line]) {
+            Ok(()) => self.coordinator.client_answered(id, self.reactor.waiting(conn) > 0),
+            Err(SendError::Gone) => {
+                self.forget(id, CloseReason::ByPeer);
             }
-            Service::Close(id, cause) => {
-                info!(guest = id.0, %cause, "closing");
-                self.forget(id, false);
+            Err(SendError::Full) => {
+                info!(client = id.0, "closing: it does not read its answers");
+                self.forget(id, CloseReason::ByPeer);
+                self.reactor.close(conn);
             }
         }
     }
 
-    fn forget(&mut self, id: GuestId, politely: bool) {
-        self.desk.guest_gone(id);
-        let Some(conn) = self.guest_conns.remove(&id) else { return };
-        self.guests.remove(&conn);
-        if politely {
-            self.reactor.finish(conn);
-        } else {
-            self.reactor.close(conn);
+    /// Tells a client why it is turned away, which is its final answer, and closes.
+    fn reject(&mut self, id: ClientId, cause: &str) {
+        debug!(client = id.0, cause, "turning away");
+        let Some(conn) = self.forget(id, CloseReason::Rejected) else { return };
+        let _ = self.reactor.send(conn, [Bytes::from(lines::reject(cause))]);
+        self.reactor.finish(conn);
+    }
+
+    /// Closes an idle connection, unless the client has asked for something meanwhile.
+    fn evict(&mut self, id: ClientId, cause: &str) {
+        let Some(conn) = self.client_conns.get(&id).copied() else { return };
+        if self.reactor.read_last(conn) {
+            self.read(conn);
+        } else if !self.coordinator.owes(id) {
+            self.reject(id, cause);
         }
     }
 
+    /// Forgets a client; its connection is the caller's to close.
+    fn forget(&mut self, id: ClientId, reason: CloseReason) -> Option<ConnId> {
+        self.coordinator.client_gone(id, reason);
+        let conn = self.client_conns.remove(&id)?;
+        self.clients.remove(&conn);
+        Some(conn)
+    }
+
     fn act(&mut self, act: Act) {
         match act {
             Act::Dial { link, address, request } => match self.reactor.connect(address) {
@@ -349,7 +497,7 @@
                     self.links.insert(conn, Link { id: link, reader, first: Some(request) });
                     self.link_conns.insert(link, conn);
                 }
-                Err(cause) => self.desk.link_lost(self.reactor.now(), link, &cause.to_string()),
+                Err(cause) => self.coordinator.link_lost(self.reactor.now(), link, &cause.to_string()),
             },
             Act::Send { link, request } => {
                 let Some(conn) = self.link_conns.get(&link).copied() else { return };
--- a/crates/craneknot-platform/src/news.rs
+++ b/crates/craneknot-platform/src/news.rs
@@ -31,18 +31,30 @@
     data: String,
 }
 
+/// What a piece of the stream held.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Decoded {
+    /// In the order in which they came.
+    pub news: Vec<News>,
+    /// Why events were left out, one by one: a field was absent, wrong or out of range.
+    pub malformed: Vec<String>,
+}
+
 impl Decoder {
-    /// An error ends the stream: what follows can't be trusted.
-    pub fn take(&mut self, bytes: &[u8], names: &mut GivenNames, proxies: u32) -> Result<Vec<News>, String> {
+    /// An event with a bad field costs itself alone. An error ends the stream: what follows can't be trusted.
+    pub fn take(&mut self, bytes: &[u8], names: &mut GivenNames, proxies: u32) -> Result<Decoded, String> {
         self.rest.extend_from_slice(bytes);
-        let mut news = Vec::new();
+        let mut decoded = Decoded::default();
         while let Some(end) = self.rest.iter().position(|byte| *byte == b'\n') {
             let line = self.rest.split_to(end);
             self.rest.advance(1);
             let line = std::str::from_utf8(&line).map_err(|_| "news: not UTF-8")?.trim_end_matches('\r');
             if line.is_empty() {
                 let (event, data) = (std::mem::take(&mut self.event), std::mem::take(&mut self.data));
-                news.extend(read(&event, &data, names, proxies)?);
+                match read(&event, &data, names, proxies) {
+                    Ok(news) => decoded.news.extend(news),
+                    Err(cause) => decoded.malformed.push(cause),
+                }
                 continue;
             }
             // A line that begins with a colon is a sign of life.
@@ -57,7 +69,7 @@
         if self.rest.len() > LONGEST {
             return Err("news: a line without end".into());
         }
-        Ok(news)
+        Ok(decoded)
     }
 }
 
--- a/crates/craneknot-reactor/src/lib.rs
+++ b/crates/craneknot-reactor/src/lib.rs
@@ -3,11 +3,15 @@
 //! [`Reactor::poll`] for what has happened and acts on it.
 
 mod clock;
+mod conn;
 mod reactor;
+mod signals;
+pub mod system_errors;
 mod timers;
 mod watch;
 
 pub use clock::{Clock, DrivenClock, SteadyClock};
 pub use reactor::{reserve, CloseCause, ConnId, Happened, Limits, ListenerId, Reactor, SendError};
+pub use signals::SignalFlags;
 pub use timers::{TimerId, Timers};
 pub use watch::FolderWatch;
