--- /dev/null
+++ b/crates/craneknot-fault-shim/src/lib.rs
@@ -0,0 +1,193 @@
+//! A library that tests load into a process with `LD_PRELOAD`, so that its system calls fail as Linux documents and its
+//! wall clock is stepped. The program itself never uses it.
+//!
+//! | variable | meaning |
+//! | --- | --- |
+//! | `CRANEKNOT_FAULTS` | rules, separated by `;`, such as `accept4=ECONNABORTED@0.2` (one call in five) or `socket=ENFILE#3` (the first three calls); `SHORT` in place of an error cuts a read or write to one byte |
+//! | `CRANEKNOT_FAULT_SEED` | which calls are struck; 0 if left out |
+//! | `CRANEKNOT_WALL_OFFSET_S` | seconds added to the wall clock, a whole number |
+//! | `CRANEKNOT_WALL_OFFSET_FILE` | a file with that number, read at every look at the clock, so that a test can step it |
+//!
+//! Calls on sockets are struck on IPv4 sockets alone. The monotonic clock is left as it is.
+
+mod next;
+mod rules;
+
+use std::ffi::{c_char, c_int, c_void};
+
+use libc::{iovec, mode_t, sockaddr, socklen_t, ssize_t, timespec};
+
+use next::next;
+use rules::{Call, Outcome};
+
+/// What a call returns that fails.
+fn fail(code: c_int) -> c_int {
+    // SAFETY: the location is this thread's own.
+    unsafe { *libc::__errno_location() = code };
+    -1
+}
+
+fn is_ipv4(fd: c_int) -> bool {
+    let mut domain: c_int = 0;
+    let mut length = size_of::<c_int>() as socklen_t;
+    let place = (&raw mut domain).cast::<c_void>();
+    // SAFETY: the option is an int, and both pointers are valid for the call.
+    let told = unsafe { libc::getsockopt(fd, libc::SOL_SOCKET, libc::SO_DOMAIN, place, &raw mut length) };
+    told == 0 && domain == libc::AF_INET
+}
+
+/// What the rules say of a call on a descriptor.
+fn strike(call: Call, fd: c_int) -> Outcome {
+    if !rules::names(call) || !is_ipv4(fd) {
+        return Outcome::Pass;
+    }
+    rules::strike(call)
+}
+
+/// # Safety
+/// As socket(2).
+#[no_mangle]
+pub unsafe extern "C" fn socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int {
+    if domain == libc::AF_INET {
+        if let Outcome::Fail(code) = rules::strike(Call::Socket) {
+            return fail(code);
+        }
+    }
+    let call: extern "C" fn(c_int, c_int, c_int) -> c_int = next!(b"socket\0");
+    call(domain, kind, protocol)
+}
+
+/// # Safety
+/// As accept4(2).
+#[no_mangle]
+pub unsafe extern "C" fn accept4(
+    fd: c_int,
+    address: *mut sockaddr,
+    length: *mut socklen_t,
+    flags: c_int,
+) -> c_int {
+    if let Outcome::Fail(code) = strike(Call::Accept4, fd) {
+        return fail(code);
+    }
+    let call: extern "C" fn(c_int, *mut sockaddr, *mut socklen_t, c_int) -> c_int = next!(b"accept4\0");
+    call(fd, address, length, flags)
+}
+
+/// # Safety
+/// As connect(2).
+#[no_mangle]
+pub unsafe extern "C" fn connect(fd: c_int, address: *const sockaddr, length: socklen_t) -> c_int {
+    if let Outcome::Fail(code) = strike(Call::Connect, fd) {
+        return fail(code);
+    }
+    let call: extern "C" fn(c_int, *const sockaddr, socklen_t) -> c_int = next!(b"connect\0");
+    call(fd, address, length)
+}
+
+/// # Safety
+/// As recv(2).
+#[no_mangle]
+pub unsafe extern "C" fn recv(fd: c_int, buffer: *mut c_void, length: usize, flags: c_int) -> ssize_t {
+    let call: extern "C" fn(c_int, *mut c_void, usize, c_int) -> ssize_t = next!(b"recv\0");
+    match strike(Call::Recv, fd) {
+        Outcome::Pass => call(fd, buffer, length, flags),
+        Outcome::Short => call(fd, buffer, length.min(1), flags),
+        Outcome::Fail(code) => fail(code) as ssize_t,
+    }
+}
+
+/// # Safety
+/// As send(2).
+#[no_mangle]
+pub unsafe extern "C" fn send(fd: c_int, buffer: *const c_void, length: usize, flags: c_int) -> ssize_t {
+    let call: extern "C" fn(c_int, *const c_void, usize, c_int) -> ssize_t = next!(b"send\0");
+    match strike(Call::Send, fd) {
+        Outcome::Pass => call(fd, buffer, length, flags),
+        Outcome::Short => call(fd, buffer, length.min(1), flags),
+        Outcome::Fail(code) => fail(code) as ssize_t,
+    }
+}
+
+/// # Safety
+/// As writev(2).
+#[no_mangle]
+pub unsafe extern "C" fn writev(fd: c_int, parts: *const iovec, count: c_int) -> ssize_t {
+    let call: extern "C" fn(c_int, *const iovec, c_int) -> ssize_t = next!(b"writev\0");
+    match strike(Call::Writev, fd) {
+        Outcome::Pass => call(fd, parts, count),
+        Outcome::Short if count > 0 && (*parts).iov_len > 0 => {
+            let first = iovec { iov_base: (*parts).iov_base, iov_len: 1 };
+            call(fd, &raw const first, 1)
+        }
+        Outcome::Short => call(fd, parts, count),
+        Outcome::Fail(code) => fail(code) as ssize_t,
+    }
+}
+
+/// # Safety
+/// As epoll_ctl(2).
+#[no_mangle]
+pub unsafe extern "C" fn epoll_ctl(
+    epoll: c_int,
+    operation: c_int,
+    fd: c_int,
+    event: *mut libc::epoll_event,
+) -> c_int {
+    if operation != libc::EPOLL_CTL_DEL {
+        if let Outcome::Fail(code) = strike(Call::EpollCtl, fd) {
+            return fail(code);
+        }
+    }
+    let call: extern "C" fn(c_int, c_int, c_int, *mut libc::epoll_event) -> c_int = next!(b"epoll_ctl\0");
+    call(epoll, operation, fd, event)
+}
+
+/// # Safety
+/// As epoll_wait(2).
+#[no_mangle]
+pub unsafe extern "C" fn epoll_wait(
+    epoll: c_int,
+    events: *mut libc::epoll_event,
+    most: c_int,
+    wait: c_int,
+) -> c_int {
+    if let Outcome::Fail(code) = rules::strike(Call::EpollWait) {
+        return fail(code);
+    }
+    let call: extern "C" fn(c_int, *mut libc::epoll_event, c_int, c_int) -> c_int = next!(b"epoll_wait\0");
+    call(epoll, events, most, wait)
+}
+
+/// # Safety
+/// As open(2).
+#[no_mangle]
+pub unsafe extern "C" fn open64(path: *const c_char, flags: c_int, mode: mode_t) -> c_int {
+    if let Outcome::Fail(code) = rules::strike(Call::Open) {
+        return fail(code);
+    }
+    let call: extern "C" fn(*const c_char, c_int, mode_t) -> c_int = next!(b"open64\0");
+    call(path, flags, mode)
+}
+
+/// # Safety
+/// As fsync(2).
+#[no_mangle]
+pub unsafe extern "C" fn fsync(fd: c_int) -> c_int {
+    if let Outcome::Fail(code) = rules::strike(Call::Fsync) {
+        return fail(code);
+    }
+    let call: extern "C" fn(c_int) -> c_int = next!(b"fsync\0");
+    call(fd)
+}
+
+/// # Safety
+/// As clock_gettime(2).
+#[no_mangle]
+pub unsafe extern "C" fn clock_gettime(clock: c_int, time: *mut timespec) -> c_int {
+    let call: extern "C" fn(c_int, *mut timespec) -> c_int = next!(b"clock_gettime\0");
+    let told = call(clock, time);
+    if told == 0 && clock == libc::CLOCK_REALTIME {
+        (*time).tv_sec += rules::wall_offset();
+    }
+    told
+}
