Soak: real nodes among stand-ins, random faults that overlap, invariants as the oracle

Cause: crossings of faults in time were tried one pair at a time only. Change: craneknot soak, a part of the rehearsal kit: schedule from one seed, fault proxies, stand-ins of relay, discovery, collectors and clients, an oracle.

--- a/crates/craneknot-cli/src/main.rs
+++ b/crates/craneknot-cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The `craneknot` program.
 
 mod model;
+mod soak;
 mod solve;
 mod status;
 
@@ -9,12 +10,14 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 
 use clap::{Parser, Subcommand, ValueEnum};
 use craneknot_coordinator::shell::{Ended, Shell};
 use craneknot_node::shell::NoStart;
 use craneknot_reactor::SteadyClock;
 use craneknot_rehearsal::conduct::{Kept, Programs};
+use craneknot_rehearsal::soak::SoakSettings;
 use craneknot_rehearsal::Script;
 use craneknot_settings::{load, schema_text, AgentSettings, CoordinatorSettings, Problems};
 use serde::Serialize;
@@ -112,6 +115,31 @@
         #[arg(long)]
         upgrade_from: Option<PathBuf>,
     },
+    /// Soaks coordinators on the users' platform in random faults that overlap: real processes among stand-ins, judged
+    /// by the invariants. One seed, one schedule.
+    Soak {
+        /// The first seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Seeds in a row.
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+        /// Coordinators.
+        #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u16).range(2..=40))]
+        nodes: u16,
+        /// How long each seed lasts, s.
+        #[arg(long, default_value_t = 30)]
+        seconds: u64,
+        /// The program to soak, another build of this one; left out: this one.
+        #[arg(long)]
+        program: Option<PathBuf>,
+        /// The library of failing system calls, preloaded into every other coordinator.
+        #[arg(long)]
+        fault_library: Option<PathBuf>,
+        /// Where configurations and logs are kept; left out: a new folder, removed at the end.
+        #[arg(long)]
+        folder: Option<PathBuf>,
+    },
     /// Plays a rehearsal's script in simulated time.
     Model {
         #[command(subcommand)]
@@ -277,6 +305,18 @@
                 Err(Failed::Rule)
             }
         }
+        Command::Soak { seed, seeds, nodes, seconds, program, fault_library, folder } => {
+            let kept = tempfile::tempdir().map_err(system)?;
+            let settings = SoakSettings {
+                seed,
+                nodes: usize::from(nodes),
+                length: Duration::from_secs(seconds),
+                program: program.map_or_else(std::env::current_exe, Ok).map_err(system)?,
+                fault_library,
+                folder: folder.unwrap_or_else(|| kept.path().to_owned()),
+            };
+            soak::soak(&settings, seeds)
+        }
         Command::Model { act } => model::act(act),
         Command::Solve(asked) => solve::solve(&asked),
         Command::Status { coordinators, json } => {
--- /dev/null
+++ b/crates/craneknot-cli/src/soak.rs
@@ -0,0 +1,58 @@
+//! `craneknot soak`: several seeds in a row, a line a seed, and all that is needed to play a failure again.
+
+use craneknot_rehearsal::soak::{run, SoakReport, SoakSettings};
+
+use crate::{system, Failed};
+
+/// Plays so many seeds from the first on.
+pub fn soak(settings: &SoakSettings, seeds: u64) -> Result<(), Failed> {
+    let mut failed = 0;
+    for seed in settings.seed..settings.seed + seeds {
+        let folder = settings.folder.join(format!("seed-{seed}"));
+        std::fs::create_dir_all(&folder).map_err(system)?;
+        let one = SoakSettings { seed, folder, ..settings.clone() };
+        let report = run(&one).map_err(system)?;
+        println!("{}", line(&report));
+        if !report.broken.is_empty() {
+            failed += 1;
+            tell(&report, &one);
+        }
+    }
+    println!("{seeds} seeds, {failed} failed");
+    if failed == 0 {
+        Ok(())
+    } else {
+        Err(Failed::Rule)
+    }
+}
+
+fn line(report: &SoakReport) -> String {
+    let memory = report.sizes.iter().map(|(memory, _)| *memory).max().unwrap_or_default();
+    let descriptors = report.sizes.iter().map(|(_, descriptors)| *descriptors).max().unwrap_or_default();
+    format!(
+        "seed {}: {} ({} faults, {} starts, {} answered, {} turned away, {} in flight at a kill, slowest {} ms, \
+         most {memory} KiB and {descriptors} descriptors)",
+        report.seed,
+        if report.broken.is_empty() { "passed" } else { "FAILED" },
+        report.faults,
+        report.starts,
+        report.answered,
+        report.rejected,
+        report.excused,
+        report.slowest_millis
+    )
+}
+
+/// What was broken, what was played, and how to play it again.
+fn tell(report: &SoakReport, settings: &SoakSettings) {
+    report.broken.iter().for_each(|broken| println!("  broken: {broken}"));
+    report.schedule.iter().for_each(|planned| println!("  played: {planned}"));
+    let library = settings.fault_library.as_ref();
+    let library = library.map_or(String::new(), |path| format!(" --fault-library {}", path.display()));
+    println!(
+        "  again: craneknot soak --seed {} --nodes {} --seconds {}{library}",
+        settings.seed,
+        settings.nodes,
+        settings.length.as_secs()
+    );
+}
--- a/crates/craneknot-node/src/shell.rs
+++ b/crates/craneknot-node/src/shell.rs
@@ -28,7 +28,7 @@
 const INPUT: usize = 256 * 1024; // bytes read ahead of a peer that has joined, or was dialled
 const OUTPUT: usize = 512 * 1024; // bytes waiting for a peer: a call carries far less, a client gets single lines
 const SHUTDOWN_MOST: Nanos = Nanos::from_millis(900); // ms; clients may use their connections until the platform kills,
-                                                        // 700 ms after SIGTERM at the earliest
+                                                      // 700 ms after SIGTERM at the earliest
 const STATUS_EVERY: Nanos = Nanos::from_millis(5_000); // ms; one line in the log
 const START_MOST: Duration = Duration::from_secs(8); // a start that fails for a moment is tried again for so long: the
                                                      // platform wants it ready within 10 s
--- a/crates/craneknot-rehearsal/src/lib.rs
+++ b/crates/craneknot-rehearsal/src/lib.rs
@@ -4,7 +4,7 @@
 //! [`script`] is what is asked for, [`plan`] what will happen when, drawn from the script's seed. [`machine`],
 //! [`chooser`] and [`caller`] are the stand-ins without I/O; [`servers`] and [`proxies`] put them on sockets.
 //! [`conduct`] raises the processes and plays the plan. [`auditor`] knows nothing of all these but the
-//! [`record`].
+//! [`record`]. [`soak`] is a randomized fault soak of the coordinator on the users' platform.
 
 pub mod auditor;
 pub mod caller;
@@ -20,6 +20,7 @@
 pub mod report;
 pub mod script;
 pub mod servers;
+pub mod soak;
 pub mod sums;
 
 pub use conduct::rehearse;
--- /dev/null
+++ b/crates/craneknot-rehearsal/src/soak/discovery.rs
@@ -0,0 +1,57 @@
+//! Discovery on sockets: whole lists and watches.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use super::fleet::Fleet;
+use super::http::{read_request, respond};
+
+const LOOK_EVERY: Duration = Duration::from_millis(10); // between looks for something newer
+
+/// Serves one node; gives the address.
+pub fn serve(fleet: Arc<Mutex<Fleet>>, node: usize) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+    let address = listener.local_addr()?;
+    thread::spawn(move || {
+        while let Ok((stream, _)) = listener.accept() {
+            let fleet = fleet.clone();
+            thread::spawn(move || converse(&fleet, node, stream));
+        }
+    });
+    Ok(address)
+}
+
+fn converse(fleet: &Mutex<Fleet>, node: usize, mut stream: TcpStream) {
+    let (mut rest, _) = (Vec::new(), stream.set_nodelay(true));
+    while let Some(request) = read_request(&mut stream, &mut rest) {
+        let query = request.path.split_once('?').map_or("", |(_, query)| query);
+        let number = |key: &str| {
+            let found = form_urlencoded::parse(query.as_bytes()).find(|(name, _)| name == key);
+            found.and_then(|(_, value)| value.parse::<u64>().ok())
+        };
+        let (body, version) = answer(fleet, number("index"), number("wait").unwrap_or(0));
+        thread::sleep(fleet.lock().unwrap().lag);
+        if respond(&mut stream, "200 OK", &body).is_err() {
+            return;
+        }
+        fleet.lock().unwrap().list_told(node, version);
+    }
+}
+
+/// The list, once there is something newer or the wait is over; and its version.
+fn answer(fleet: &Mutex<Fleet>, after: Option<u64>, wait: u64) -> (String, u64) {
+    let until = Instant::now() + Duration::from_millis(wait);
+    loop {
+        let fleet = fleet.lock().unwrap();
+        let is_newer = after.is_none_or(|after| fleet.version > after);
+        if is_newer || Instant::now() >= until {
+            let after = after.filter(|_| !fleet.answer_whole);
+            return (fleet.list(after), fleet.version);
+        }
+        drop(fleet);
+        thread::sleep(LOOK_EVERY);
+    }
+}
--- /dev/null
+++ b/crates/craneknot-rehearsal/src/soak/node.rs
@@ -0,0 +1,207 @@
+//! One node's process: its configuration, signals, log, and what is known of its life.
+
+use std::fs;
+use std::io::{self, BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Instant;
+
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::json;
+
+use super::fault_proxy::FaultProxy;
+use super::fleet::{CLASSES, ZONES};
+use super::oracle::Oracle;
+
+/// What clients and the oracle need to know of a process, whatever becomes of it.
+#[derive(Clone, Debug, Default)]
+pub struct Life {
+    /// Counts the processes of this node.
+    pub epoch: u64,
+    /// Where it listens, once it does.
+    pub address: Option<SocketAddr>,
+    /// When it was started, sent SIGTERM, and killed.
+    pub started: Option<Instant>,
+    pub terminated: Option<Instant>,
+    pub killed: Option<Instant>,
+    /// Its last pause ended then, or is still on.
+    pub paused_until: Option<Instant>,
+    /// It has answered since it started.
+    pub ready: bool,
+    /// The last fault that touched it, or will until then.
+    pub disturbed_until: Option<Instant>,
+}
+
+/// Where everything of one soak lies, and how processes are started.
+#[derive(Clone, Debug)]
+pub struct Setting {
+    pub program: PathBuf,
+    pub folder: PathBuf,
+    /// Preloaded, with these rules of failing system calls.
+    pub fault_library: Option<PathBuf>,
+    pub fault_rules: String,
+    pub sockets: usize,
+    pub proxies: u16,
+    pub nodes: usize,
+}
+
+/// A node through all of its processes.
+pub struct Node {
+    pub number: usize,
+    pub life: Arc<Mutex<Life>>,
+    pub relay: FaultProxy,
+    pub discovery: FaultProxy,
+    setting: Setting,
+    child: Option<Child>,
+}
+
+impl Node {
+    /// A node that is not started yet.
+    pub fn new(number: usize, setting: Setting, relay: FaultProxy, discovery: FaultProxy) -> Self {
+        Node { number, life: Arc::default(), relay, discovery, setting, child: None }
+    }
+
+    fn config_file(&self) -> PathBuf {
+        self.setting.folder.join(format!("node-{}.json", self.number))
+    }
+
+    fn offset_file(&self) -> PathBuf {
+        self.setting.folder.join(format!("node-{}.clock", self.number))
+    }
+
+    fn configuration(&self) -> String {
+        let profile = |name: &str| match name {
+            "issue" => {
+                json!({"name": name, "aim": 1.5, "deadline": 4.0, "worth": 3.0, "semantics": "single_shot",
+                              "only-zones": ["a"]})
+            }
+            _ => json!({"name": name, "aim": 1.2, "deadline": 3.0, "worth": 2.0, "semantics": "free"}),
+        };
+        json!({
+            "name": format!("n{}", self.number), "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+            "discovery": self.discovery.address().to_string(),
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": self.setting.sockets},
+            "distributor": {"address": self.relay.address().to_string()},
+            "known": {"revision": 0, "complete": true, "members": []},
+            "settings": {
+                "localities": ZONES, "kinds": ["m2"], "balancers": self.setting.nodes, "registry-mode": "on_request",
+                "reporting": {"how": "answers", "names": ["busy", "rif", "lat_ms"]},
+                "profiles": CLASSES.map(profile),
+                "caps": {"probing": false},
+                "rules": {"ask-within": 10.0, "cold-share": 0.2, "fall": 3.0, "fall-multiple": 3.0, "ramp-time": 4.0,
+                          "stop-sending-within": 2.7},
+                "extra": {"data-plane-size": self.setting.proxies, "bare": 2.8, "admission": "rps",
+                          "egress-per-s": 14800.0, "queue-cap": 29600.0, "envelope": 3.0, "update-cap": 0,
+                          "reload-span": 10.0, "interval": 0.5, "slices": 0, "home-only": [false, false]}
+            }
+        })
+        .to_string()
+    }
+
+    /// Writes the configuration; half of it where that is asked for.
+    pub fn write_configuration(&self, half: bool) -> io::Result<()> {
+        let text = self.configuration();
+        let length = if half { text.len() / 2 } else { text.len() };
+        fs::write(self.config_file(), &text[..length])
+    }
+
+    /// Steps the wall clock of the process.
+    pub fn step_clock(&self, seconds: i64) -> io::Result<()> {
+        fs::write(self.offset_file(), seconds.to_string())
+    }
+
+    /// Starts a process; its address is told by its log.
+    pub fn start(&mut self, oracle: &Arc<Oracle>) -> io::Result<()> {
+        self.write_configuration(false)?;
+        let mut command = Command::new(&self.setting.program);
+        command.args(["--log", "json", "node"]).arg(self.config_file());
+        command.stdout(Stdio::null()).stderr(Stdio::piped()).stdin(Stdio::null());
+        if let Some(library) = &self.setting.fault_library {
+            command.env("LD_PRELOAD", library).env("CRANEKNOT_FAULTS", &self.setting.fault_rules);
+            command.env("CRANEKNOT_FAULT_SEED", self.number.to_string());
+            command.env("CRANEKNOT_WALL_OFFSET_FILE", self.offset_file());
+        }
+        let mut child = command.spawn()?;
+        let epoch = {
+            let mut life = self.life.lock().unwrap();
+            let now = Some(Instant::now());
+            *life = Life { epoch: life.epoch + 1, started: now, disturbed_until: now, ..Life::default() };
+            life.epoch
+        };
+        let log = self.setting.folder.join(format!("node-{}-{epoch}.log", self.number));
+        if let Some(stderr) = child.stderr.take() {
+            let (life, oracle, number) = (self.life.clone(), oracle.clone(), self.number);
+            thread::spawn(move || read_log(BufReader::new(stderr), &log, &life, epoch, number, &oracle));
+        }
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Sends a signal to the process, if there is one.
+    pub fn signal(&self, signal: Signal) {
+        if let Some(child) = &self.child {
+            // One that has ended since is judged elsewhere.
+            let _ = kill_process(Pid::from_child(child), signal);
+        }
+    }
+
+    /// The process, as the system numbers it.
+    pub fn process(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    /// Whether the process has ended by itself, and how.
+    pub fn ended(&mut self) -> Option<String> {
+        let status = self.child.as_mut()?.try_wait().ok()??;
+        Some(status.to_string())
+    }
+
+    /// Kills the process if it still runs; true: it did.
+    pub fn kill(&mut self) -> bool {
+        let Some(mut child) = self.child.take() else { return false };
+        let runs = matches!(child.try_wait(), Ok(None));
+        if runs {
+            self.life.lock().unwrap().killed = Some(Instant::now());
+        }
+        let _ = child.kill();
+        let _ = child.wait();
+        runs
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Keeps a process's log, and looks for its address, panics and violations in it.
+fn read_log(log: impl BufRead, path: &Path, life: &Mutex<Life>, epoch: u64, number: usize, oracle: &Oracle) {
+    let mut kept = String::new();
+    for line in log.lines().map_while(Result::ok) {
+        let told: serde_json::Value = serde_json::from_str(&line).unwrap_or_default();
+        let field = |name: &str| told.pointer(&format!("/fields/{name}")).and_then(|value| value.as_str());
+        if let Some(address) = field("address").and_then(|text| text.parse().ok()) {
+            let mut life = life.lock().unwrap();
+            if life.epoch == epoch {
+                life.address = Some(address);
+            }
+        }
+        if line.contains("panicked") {
+            oracle.broken(format!("node {number}: {line}"));
+        }
+        for figure in ["closed_unanswered", "orders_forbidden", "orders_overtaken"] {
+            let at = line.find(figure).map(|at| at + figure.len() + 2);
+            let count = at.and_then(|at| line[at..].split([',', ' ']).next()?.parse::<u64>().ok());
+            if count.is_some_and(|count| count > 0) {
+                oracle.told_violation(number, epoch, figure);
+            }
+        }
+        kept.push_str(&line);
+        kept.push('\n');
+    }
+    let _ = fs::write(path, kept);
+}
