--- a/crates/craneknot-agent/src/shell.rs
+++ b/crates/craneknot-agent/src/shell.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use craneknot::interface::Nanos;
 use craneknot_http::{request, response, Limits as HttpLimits, RequestReader, ResponseReader};
-use craneknot_reactor::{Clock, ConnId, Happened, Limits, Reactor};
+use craneknot_reactor::{Clock, ConnId, Happened, Limits, Reactor, SignalFlags};
 use craneknot_settings::{AgentSettings, NodeSettings};
 use craneknot_store::{replace, Disk, RealDisk, FRESH};
 use craneknot_xds::discovery::{DiscoveryRequest, DiscoveryResponse, Kind, Locality, Node, Status};
@@ -172,8 +172,9 @@
         self.on_swap = Some(call);
     }
 
-    pub fn end_on(&mut self, signals: &[i32]) -> io::Result<()> {
-        signals.iter().try_for_each(|signal| self.reactor.signal(*signal))
+    /// Takes these signals as a wish to end.
+    pub fn end_on(&mut self, signals: SignalFlags) {
+        self.reactor.heed(signals);
     }
 
     /// Runs until a signal ends it.
--- a/crates/craneknot-cli/src/main.rs
+++ b/crates/craneknot-cli/src/main.rs
@@ -15,7 +15,7 @@
 use clap::{Parser, Subcommand, ValueEnum};
 use craneknot_coordinator::shell::{Ended, Shell};
 use craneknot_node::shell::NoStart;
-use craneknot_reactor::SteadyClock;
+use craneknot_reactor::{SignalFlags, SteadyClock};
 use craneknot_rehearsal::conduct::{Kept, Programs};
 use craneknot_rehearsal::soak::SoakSettings;
 use craneknot_rehearsal::Script;
@@ -232,11 +232,13 @@
 fn act(command: Command) -> Result<(), Failed> {
     match command {
         Command::Run { settings } => {
+            // Before anything else: a signal that is not heeded yet ends the process at once.
+            let signals = SignalFlags::register(&[SIGHUP, SIGINT, SIGTERM]).map_err(system)?;
             let read: CoordinatorSettings = load(&settings).map_err(wrong)?;
             let clock = Arc::new(SteadyClock::new());
             let mut shell = Shell::new(read, folder_of(&settings), clock).map_err(system)?;
             shell.reload_from(&settings);
-            shell.end_on(&[SIGHUP, SIGINT, SIGTERM]).map_err(system)?;
+            shell.end_on(signals);
             match shell.run() {
                 Ended::Asked => Ok(()),
                 Ended::Failed(cause) => Err(system(cause)),
@@ -263,11 +265,12 @@
             }
         }
         Command::Agent { settings } => {
+            let signals = SignalFlags::register(&[SIGINT, SIGTERM]).map_err(system)?;
             let read: AgentSettings = load(&settings).map_err(wrong)?;
             let clock = Arc::new(SteadyClock::new());
             let shell = craneknot_agent::shell::Shell::new(read, folder_of(&settings), clock);
             let mut shell = shell.map_err(system)?;
-            shell.end_on(&[SIGINT, SIGTERM]).map_err(system)?;
+            shell.end_on(signals);
             shell.run().map_err(system)
         }
         Command::Check { file, kind } => {
--- a/crates/craneknot-coordinator/src/shell.rs
+++ b/crates/craneknot-coordinator/src/shell.rs
@@ -6,6 +6,7 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use craneknot::interface::{Nanos, ProbeOutcome, ServerId};
@@ -14,7 +15,7 @@
 use craneknot_http::{
     request, response, response_chunks, Limits as HttpLimits, RequestReader, ResponseReader,
 };
-use craneknot_reactor::{Clock, ConnId, FolderWatch, Happened, Limits, ListenerId, Reactor};
+use craneknot_reactor::{Clock, ConnId, FolderWatch, Happened, Limits, ListenerId, Reactor, SignalFlags};
 use craneknot_settings::{load, CoordinatorSettings, SharedSettings};
 use craneknot_store::{replace, RealDisk, Store, StoreError};
 use craneknot_xds::discovery::{DiscoveryRequest, Kind};
@@ -33,6 +34,7 @@
 
 const JSON: (HeaderName, &str) = (header::CONTENT_TYPE, "application/json");
 const SAVED: &str = "fleet/saved"; // the store's record of term, vote and history
+const FLUSH_MOST: Duration = Duration::from_millis(500); // ms; for the last answers to be written
 const LIST: &str = "roster"; // the store's record of the last list of servers
 const FOLLOWED: &str = "proxy/"; // the store's records of what each proxy last followed, by its name
 const FOLLOWED_MOST: usize = 65_536; // of these: as many as the decisions can tell proxies apart
@@ -222,8 +224,8 @@
     }
 
     /// Takes these signals as a wish to end.
-    pub fn end_on(&mut self, signals: &[i32]) -> io::Result<()> {
-        signals.iter().try_for_each(|signal| self.reactor.signal(*signal))
+    pub fn end_on(&mut self, signals: SignalFlags) {
+        self.reactor.heed(signals);
     }
 
     /// Reads this file again on SIGHUP: members of a shared fleet may change in service, all else with a new start.
@@ -268,6 +270,9 @@
                     self.write_ledger();
                     self.reactor.unlisten(self.listener);
                     self.peers.keys().for_each(|conn| self.reactor.finish(*conn));
+                    if let Err(cause) = self.reactor.flush(FLUSH_MOST) {
+                        warn!(%cause, "the last answers could not be written");
+                    }
                     return Ended::Asked;
                 }
                 Err(cause) => return Ended::Failed(cause),
--- a/crates/craneknot-http/tests/broken.rs
+++ b/crates/craneknot-http/tests/broken.rs
@@ -114,3 +114,24 @@
     assert_eq!(read("HTTP/1.1 200 OK\r\n\r\nab", true), Ok(Some(Bytes::from("ab"))));
     assert_eq!(read("HTTP/1.1 304 Not Modified\r\n\r\n", false), Ok(Some(Bytes::new())));
 }
+
+/// A response may end with its connection at any byte; what had come until then is not given again. Found by the soak: a
+/// head that was cut off ended the program.
+#[test]
+fn a_connection_that_ends_within_a_response_is_no_panic() {
+    for whole in [
+        "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nsec\r\n2\r\nnd\r\n0\r\n\r\n",
+    ] {
+        for cut in 0..whole.len() {
+            let (mut reader, mut input) =
+                (ResponseReader::new(LIMITS), BytesMut::from(&whole.as_bytes()[..cut]));
+            assert_eq!(
+                reader.next(&mut input, false, Nanos(0)).unwrap().map(http::Response::into_body),
+                None
+            );
+            let ended = reader.next(&mut BytesMut::new(), true, Nanos(0));
+            assert!(matches!(ended, Ok(None) | Err(Wrong::CutShort)), "cut at {cut}: {ended:?}");
+        }
+    }
+}
--- a/crates/craneknot-node/src/shell.rs
+++ b/crates/craneknot-node/src/shell.rs
@@ -29,6 +29,7 @@
 const OUTPUT: usize = 512 * 1024; // bytes waiting for a peer: a call carries far less, a client gets single lines
 const SHUTDOWN_MOST: Nanos = Nanos::from_millis(900); // ms; clients may use their connections until the platform kills,
                                                       // 700 ms after SIGTERM at the earliest
+const FLUSH_MOST: Duration = Duration::from_millis(100); // for the last answers to be written
 const STATUS_EVERY: Nanos = Nanos::from_millis(5_000); // ms; one line in the log
 const START_MOST: Duration = Duration::from_secs(8); // a start that fails for a moment is tried again for so long: the
                                                      // platform wants it ready within 10 s
@@ -300,6 +301,14 @@
             }
         }
         self.turn();
+        if let Err(cause) = self.reactor.flush(FLUSH_MOST) {
+            warn!(%cause, "the last answers could not be written");
+        }
+        let waiting = |conn: &ConnId| self.reactor.waiting(*conn) > 0;
+        for (conn, client) in self.clients.iter().filter(|(conn, _)| !waiting(conn)) {
+            debug!(?conn, client = client.0, "ending with all written");
+            self.coordinator.client_flushed(*client);
+        }
         let violations = self.coordinator.abandon();
         if violations.total() > 0 {
             warn!(?violations, "ended with this owed");
--- a/crates/craneknot-node/tests/crossings.rs
+++ b/crates/craneknot-node/tests/crossings.rs
@@ -237,6 +237,29 @@
     assert!(request(&mut stream).unwrap().0.contains("?index=52&wait=5000"));
 }
 
+/// An answer whose connection is closed in order, not reset, at any byte: it ends, and is asked for again. Found by the
+/// soak: closed within its head it ended the program.
+#[test]
+fn parties_that_close_within_an_answer_are_asked_again() {
+    let Parties { shell, relay, discovery } = parties("closes", &[]);
+    let calls = relay_with_news(relay, 3);
+    run(shell);
+    let answer = response("{\"revision\":52,\"complete\":false,\"members\":[]}");
+    for cut in [0, 1, 20, answer.len() - 1] {
+        let mut stream = accept(&discovery);
+        assert!(request(&mut stream).unwrap().0.contains("?index=41&"));
+        stream.write_all(&answer.as_bytes()[..cut]).unwrap();
+    }
+    let (mut stream, mut body) = calls.recv().unwrap();
+    for cut in [0, 1, 20, taken(1).len() - 1] {
+        stream.write_all(&taken(1).as_bytes()[..cut]).unwrap();
+        drop(stream);
+        let (again, repeated) = calls.recv().unwrap();
+        assert_eq!(orders(&repeated)[0], orders(&body)[0], "cut at {cut}");
+        (stream, body) = (again, repeated);
+    }
+}
+
 /// A signal is heeded as soon as anybody can reach the coordinator.
 #[test]
 fn a_signal_before_the_first_round_asks_for_the_end() {
--- a/crates/craneknot-reactor/src/reactor.rs
+++ b/crates/craneknot-reactor/src/reactor.rs
@@ -6,7 +6,7 @@
 use std::os::fd::{AsFd, AsRawFd, OwnedFd};
 use std::os::unix::net::UnixStream;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use craneknot::interface::Nanos;
@@ -142,6 +142,7 @@
 const RETRY_AFTER: Duration = Duration::from_millis(50); // until a system call that failed for a moment is made again
 const SIGNALS_SEEN_WITHIN: Duration = Duration::from_millis(100); // a signal whose wake-up byte was lost is seen by then
 const LINGER: Nanos = Nanos::from_millis(300); // ms; for a peer to see our end before its connection is closed
+const FLUSH_LOOK: Duration = Duration::from_millis(10); // between looks at the time while the last bytes are written
 const LINGERING_MOST: usize = 32; // connections that linger at once: they hold descriptors
 
 impl<T> Reactor<T> {
@@ -528,6 +529,17 @@
         Ok(())
     }
 
+    /// Before the owner ends: writes what waits on any connection, for so long at most. What happens meanwhile is dropped.
+    pub fn flush(&mut self, most: Duration) -> io::Result<()> {
+        let until = Instant::now() + most;
+        let waits = |source: &Source| matches!(source, Source::Conn(conn) if conn.waiting > 0 && !conn.ended);
+        while self.sources.iter().any(|(_, source)| waits(source)) && Instant::now() < until {
+            self.happened.clear();
+            self.poll(Some(FLUSH_LOOK))?;
+        }
+        Ok(())
+    }
+
     /// How long the next wait may last.
     fn wait(&self, most: Option<Duration>) -> Option<Duration> {
         if self.clock.is_driven() || !self.happened.is_empty() {
