HTTP reader: a connection that ends within a head no longer ends the program

Cause: Reader::head_bytes searched from where it had left off (reader.rs, 'input[from..]'), and on a connection's end the shell hands it an empty buffer: from lies beyond it. Any neighbour that closed in order within the head of a response crashed the node; the same index stood in the clients' line search. Ruled out: the preload library (the tests need none). Change: the search begins no later than the input ends, in both places.

--- a/crates/craneknot-http/src/reader.rs
+++ b/crates/craneknot-http/src/reader.rs
@@ -102,7 +102,8 @@
                 input.advance(2);
             }
         }
-        let from = self.searched.saturating_sub(3);
+        // Of a connection that ended within a head, the owner may have nothing left to give.
+        let from = self.searched.min(input.len()).saturating_sub(3);
         let end = input[from..].windows(4).position(|four| four == b"\r\n\r\n").map(|at| from + at + 4);
         match end {
             Some(end) if end > self.limits.head => Err(Wrong::HeadTooLarge),
--- a/crates/craneknot-node/src/clients.rs
+++ b/crates/craneknot-node/src/clients.rs
@@ -131,8 +131,9 @@
         actions: &mut Vec<ClientAction>,
     ) {
         while let Some(client) = self.clients.get_mut(&id) {
-            let found = input[client.searched..].iter().position(|byte| *byte == b'\n');
-            let Some(end) = found.map(|at| client.searched + at) else {
+            let from = client.searched.min(input.len());
+            let found = input[from..].iter().position(|byte| *byte == b'\n');
+            let Some(end) = found.map(|at| from + at) else {
                 client.searched = input.len();
                 let is_partial = !input.is_empty();
                 client.line_began = is_partial.then(|| client.line_began.unwrap_or(now));
