--- a/crates/craneknot-rehearsal/src/soak/run.rs
+++ b/crates/craneknot-rehearsal/src/soak/run.rs
@@ -399,7 +399,7 @@
         }
         self.tasks.drain(..).for_each(|task| drop(task.join()));
         let mut broken = self.oracle.all_broken();
-        broken.extend(self.fleet.lock().unwrap().broken.drain(..));
+        broken.append(&mut self.fleet.lock().unwrap().broken);
         let count = |figure: &std::sync::atomic::AtomicU64| figure.load(Ordering::Relaxed);
         SoakReport {
             seed,
