--- a/crates/craneknot-cli/tests/shutdown.rs
+++ b/crates/craneknot-cli/tests/shutdown.rs
@@ -79,7 +79,7 @@
 /// Every one of a crowd that reached it before SIGTERM asks once and is answered, as it is without a signal.
 #[test]
 fn a_crowd_that_crosses_sigterm_is_answered() {
-    for (sockets, crowd) in [(256, 120), (256, 200), (64, 20)] {
+    for (sockets, crowd) in [(256, 120), (256, 200), (64, 20), (64, 100)] {
         for signal in [None, Some(Signal::TERM)] {
             let (node, ..) = start(sockets);
             node.signal(Signal::STOP);
--- a/crates/craneknot-node/src/clients.rs
+++ b/crates/craneknot-node/src/clients.rs
@@ -16,6 +16,7 @@
 const IDLE_MOST: Nanos = Nanos::from_millis(1_500); // ms; the platform asks for one second at least
 const LINE_TIME: Nanos = Nanos::from_millis(1_500); // ms; for an unidentified client to finish a line it has begun
 const IDLE_MOST_CROWDED: Nanos = Nanos::from_millis(250); // ms; idle time where others wait to be accepted
+const TURN_MOST: Nanos = Nanos::from_millis(20); // ms; for a client to ask, in a shutdown in which others wait
 const LINE_MOST: usize = 4 * 1024; // bytes of an unidentified client's line: a joining is far shorter
 const COLLECTORS_MOST: usize = 4; // of a zone: one that was cut off comes again, and what it left never closes
 
@@ -218,6 +219,19 @@
         }
     }
 
+    /// In a shutdown, where others wait to be accepted: asks those to be evicted that have had their turn, whatever they
+    /// are. Whoever has come is to be answered once before anybody is answered again.
+    pub fn make_way(&self, now: Nanos, actions: &mut Vec<ClientAction>) {
+        let idle = self.clients.iter().filter(|(_, client)| {
+            client.role == Role::Unidentified
+                && client.line_began.is_none()
+                && now - client.heard >= TURN_MOST
+        });
+        let evict =
+            |id: &ClientId| ClientAction::Evict(*id, "the coordinator shuts down, and others wait".into());
+        actions.extend(idle.map(|(id, _)| evict(id)));
+    }
+
     /// When the next turn is due though nothing comes in.
     pub fn next_at(&self) -> Option<Nanos> {
         let crowded = self.room() == 0;
--- a/crates/craneknot-node/src/coordinator.rs
+++ b/crates/craneknot-node/src/coordinator.rs
@@ -81,6 +81,7 @@
     wake_at: Option<Nanos>,
     /// Asked to end: nothing more is decided.
     shutting_down: bool,
+    backlog: bool,
     todo: Todo,
     reports: u64,
     orders: u64,
@@ -112,6 +113,7 @@
             stepped: Nanos(0),
             wake_at: Some(now),
             shutting_down: false,
+            backlog: false,
             todo: Todo { notes: config.notes, ..Todo::default() },
             reports: 0,
             orders: 0,
@@ -329,7 +331,11 @@
 
     /// Does what is due, and gives what the shell is to do.
     pub fn turn(&mut self, now: Nanos) -> Todo {
-        if !self.shutting_down {
+        if self.shutting_down {
+            if self.backlog {
+                self.clients.make_way(now, &mut self.todo.client_actions);
+            }
+        } else {
             self.clients.turn(now, &mut self.todo.client_actions);
             self.decide(now);
         }
@@ -346,6 +352,11 @@
         self.shutting_down = true;
     }
 
+    /// In a shutdown: whether clients wait to be accepted, and there is no room for them.
+    pub fn set_backlog(&mut self, backlog: bool) {
+        self.backlog = backlog;
+    }
+
     /// Whether nobody is connected and no order waits.
     pub fn is_finished(&self) -> bool {
         self.clients.is_empty() && self.pending.is_settled()
@@ -436,7 +447,8 @@
     /// When the next turn is due though nothing comes in.
     pub fn next_at(&self, now: Nanos) -> Option<Nanos> {
         if self.shutting_down {
-            return self.order_queue.next_at();
+            let make_way = self.backlog.then_some(now + GAP);
+            return [self.order_queue.next_at(), make_way].into_iter().flatten().min();
         }
         let step = (!self.events.is_empty()).then_some(self.stepped + GAP);
         let times = [
--- a/crates/craneknot-node/src/shell.rs
+++ b/crates/craneknot-node/src/shell.rs
@@ -209,6 +209,8 @@
             return Ok(false);
         }
         self.reactor.set_accept_room(self.listener, self.coordinator.accept_room());
+        let is_draining = self.shutdown != Shutdown::No;
+        self.coordinator.set_backlog(is_draining && self.reactor.is_listening(self.listener));
         self.reactor.poll(None)?;
         while let Some(happened) = self.reactor.happened() {
             if !self.handle(happened) {
--- a/crates/craneknot-reactor/src/conn.rs
+++ b/crates/craneknot-reactor/src/conn.rs
@@ -23,7 +23,7 @@
     AfterOutput,
     /// All is written and our side is shut; what the peer still sends is read and dropped until it has seen that, so
     /// that its last bytes do not make the system reset the connection under our last ones.
-    Lingering { until: Nanos },
+    Lingering { since: Nanos },
 }
 
 pub(crate) struct Conn {
@@ -87,8 +87,8 @@
     }
 
     /// Shuts our side; false: there is no use in waiting for the peer.
-    pub fn begin_linger(&mut self, until: Nanos) -> bool {
-        self.closing = Closing::Lingering { until };
+    pub fn begin_linger(&mut self, now: Nanos) -> bool {
+        self.closing = Closing::Lingering { since: now };
         !self.read_closed && self.socket.shutdown(Shutdown::Write).is_ok()
     }
 
--- a/crates/craneknot-rehearsal/src/soak/http.rs
+++ b/crates/craneknot-rehearsal/src/soak/http.rs
@@ -1,11 +1,31 @@
 //! Just enough of HTTP/1.1 for stand-ins that block: one request after another on a connection.
 
 use std::io::{self, Read, Write};
-use std::net::TcpStream;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
 
 const HEAD_MOST: usize = 16 * 1024; // bytes of a request's head
 const BODY_MOST: usize = 256 * 1024; // bytes of its body
 
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20); // after one failed: the peer waits in the backlog
+
+/// Listens on a port of the system's choice, with a thread for each connection; gives the address.
+pub fn serve(converse: impl Fn(TcpStream) + Send + Sync + 'static) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+    let (address, converse) = (listener.local_addr()?, Arc::new(converse));
+    thread::spawn(move || loop {
+        let Ok((stream, _)) = listener.accept() else {
+            thread::sleep(ACCEPT_AGAIN);
+            continue;
+        };
+        let converse = converse.clone();
+        thread::spawn(move || converse(stream));
+    });
+    Ok(address)
+}
+
 /// A request as far as stand-ins look at it.
 pub struct Request {
     pub path: String,
--- a/crates/craneknot-rehearsal/src/soak/oracle.rs
+++ b/crates/craneknot-rehearsal/src/soak/oracle.rs
@@ -8,7 +8,7 @@
 use super::fleet::{Fleet, CLASSES};
 use super::node::Life;
 
-const ANSWERED_WITHIN: Duration = Duration::from_millis(1_000); // a process that runs answers within, on a busy machine
+const ANSWERED_WITHIN: Duration = Duration::from_millis(500); // a process that runs answers within, on a busy machine
 const READY_WITHIN: Duration = Duration::from_secs(10); // of a start
 const BARE_MOST: Duration = Duration::from_millis(4_500); // 2.8 s of the settings, 0.3 of the platform, and a busy machine
 const DRAIN_MOST: Duration = Duration::from_millis(4_500); // 2.7 s of the settings, the same
@@ -73,6 +73,11 @@
         self.broken_once(format!("node {node}, process {epoch}: counts {figure}"), "of itself");
     }
 
+    /// A process ended though nobody asked it to.
+    pub fn ended_by_itself(&self, node: usize, epoch: u64, status: &str) {
+        self.broken_once(format!("node {node}, process {epoch}: ended by itself"), status);
+    }
+
     /// All that was broken.
     pub fn all_broken(&self) -> Vec<String> {
         self.broken.lock().unwrap().clone()
--- a/crates/craneknot-rehearsal/src/soak/relay.rs
+++ b/crates/craneknot-rehearsal/src/soak/relay.rs
@@ -1,34 +1,20 @@
 //! The relay on sockets: calls that carry orders, and streams of news.
 
 use std::io::{self, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use super::fleet::Fleet;
-use super::http::{read_request, respond};
+use super::http::{self, read_request, respond};
 
-const ACCEPT_AGAIN: Duration = Duration::from_millis(20); // after one failed
 const TELL_EVERY: Duration = Duration::from_millis(10); // between looks for news
 const SIGN_EVERY: Duration = Duration::from_secs(1); // between signs of life
 
 /// Serves one node; gives the address.
 pub fn serve(fleet: Arc<Mutex<Fleet>>, node: usize) -> io::Result<SocketAddr> {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-    let address = listener.local_addr()?;
-    thread::spawn(move || {
-        loop {
-            // Out of descriptors for a moment: the peer waits in the backlog.
-            let Ok((stream, _)) = listener.accept() else {
-                thread::sleep(ACCEPT_AGAIN);
-                continue;
-            };
-            let fleet = fleet.clone();
-            thread::spawn(move || converse(&fleet, node, stream));
-        }
-    });
-    Ok(address)
+    http::serve(move |stream| converse(&fleet, node, stream))
 }
 
 fn converse(fleet: &Mutex<Fleet>, node: usize, mut stream: TcpStream) {
--- a/crates/craneknot-rehearsal/src/soak/run.rs
+++ b/crates/craneknot-rehearsal/src/soak/run.rs
@@ -155,7 +155,7 @@
                     let life = around.life.lock().unwrap().clone();
                     let ended = node.lock().unwrap().ended();
                     if let Some(status) = ended.filter(|_| life.terminated.is_none()) {
-                        oracle.broken(format!("node {}: ended by itself: {status}", around.node));
+                        oracle.ended_by_itself(around.node, life.epoch, &status);
                     }
                     oracle.judge_start(around.node, &life);
                     oracle.judge_holdings(around.node, &life, &fleet.lock().unwrap());
