Tests of what a shutdown waits for, and of the guard on orders

Change: two tests of the coordinator without sockets; the guard is public as Coordinator::permits. Measured: both tests pass.

--- a/crates/craneknot-node/src/coordinator.rs
+++ b/crates/craneknot-node/src/coordinator.rs
@@ -417,7 +417,7 @@
 
     /// Whether an order may go out, whatever the decisions believe: no line for a server that is not listed as ready, no
     /// binding of a proxy that is not joined, and no further try of what must not run twice.
-    fn is_allowed(&self, order: &Order) -> bool {
+    pub fn permits(&self, order: &Order) -> bool {
         match order {
             Order::Line { server, weight, .. } => {
                 let listed = self.listed.get(server);
@@ -434,7 +434,7 @@
 
     /// Puts an order in line for the relay; of no use without that proxy.
     fn order(&mut self, now: Nanos, order: &Order, proxy: Option<ProxyId>) {
-        if !self.is_allowed(order) {
+        if !self.permits(order) {
             self.pending.order_forbidden();
             return self.note(format!("an order that would break a rule is not sent: {order:?}"));
         }
--- a/crates/craneknot-node/tests/coordinator.rs
+++ b/crates/craneknot-node/tests/coordinator.rs
@@ -1,10 +1,11 @@
 //! The whole coordinator without sockets: what peers say becomes orders for the relay.
 
 use bytes::{Bytes, BytesMut};
-use craneknot::interface::Nanos;
+use craneknot::interface::*;
 use craneknot_node::clients::ClientId;
 use craneknot_node::coordinator::{Coordinator, Todo};
 use craneknot_node::link::{Act, LinkId};
+use craneknot_node::pending::CloseReason;
 use http::{Response, StatusCode};
 
 mod helpers;
@@ -212,3 +213,53 @@
     assert_eq!(platform.news, streams, "no stream was dropped");
     assert_eq!(platform.coordinator.status().news_malformed, 8, "four on each of two streams");
 }
+
+/// A shutdown is over once orders are acknowledged, and answers written: each is asked of the ledger.
+#[test]
+fn a_shutdown_waits_for_orders_and_for_answers_that_are_not_written() {
+    let mut platform = Platform::new();
+    platform.mute = true;
+    platform.attach(0..4);
+    platform.coordinator.shut_down();
+    platform.run(100);
+    assert!(!platform.coordinator.is_finished(), "orders wait");
+    platform.mute = false;
+    platform.run(1_000);
+    assert!(platform.coordinator.is_finished(), "{:?}", platform.coordinator.status());
+    let id = ClientId(1);
+    platform.coordinator.client_connected(platform.now, id);
+    let mut input = BytesMut::from(&b"{\"type\":\"hb\"}\n"[..]);
+    platform.coordinator.client_input(platform.now, id, &mut input);
+    assert!(!platform.coordinator.clients_settled(), "it has asked");
+    platform.coordinator.client_answered(id, true);
+    assert!(!platform.coordinator.clients_settled(), "its answer is not written");
+    platform.coordinator.client_flushed(id);
+    assert!(platform.coordinator.clients_settled());
+    assert!(!platform.coordinator.is_finished(), "it may ask again");
+    platform.coordinator.client_gone(id, CloseReason::ByPeer);
+    assert!(platform.coordinator.is_finished());
+    assert_eq!(platform.coordinator.abandon().total(), 0);
+}
+
+/// The guard on what goes out stands whatever the decisions believe.
+#[test]
+fn no_order_goes_out_that_would_break_a_rule() {
+    let mut platform = Platform::new();
+    platform.attach(0..2);
+    let permits = |order: Order| platform.coordinator.permits(&order);
+    let line =
+        |server: &str, weight| Order::Line { table: TableId(0), server: ServerId(server.into()), weight };
+    assert!(permits(line("s-0", 1.0)) && permits(line("gone", 0.0)));
+    assert!(!permits(line("gone", 1.0)), "no line for a server that is not listed");
+    let bind = |proxy| Order::Bind { proxy: ProxyId(proxy), classes: ClassSet(1), table: TableId(0) };
+    assert!(permits(bind(1)) && !permits(bind(2)), "no binding of a proxy that is not joined");
+    let level = |class, tries| Order::Level {
+        table: TableId(0),
+        classes: ClassSet::of(ClassId(class)),
+        level: 1.0,
+        tries,
+    };
+    // The second class must not run twice.
+    assert!(permits(level(0, FurtherTries::Once)) && permits(level(1, FurtherTries::Unrun)));
+    assert!(!permits(level(1, FurtherTries::Once)) && !permits(level(1, FurtherTries::Twice)));
+}
