Node: a dial that fails on our own side is made again, and is no failure of the neighbour

Cause: Shell::act told every failure of connect as one of the neighbour; a descriptor, buffer, address or route that was short for a moment then cost waits of up to seconds. Order numbers are checked in a type of their own.

--- a/crates/craneknot-node/src/order_queue.rs
+++ b/crates/craneknot-node/src/order_queue.rs
@@ -71,11 +71,29 @@
     pub retried: u64,
     /// Orders offered, ever.
     offered: u64,
-    /// By proxy (nothing: for all), the last order known to be taken.
-    taken: BTreeMap<Option<ProxyId>, u64>,
+    acknowledged: Acknowledged,
     overtaken: u64,
 }
 
+/// The last order known to be taken, by proxy (nothing: of those for all).
+#[derive(Debug, Default)]
+pub struct Acknowledged(BTreeMap<Option<ProxyId>, u64>);
+
+impl Acknowledged {
+    /// An order was taken; `number` is its place among all that were offered. False: a later one had been taken before.
+    pub fn take(&mut self, proxy: Option<ProxyId>, number: u64) -> bool {
+        let last = self.0.entry(proxy).or_default();
+        let in_turn = number >= *last;
+        *last = number;
+        in_turn
+    }
+
+    /// A proxy has left: when it comes again, its orders begin anew.
+    pub fn forget(&mut self, proxy: ProxyId) {
+        self.0.remove(&Some(proxy));
+    }
+}
+
 impl OrderQueue {
     pub fn new(address: SocketAddr, now: Nanos) -> Self {
         OrderQueue {
@@ -88,7 +106,7 @@
             rejected: 0,
             retried: 0,
             offered: 0,
-            taken: BTreeMap::new(),
+            acknowledged: Acknowledged::default(),
             overtaken: 0,
         }
     }
@@ -136,7 +154,7 @@
     /// since its answer counts them.
     pub fn left(&mut self, proxy: ProxyId) {
         self.held.remove(&proxy);
-        self.taken.remove(&Some(proxy));
+        self.acknowledged.forget(proxy);
         let sent = self.in_flight();
         for queued in self.queue.iter_mut().filter(|queued| queued.order.proxy == Some(proxy)) {
             queued.void = true;
@@ -265,9 +283,8 @@
     /// checked here, where it is known what the relay did.
     fn acknowledge(&mut self, count: usize) {
         for queued in self.queue.drain(..count) {
-            let last = self.taken.entry(queued.order.proxy).or_default();
-            self.overtaken += u64::from(queued.number < *last);
-            *last = queued.number;
+            let in_turn = self.acknowledged.take(queued.order.proxy, queued.number);
+            self.overtaken += u64::from(!in_turn);
         }
     }
 
--- a/crates/craneknot-node/src/shell.rs
+++ b/crates/craneknot-node/src/shell.rs
@@ -13,7 +13,7 @@
 use craneknot_http::{Limits as HttpLimits, ResponseReader};
 use craneknot_platform::config::Config;
 use craneknot_platform::lines;
-use craneknot_reactor::system_errors::is_momentary_at_start;
+use craneknot_reactor::system_errors::{is_momentary_at_start, is_own_failure};
 use craneknot_reactor::{
     Clock, CloseCause, ConnId, Happened, Limits, ListenerId, Reactor, SendError, SignalFlags,
 };
@@ -34,6 +34,7 @@
 const START_MOST: Duration = Duration::from_secs(8); // a start that fails for a moment is tried again for so long: the
                                                      // platform wants it ready within 10 s
 const START_RETRY: Duration = Duration::from_millis(50); // between two tries
+const REDIAL_AFTER: Nanos = Nanos::from_millis(20); // ms; until a dial that failed on our own side is made again
 const RELOAD_RETRY: Nanos = Nanos::from_millis(200); // ms; until a configuration that can't be read is read again
 const RELOAD_TRIES: u32 = 5; // it may be half written
 
@@ -54,6 +55,15 @@
     Shutdown,
     /// The configuration is read again: how often that has failed.
     Reload(u32),
+    /// Dials that failed on our own side are made again.
+    Redial,
+}
+
+/// A dial that failed on our own side and is to be made again. Who asked for it sets its time, and drops it.
+struct Redial {
+    id: LinkId,
+    address: SocketAddr,
+    request: Bytes,
 }
 
 /// How far a shutdown has come.
@@ -85,6 +95,7 @@
     client_conns: BTreeMap<ClientId, ConnId>,
     links: BTreeMap<ConnId, Link>,
     link_conns: BTreeMap<LinkId, ConnId>,
+    redials: Vec<Redial>,
     next_client: u64,
     turn_at: Option<Nanos>,
     shutdown: Shutdown,
@@ -179,6 +190,7 @@
             client_conns: BTreeMap::new(),
             links: BTreeMap::new(),
             link_conns: BTreeMap::new(),
+            redials: Vec::new(),
             next_client: 0,
             turn_at: None,
             shutdown: Shutdown::No,
@@ -259,6 +271,11 @@
             }
             Happened::Timer(Due::Shutdown) => return false,
             Happened::Timer(Due::Reload(failed)) => self.reload(failed),
+            Happened::Timer(Due::Redial) => {
+                for Redial { id, address, request } in std::mem::take(&mut self.redials) {
+                    self.dial(id, address, request);
+                }
+            }
             Happened::Signal(SIGHUP) => self.reload(0),
             Happened::Signal(signal) => self.shut_down(signal),
         }
@@ -500,16 +517,28 @@
         Some(conn)
     }
 
+    /// Dials. A failure on our own side says nothing of the neighbour: it is not told as one, and the dial made again.
+    fn dial(&mut self, id: LinkId, address: SocketAddr, request: Bytes) {
+        match self.reactor.connect(address) {
+            Ok(conn) => {
+                let reader = ResponseReader::new(HttpLimits::default());
+                self.links.insert(conn, Link { id, reader, first: Some(request) });
+                self.link_conns.insert(id, conn);
+            }
+            Err(cause) if is_own_failure(&cause) => {
+                debug!(%address, %cause, "dialling again");
+                if self.redials.is_empty() {
+                    self.reactor.set_timer(self.reactor.now() + REDIAL_AFTER, Due::Redial);
+                }
+                self.redials.push(Redial { id, address, request });
+            }
+            Err(cause) => self.coordinator.link_lost(self.reactor.now(), id, &cause.to_string()),
+        }
+    }
+
     fn act(&mut self, act: Act) {
         match act {
-            Act::Dial { link, address, request } => match self.reactor.connect(address) {
-                Ok(conn) => {
-                    let reader = ResponseReader::new(HttpLimits::default());
-                    self.links.insert(conn, Link { id: link, reader, first: Some(request) });
-                    self.link_conns.insert(link, conn);
-                }
-                Err(cause) => self.coordinator.link_lost(self.reactor.now(), link, &cause.to_string()),
-            },
+            Act::Dial { link, address, request } => self.dial(link, address, request),
             Act::Send { link, request } => {
                 let Some(conn) = self.link_conns.get(&link).copied() else { return };
                 if self.reactor.send(conn, [request]).is_err() {
@@ -518,6 +547,7 @@
                 }
             }
             Act::Drop { link } => {
+                self.redials.retain(|redial| redial.id != link);
                 if let Some(conn) = self.link_conns.remove(&link) {
                     self.links.remove(&conn);
                     self.reactor.close(conn);
--- a/crates/craneknot-node/tests/parts.rs
+++ b/crates/craneknot-node/tests/parts.rs
@@ -8,7 +8,7 @@
 use craneknot_node::descriptors::Descriptors;
 use craneknot_node::event_streams::EventStreams;
 use craneknot_node::link::{Act, LinkId, Links};
-use craneknot_node::order_queue::{EncodedOrder, OrderQueue};
+use craneknot_node::order_queue::{Acknowledged, EncodedOrder, OrderQueue};
 use craneknot_node::pending::{CloseReason, PendingWork};
 use craneknot_node::server_age::ServerStarts;
 use craneknot_node::watch::Watch;
@@ -223,6 +223,17 @@
     assert!(pending.is_settled());
 }
 
+#[test]
+fn an_order_that_is_taken_after_a_later_one_of_the_same_proxy_is_told() {
+    let (mut acknowledged, proxy) = (Acknowledged::default(), ProxyId(7));
+    assert!(
+        acknowledged.take(Some(proxy), 3) && acknowledged.take(None, 2) && acknowledged.take(Some(proxy), 4)
+    );
+    assert!(!acknowledged.take(Some(proxy), 3), "it was overtaken");
+    acknowledged.forget(proxy);
+    assert!(acknowledged.take(Some(proxy), 1), "it has left and come again");
+}
+
 /// A wall clock that is wrong by an hour makes no server old that has just started, and none young for long.
 #[test]
 fn a_server_is_no_older_than_the_time_since_it_was_seen_otherwise() {
--- a/crates/craneknot-reactor/src/system_errors.rs
+++ b/crates/craneknot-reactor/src/system_errors.rs
@@ -46,3 +46,9 @@
 pub fn is_momentary_at_start(error: &io::Error) -> bool {
     is_shortage(error) || is_one_of(error, ADDRESS_NOT_READY) || is_one_of(error, &[libc::EIO])
 }
+
+/// Whether a dial failed on our own side, before the neighbour had any part in it: for want of a descriptor, a buffer, an
+/// address or a route.
+pub fn is_own_failure(error: &io::Error) -> bool {
+    is_shortage(error) || is_one_of(error, &[libc::EADDRNOTAVAIL, libc::ENETUNREACH, libc::ENETDOWN])
+}
--- a/crates/craneknot-rehearsal/src/soak/discovery.rs
+++ b/crates/craneknot-rehearsal/src/soak/discovery.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use super::fleet::Fleet;
+use super::fleet::{Fleet, Server};
 use super::http::{self, read_request, respond};
 
 const LOOK_EVERY: Duration = Duration::from_millis(10); // between looks for something newer
@@ -24,25 +24,25 @@
             let found = form_urlencoded::parse(query.as_bytes()).find(|(name, _)| name == key);
             found.and_then(|(_, value)| value.parse::<u64>().ok())
         };
-        let (body, version) = answer(fleet, number("index"), number("wait").unwrap_or(0));
+        let (body, listed) = answer(fleet, number("index"), number("wait").unwrap_or(0));
         let lag = fleet.lock().unwrap().lag;
         thread::sleep(lag);
         if respond(&mut stream, "200 OK", &body).is_err() {
             return;
         }
-        fleet.lock().unwrap().list_told(node, version);
+        fleet.lock().unwrap().list_told(node, &listed);
     }
 }
 
-/// The list, once there is something newer or the wait is over; and its version.
-fn answer(fleet: &Mutex<Fleet>, after: Option<u64>, wait: u64) -> (String, u64) {
+/// The list, once there is something newer or the wait is over; and the servers as it has them.
+fn answer(fleet: &Mutex<Fleet>, after: Option<u64>, wait: u64) -> (String, Vec<Server>) {
     let until = Instant::now() + Duration::from_millis(wait);
     loop {
         let fleet = fleet.lock().unwrap();
         let is_newer = after.is_none_or(|after| fleet.version > after);
         if is_newer || Instant::now() >= until {
             let after = after.filter(|_| !fleet.answer_whole);
-            return (fleet.list(after), fleet.version);
+            return (fleet.list(after), fleet.servers.clone());
         }
         drop(fleet);
         thread::sleep(LOOK_EVERY);
--- a/crates/craneknot-rehearsal/src/soak/fleet.rs
+++ b/crates/craneknot-rehearsal/src/soak/fleet.rs
@@ -30,20 +30,12 @@
     pub last_mark: Option<u16>,
 }
 
-/// A change of the list that a node has been told.
-#[derive(Clone, Copy, Debug)]
-pub struct Told {
-    pub version: u64,
-    pub at: Instant,
-}
-
 /// All of it.
 pub struct Fleet {
     pub servers: Vec<Server>,
     pub version: u64,
     pub holdings: Vec<Holdings>,
-    /// By node: the newest version that was written to it, and since when it knows of each draining server.
-    pub told: Vec<Option<Told>>,
+    /// By node: since when it knows of each server that drains or is gone.
     pub known_lost: Vec<BTreeMap<String, Instant>>,
     /// Discovery answers whole lists, and how late.
     pub answer_whole: bool,
@@ -70,7 +62,6 @@
             servers: (0..servers).map(server).collect(),
             version: 1,
             holdings: (0..nodes).map(|_| Holdings::default()).collect(),
-            told: vec![None; nodes],
             known_lost: vec![BTreeMap::new(); nodes],
             answer_whole: false,
             lag: Duration::ZERO,
@@ -115,7 +106,6 @@
     pub fn process_ended(&mut self, node: usize) {
         let joined = std::mem::take(&mut self.holdings[node].joined);
         self.holdings[node] = Holdings { joined, ..Holdings::default() };
-        self.told[node] = None;
         self.known_lost[node].clear();
     }
 
@@ -243,16 +233,14 @@
         )
     }
 
-    /// A list was written to a node: from now on it knows of who is lost.
-    pub fn list_told(&mut self, node: usize, version: u64) {
-        let now = Instant::now();
-        self.told[node] = Some(Told { version, at: now });
+    /// A list was written to a node: from now on it knows who is lost.
+    pub fn list_told(&mut self, node: usize, listed: &[Server]) {
         let known = &mut self.known_lost[node];
-        for server in self.servers.iter().filter(|server| server.version <= version) {
+        for server in listed {
             if server.phase == "SERVING" {
                 known.remove(&server.id);
             } else {
-                known.entry(server.id.clone()).or_insert(now);
+                known.entry(server.id.clone()).or_insert_with(Instant::now);
             }
         }
     }
--- a/crates/craneknot-rehearsal/src/soak/node.rs
+++ b/crates/craneknot-rehearsal/src/soak/node.rs
@@ -29,6 +29,8 @@
     pub killed: Option<Instant>,
     /// Its last pause ended then, or is still on.
     pub paused_until: Option<Instant>,
+    /// A crowd may fill its backlog until then.
+    pub crowded_until: Option<Instant>,
     /// It has answered since it started.
     pub ready: bool,
     /// The last fault that touched it, or will until then.
--- a/crates/craneknot-rehearsal/src/soak/oracle.rs
+++ b/crates/craneknot-rehearsal/src/soak/oracle.rs
@@ -111,7 +111,9 @@
             // Its process was followed by another, before which it was killed or had ended.
             return true;
         }
-        let runs_from = life.paused_until.map_or(sent, |until| until.max(sent));
+        // Neither can it answer while it is stopped, nor who waits behind a crowd that it has no room for.
+        let held_up = life.paused_until.max(life.crowded_until);
+        let runs_from = held_up.map_or(sent, |until| until.max(sent));
         life.killed.is_some_and(|killed| killed.saturating_duration_since(runs_from) < ANSWERED_WITHIN)
     }
 
--- a/crates/craneknot-rehearsal/src/soak/run.rs
+++ b/crates/craneknot-rehearsal/src/soak/run.rs
@@ -25,6 +25,7 @@
 const SERVERS: usize = 12;
 const REDIAL_AFTER: Duration = Duration::from_millis(300); // proxies whose coordinator is gone join another
 const OLD_ADDRESS_ENDS: Duration = Duration::from_millis(1_500); // after a reload, as on the platform
+const CROWD_LASTS: Duration = Duration::from_secs(4); // the largest crowd at the node with the fewest descriptors
 const MEMORY_MOST_KB: u64 = 64 * 1024;
 const FIRST_READY: Duration = Duration::from_secs(30); // of the first start of all nodes
 
@@ -207,6 +208,7 @@
             }
             Fault::Crowd { asking, silent } => {
                 let around = self.around[number].clone();
+                around.life.lock().unwrap().crowded_until = Some(Instant::now() + CROWD_LASTS);
                 self.tasks.push(thread::spawn(move || {
                     let quiet = around.clone();
                     let quiet = thread::spawn(move || come_silently(&quiet, silent));
