--- a/crates/craneknot-rehearsal/src/soak/node.rs
+++ b/crates/craneknot-rehearsal/src/soak/node.rs
@@ -130,7 +130,9 @@
         let epoch = {
             let mut life = self.life.lock().unwrap();
             let now = Some(Instant::now());
-            *life = Life { epoch: life.epoch + 1, started: now, disturbed_until: now, ..Life::default() };
+            // A network fault goes on whatever becomes of the process.
+            let disturbed_until = life.disturbed_until.max(now);
+            *life = Life { epoch: life.epoch + 1, started: now, disturbed_until, ..Life::default() };
             life.epoch
         };
         let log = self.setting.folder.join(format!("node-{}-{epoch}.log", self.number));
