Reactor: what the network tells of a connection once does not end it; idle clients set no past time

Cause: a read or write that fails with ETIMEDOUT or EHOSTUNREACH ended a connection that may stand, with a request on it; by reading: an idle client that is owed something set a time in the past, a loop that does not rest. Change: such a failure is waited out (of a dead connection the next read tells); an idle client that is kept has as much time again, and one that does not read its answers for 1.5 s is closed.

--- a/crates/craneknot-cli/tests/shutdown.rs
+++ b/crates/craneknot-cli/tests/shutdown.rs
@@ -15,7 +15,7 @@
 const KILL_AFTER: Duration = Duration::from_millis(700);
 const TELEMETRY: &[u8] = b"{\"type\":\"telemetry\",\"locality\":\"a\"}\n";
 
-/// A coordinator whose relay says nothing, with so many descriptors.
+/// A coordinator with so many descriptors, whose relay is gone unless the caller keeps it.
 fn start(sockets: usize) -> (Node, TempDir, TcpListener) {
     let (folder, relay) = (tempfile::tempdir().unwrap(), listener());
     let mut value = configuration(relay.local_addr().unwrap());
--- a/crates/craneknot-cli/tests/system_calls.rs
+++ b/crates/craneknot-cli/tests/system_calls.rs
@@ -50,7 +50,7 @@
     let faults = "accept4=ECONNABORTED@0.1;accept4=ENFILE@0.1;accept4=EINTR@0.1;socket=ENOBUFS@0.3;\
                   connect=EADDRNOTAVAIL@0.1;connect=ENETUNREACH@0.1;recv=EINTR@0.2;recv=SHORT@0.2;recv=ENOBUFS@0.1;\
                   writev=EINTR@0.2;writev=SHORT@0.2;writev=ENOBUFS@0.1;epoll_ctl=ENOMEM@0.1;epoll_wait=EINTR@0.2;\
-                  send=ENOBUFS@0.5";
+                  recv=ETIMEDOUT@0.02;recv=EHOSTUNREACH@0.02;writev=ETIMEDOUT@0.02;writev=EHOSTUNREACH@0.02;send=ENOBUFS@0.5";
     for seed in 1..=4 {
         let folder = tempfile::tempdir().unwrap();
         let mut node = start(folder.path(), &configuration(relay.local_addr().unwrap()), faults, seed);
--- a/crates/craneknot-node/src/clients.rs
+++ b/crates/craneknot-node/src/clients.rs
@@ -202,18 +202,21 @@
         });
     }
 
-    /// Asks those to be evicted whose time is over. They count until the owner says that they are gone.
+    /// Asks those to be evicted whose time is over. They count until the owner says that they are gone; one that it keeps
+    /// has as much time again.
     pub fn turn(&mut self, now: Nanos, actions: &mut Vec<ClientAction>) {
         let crowded = self.room() == 0;
-        let over: Vec<(ClientId, bool)> = self
+        let over: Vec<ClientId> = self
             .unidentified()
             .filter(|(_, client)| client.deadline(crowded) <= now)
-            .map(|(id, client)| (*id, client.line_began.is_some()))
+            .map(|(id, _)| *id)
             .collect();
-        for (id, began) in over {
-            if began {
+        for id in over {
+            let Some(client) = self.clients.get_mut(&id) else { continue };
+            if client.line_began.is_some() {
                 self.turn_away(id, "its message was not finished in time".into(), actions);
             } else {
+                client.active = now;
                 actions.push(ClientAction::Evict(id, "it has not joined in time".into()));
             }
         }
--- a/crates/craneknot-node/src/shell.rs
+++ b/crates/craneknot-node/src/shell.rs
@@ -30,6 +30,7 @@
 const SHUTDOWN_MOST: Nanos = Nanos::from_millis(900); // ms; clients may use their connections until the platform kills,
                                                       // 700 ms after SIGTERM at the earliest
 const FLUSH_MOST: Duration = Duration::from_millis(100); // for the last answers to be written
+const STUCK_MOST: Nanos = Nanos::from_millis(1_500); // ms; for an idle client to read some of its answers
 const STATUS_EVERY: Nanos = Nanos::from_millis(5_000); // ms; one line in the log
 const START_MOST: Duration = Duration::from_secs(8); // a start that fails for a moment is tried again for so long: the
                                                      // platform wants it ready within 10 s
@@ -506,6 +507,10 @@
             self.read(conn);
         } else if !self.coordinator.owes(id) {
             self.reject(id, cause);
+        } else if self.reactor.stuck(conn) >= STUCK_MOST {
+            info!(client = id.0, "closing: it does not read its answers");
+            self.forget(id, CloseReason::ByPeer);
+            self.reactor.close(conn);
         }
     }
 
--- a/crates/craneknot-node/tests/parts.rs
+++ b/crates/craneknot-node/tests/parts.rs
@@ -106,6 +106,7 @@
     take_at(ms(200), &mut clients, 1, "{\"type\"", &names);
     clients.turn(ms(300), &mut actions);
     assert!(matches!(actions[..], [ClientAction::Evict(ClientId(2), _)]), "{actions:?}");
+    assert!(clients.next_at().is_some_and(|at| at > ms(300)), "one that is kept sets no time in the past");
     clients.gone(ClientId(2));
     actions.clear();
     clients.turn(ms(1_000), &mut actions);
--- a/crates/craneknot-reactor/src/system_errors.rs
+++ b/crates/craneknot-reactor/src/system_errors.rs
@@ -47,6 +47,12 @@
     is_shortage(error) || is_one_of(error, ADDRESS_NOT_READY) || is_one_of(error, &[libc::EIO])
 }
 
+/// Whether a read or write failed by what the network told of a connection, which may stand all the same. Of one that does
+/// not, the next read or write tells.
+pub fn is_soft_network_error(error: &io::Error) -> bool {
+    is_one_of(error, &[libc::ETIMEDOUT, libc::EHOSTUNREACH, libc::ENETUNREACH, libc::ENETDOWN])
+}
+
 /// Whether a dial failed on our own side, before the neighbour had any part in it: for want of a descriptor, a buffer, an
 /// address or a route.
 pub fn is_own_failure(error: &io::Error) -> bool {
--- a/crates/craneknot-rehearsal/src/soak/run.rs
+++ b/crates/craneknot-rehearsal/src/soak/run.rs
@@ -65,7 +65,8 @@
 const FAULT_RULES: &str = "accept4=ECONNABORTED@0.02;accept4=ENFILE@0.02;accept4=EINTR@0.02;socket=ENOBUFS@0.05;\
                            socket=ENFILE@0.05;connect=EADDRNOTAVAIL@0.02;connect=ENETUNREACH@0.02;recv=EINTR@0.05;\
                            recv=SHORT@0.05;recv=ENOBUFS@0.02;writev=EINTR@0.05;writev=SHORT@0.05;writev=ENOBUFS@0.02;\
-                           epoll_ctl=ENOMEM@0.02;epoll_wait=EINTR@0.05;send=ENOBUFS@0.3;open=EMFILE@0.1";
+                           epoll_ctl=ENOMEM@0.02;epoll_wait=EINTR@0.05;send=ENOBUFS@0.3;open=EMFILE@0.1;recv=ETIMEDOUT@0.01;recv=EHOSTUNREACH@0.01;\
+                           writev=ETIMEDOUT@0.01;writev=EHOSTUNREACH@0.01";
 
 struct Soak {
     nodes: Vec<Arc<Mutex<Node>>>,
