--- a/crates/craneknot-node/tests/coordinator.rs
+++ b/crates/craneknot-node/tests/coordinator.rs
@@ -1,15 +1,36 @@
 //! The whole coordinator without sockets: what peers say becomes orders for the relay.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use bytes::{Bytes, BytesMut};
 use craneknot::interface::*;
 use craneknot_node::clients::ClientId;
 use craneknot_node::coordinator::{Coordinator, Todo};
 use craneknot_node::link::{Act, LinkId};
 use craneknot_node::pending::CloseReason;
+use craneknot_platform::config::Config;
 use http::{Response, StatusCode};
+use serde_json::{json, Value};
 
 mod helpers;
-use helpers::{config, ms, ADDRESS, OTHER};
+use helpers::{config, configuration, ms, ADDRESS, OTHER};
+
+const HOUR: u64 = 3_600_000; // ms
+const BARE_MOST: u64 = 2_800; // ms; of the configuration: how long a proxy may lack a line
+
+/// A server as discovery lists it; even numbers stand in zone a. `started`: in milliseconds of the wall clock.
+fn listed(number: usize, started: u64) -> Value {
+    let zone = if number.is_multiple_of(2) { "a" } else { "b" };
+    json!({"id": format!("s-{number}"), "host_port": format!("127.0.0.1:{}", 9_000 + number), "cell": 0,
+           "locality": zone, "flavor": "m2", "phase": "SERVING", "size": 1.0, "up_since_ms": started})
+}
+
+/// A configuration that knows these servers, with their starts.
+fn config_of(servers: &[(usize, u64)]) -> Config {
+    let mut value = configuration(0);
+    value["known"]["members"] = servers.iter().map(|(number, started)| listed(*number, *started)).collect();
+    Config::read(value.to_string().as_bytes()).unwrap()
+}
 
 /// The platform as far as a coordinator sees it: it answers calls at once and remembers what they carried.
 struct Platform {
@@ -21,13 +42,20 @@
     orders: Vec<String>,
     /// The relay says nothing.
     mute: bool,
+    /// The relay can't use orders for this proxy.
+    unknown_proxy: Option<u16>,
 }
 
 impl Platform {
     fn new() -> Self {
-        let coordinator = Coordinator::new(config(), ms(0));
+        Self::start(config(), ms(0))
+    }
+
+    /// A coordinator that starts with this configuration at a moment of its own clock.
+    fn start(config: Config, now: Nanos) -> Self {
+        let coordinator = Coordinator::new(config, now);
         let (news, watches, probes, orders) = Default::default();
-        Platform { coordinator, now: ms(0), news, watches, probes, orders, mute: false }
+        Platform { coordinator, now, news, watches, probes, orders, mute: false, unknown_proxy: None }
     }
 
     fn run(&mut self, millis: u64) {
@@ -55,9 +83,13 @@
                 "/api/" if self.mute => {}
                 "/api/" => {
                     let (_, form) = text.split_once("ops=").unwrap();
-                    let orders: Vec<&str> = form.split("%3B").collect();
-                    self.orders.extend(orders.iter().map(|order| order.replace("%2C", ",")));
-                    let count = orders.len();
+                    let orders = form.split("%3B").map(|order| order.replace("%2C", ","));
+                    let unusable = self.unknown_proxy.map(|proxy| format!("bind,{proxy},"));
+                    let usable =
+                        |order: &String| unusable.as_ref().is_none_or(|bind| !order.starts_with(bind));
+                    let taken: Vec<String> = orders.take_while(usable).collect();
+                    let count = taken.len();
+                    self.orders.extend(taken);
                     let body = format!("<Response><ok_count>{count}</ok_count></Response>");
                     self.answer(link, StatusCode::OK, &body);
                 }
@@ -89,6 +121,33 @@
         self.run(1_000);
     }
 
+    /// The servers that a proxy has lines for, by what the relay has taken.
+    fn lines(&self, proxy: u16, class: &str) -> BTreeSet<String> {
+        let mut tables: BTreeMap<&str, BTreeSet<String>> = BTreeMap::new();
+        let mut bound = None;
+        for order in &self.orders {
+            match order.split(',').collect::<Vec<_>>()[..] {
+                ["share", table, server, "0"] => drop(tables.entry(table).or_default().remove(server)),
+                ["share", table, server, _] => {
+                    drop(tables.entry(table).or_default().insert(server.to_owned()))
+                }
+                ["bind", of, table, classes] if of == proxy.to_string() => {
+                    bound = classes.split('+').any(|name| name == class).then_some(table).or(bound);
+                }
+                _ => {}
+            }
+        }
+        bound.and_then(|table| tables.remove(table)).unwrap_or_default()
+    }
+
+    /// Answers the newest call of the watch with changes to these servers, ready and started at these wall-clock times.
+    fn list_changes(&mut self, revision: u64, servers: &[(usize, u64)]) {
+        let entries: Vec<Value> = servers.iter().map(|(server, started)| listed(*server, *started)).collect();
+        let list = json!({"revision": revision, "complete": false, "members": entries});
+        let link = self.watches.last().unwrap().0;
+        self.answer(link, StatusCode::OK, &list.to_string());
+    }
+
     fn bound(&self, proxy: u16) -> usize {
         let bind = format!("bind,{proxy},");
         self.orders.iter().filter(|order| order.starts_with(&bind)).count()
@@ -263,3 +322,53 @@
     assert!(permits(level(0, FurtherTries::Once)) && permits(level(1, FurtherTries::Unrun)));
     assert!(!permits(level(1, FurtherTries::Once)) && !permits(level(1, FurtherTries::Twice)));
 }
+
+/// A wall clock that is an hour behind makes each start that discovery tells lie in the future: that says nothing of the
+/// server's age, and a fleet that was restarted lately, as by a release, must not be left out as a whole.
+#[test]
+fn with_a_wall_clock_an_hour_behind_proxies_have_lines_for_each_class() {
+    let true_time = 10 * HOUR;
+    // The last one started a second ago, the others one after the other each 20 s before.
+    let servers: Vec<(usize, u64)> =
+        (0..6).map(|number| (number, true_time - 1_000 - 20_000 * (5 - number as u64))).collect();
+    let mut platform = Platform::start(config_of(&servers), ms(true_time - HOUR));
+    platform.attach(0..6);
+    platform.run(BARE_MOST - 1_000);
+    for proxy in 0..6 {
+        for class in ["lookup", "issue"] {
+            assert!(!platform.lines(proxy, class).is_empty(), "proxy {proxy} has no line for {class}");
+        }
+    }
+}
+
+/// A zone that was cut off from discovery returns to the list with the starts it had: a coordinator that has begun
+/// meanwhile has never seen it, and may not take all of it for cold.
+#[test]
+fn servers_that_return_to_the_list_with_their_old_starts_have_lines() {
+    let true_time = 10 * HOUR;
+    let mut platform = Platform::start(config_of(&[(1, 0), (3, 0), (5, 0)]), ms(true_time));
+    platform.attach(0..6);
+    platform.list_changes(42, &[]);
+    platform.run(4_000);
+    let started = true_time - 60_000;
+    platform.list_changes(43, &[(0, started), (2, started), (4, started)]);
+    platform.run(BARE_MOST);
+    // The class that may run in that zone alone.
+    for proxy in 0..6 {
+        assert!(!platform.lines(proxy, "issue").is_empty(), "proxy {proxy} has no line for issue");
+    }
+}
+
+/// The decisions take what they have ordered for done. Where the relay refuses it twice, nobody else will order it.
+#[test]
+fn a_binding_that_the_relay_has_refused_is_ordered_again() {
+    let mut platform = Platform::new();
+    platform.unknown_proxy = Some(3);
+    platform.attach(0..6);
+    platform.run(1_000);
+    assert_eq!(platform.bound(3), 0);
+    platform.unknown_proxy = None;
+    platform.run(2_000);
+    assert!(platform.bound(3) > 0, "no news came, and it is still not bound");
+    assert!(!platform.lines(3, "lookup").is_empty());
+}
