Node: what became of an order is told back; a server of unknown age keeps its lines

Cause: the three red tests. Decisions booked an order as done when they handed it over (`note_sent`), and a binding that the relay refused twice was never given again. A start that lies in the future, or long before a list that did not show it, was taken as certainly recent (`ServerStarts::believed`, `weights_of`), so that a fleet restarted by a release had no line at all for 7 s where the wall clock was behind or a zone had been cut off.

Change: each order offered to the queue has one outcome; a refused one goes back to the decisions as an event, which take back what they had booked and give it again after 0.5 s. A start carries whether it is known; ages are told from the newest start where the wall clock is behind; a server that may be warm counts for the last resort, with no more than a cold one's weight. A table whose members all have cold guards keeps a line, and rounding ends none. `craneknot run` reads starts in the future the same way. `coverage` judges, by what the relay has acknowledged, how long each proxy has had no line.

All tests of the changed packages pass, the three red ones with them.

--- a/crates/craneknot-cli/src/solve.rs
+++ b/crates/craneknot-cli/src/solve.rs
@@ -116,7 +116,16 @@
                     Shown::Gone => Readiness::Removed,
                 };
                 let (cell, weight, started) = (CellId(0), *weight, started.map(nanos));
-                pending.push(Listing { server, zone, kind, cell, weight, started, readiness });
+                pending.push(Listing {
+                    server,
+                    zone,
+                    kind,
+                    cell,
+                    weight,
+                    started,
+                    is_start_certain: true,
+                    readiness,
+                });
             }
             Line::Heard(_, server, _, tries, unanswered, _, latency, busy, held, service) => {
                 let Some((server, ..)) = servers.get(server) else { continue };
--- a/crates/craneknot-coordinator/src/ledger.rs
+++ b/crates/craneknot-coordinator/src/ledger.rs
@@ -234,6 +234,7 @@
                 }
                 Event::ProxyHolds { .. }
                 | Event::Applied { .. }
+                | Event::OrderRefused { .. }
                 | Event::Woken
                 | Event::PeerSaid { .. }
                 | Event::SliceGiven { .. }
@@ -532,6 +533,7 @@
             cell: CellId(0),
             weight: Some(1.5),
             started: None,
+            is_start_certain: true,
             readiness: Readiness::Ready,
         };
         vec![
--- a/crates/craneknot-coordinator/src/roster.rs
+++ b/crates/craneknot-coordinator/src/roster.rs
@@ -199,9 +199,10 @@
             continue;
         }
         let mut started = entry.started.filter(|at| at.is_finite() && *at > 0.0).map(Nanos::from_secs);
-        if started.is_some_and(|started| started > now) {
-            // Its clock is ahead of ours: it can have started now at the latest.
-            notes.push(format!("{} starts in the future: taken as just started", entry.address));
+        // Its clock is ahead of ours, or ours is behind: it can have started now at the latest, and long ago as well.
+        let is_start_certain = started.is_none_or(|started| started <= now);
+        if !is_start_certain {
+            notes.push(format!("{} starts in the future: its age is not known", entry.address));
             started = Some(now);
         }
         let server = ServerId(Arc::from(entry.address.as_str()));
@@ -212,6 +213,7 @@
             cell: CellId(entry.cell),
             weight: entry.weight.filter(|weight| weight.is_finite() && *weight > 0.0),
             started,
+            is_start_certain,
             readiness: match entry.state {
                 ServerState::Up => Readiness::Ready,
                 ServerState::Draining => Readiness::Draining,
@@ -227,6 +229,7 @@
                     first.readiness = Readiness::Draining;
                 }
                 first.started = first.started.max(listing.started);
+                first.is_start_certain &= listing.is_start_certain;
             }
         }
     }
--- a/crates/craneknot-model/src/hosted.rs
+++ b/crates/craneknot-model/src/hosted.rs
@@ -136,6 +136,7 @@
         Event::ProxyLeft { .. } | Event::Applied { .. } | Event::Woken => {}
         // A shared fleet's, and key ranges': the lines have no words for the first, the coordinator no use for the others.
         Event::ProxyHolds { .. }
+        | Event::OrderRefused { .. }
         | Event::PeerSaid { .. }
         | Event::SliceGiven { .. }
         | Event::SliceLine { .. }
@@ -356,6 +357,7 @@
         Event::Woken => lines.push(json!(["TIMEOUT_FIRED", INSTANCE, "turn"])),
         // Left out by `coarse`.
         Event::ProxyHolds { .. }
+        | Event::OrderRefused { .. }
         | Event::PeerSaid { .. }
         | Event::SliceGiven { .. }
         | Event::SliceLine { .. }
--- a/crates/craneknot-node/src/coordinator.rs
+++ b/crates/craneknot-node/src/coordinator.rs
@@ -15,10 +15,11 @@
 use http::{Response, StatusCode};
 
 use crate::clients::{ClientAction, ClientId, Clients};
+use crate::coverage::{Coverage, CoverageFigures, Lapse};
 use crate::descriptors::Descriptors;
 use crate::event_streams::EventStreams;
 use crate::link::{Act, LinkId, Links};
-use crate::order_queue::{EncodedOrder, OrderQueue};
+use crate::order_queue::{EncodedOrder, OrderQueue, Outcome};
 use crate::pending::{CloseReason, PendingWork, Violations};
 use crate::probes::{self, Probes};
 use crate::server_age::ServerStarts;
@@ -37,6 +38,8 @@
     pub notes: Vec<String>,
     /// A takeover that is over, for the log.
     pub takeover: Option<Takeover>,
+    /// Proxies that have lacked a line for longer than the settings allow.
+    pub lapses: Vec<Lapse>,
 }
 
 /// What an operator wants to know at a glance.
@@ -59,6 +62,8 @@
     /// News that were left out, since a field was absent, wrong or out of range.
     pub news_malformed: u64,
     pub violations: Violations,
+    /// Proxies without a line to pick.
+    pub coverage: CoverageFigures,
 }
 
 pub struct Coordinator {
@@ -76,6 +81,7 @@
     order_queue: OrderQueue,
     watch: Watch,
     probes: Probes,
+    coverage: Coverage,
     events: Vec<Event>,
     stepped: Nanos,
     wake_at: Option<Nanos>,
@@ -96,6 +102,7 @@
         let revision = config.known.as_ref().map(|known| known.revision);
         let mut coordinator = Coordinator {
             proxies: config.settings.proxies,
+            coverage: Coverage::new(&config.settings),
             repeats: config.settings.classes.iter().map(|class| class.repeats).collect(),
             controller: Controller::new(config.settings, config.seed, now),
             names: config.names,
@@ -219,11 +226,13 @@
             self.events.push(match news {
                 News::Joined { proxy, zone, usual_rate } => {
                     self.takeovers.joined(now, proxy);
+                    self.coverage.joined(now, proxy, zone);
                     Event::ProxyJoined { proxy, zone, usual_rate }
                 }
                 News::Left { proxy } => {
                     self.takeovers.left(proxy);
                     self.order_queue.left(proxy);
+                    self.coverage.left(proxy);
                     Event::ProxyLeft { proxy }
                 }
                 News::Applied { proxy, mark } => {
@@ -310,8 +319,12 @@
             }
             self.note(cause);
         }
+        for claimed in roster.servers.iter().filter_map(|(listing, _)| listing.started) {
+            self.starts.learn_clock(now, claimed);
+        }
         for (mut listing, address) in roster.servers {
-            listing.started = self.starts.observe(now, &listing.server, listing.started);
+            let start = self.starts.observe(now, &listing.server, listing.started);
+            (listing.started, listing.is_start_certain) = (start.latest, start.is_certain);
             match listing.readiness {
                 Readiness::Ready | Readiness::Draining => {
                     self.listed.insert(listing.server.clone(), (listing.clone(), address));
@@ -331,6 +344,7 @@
 
     /// Does what is due, and gives what the shell is to do.
     pub fn turn(&mut self, now: Nanos) -> Todo {
+        self.settle_orders();
         if self.shutting_down {
             if self.backlog {
                 self.clients.make_way(now, &mut self.todo.client_actions);
@@ -340,12 +354,25 @@
             self.decide(now);
         }
         self.order_queue.turn(now, &mut self.links, &mut self.todo.acts);
+        let listed = self.listed.values().map(|(listing, _)| listing);
+        self.todo.lapses = self.coverage.look(now, listed);
         self.pending.set_orders(self.order_queue.waiting());
         self.pending.orders_overtaken(self.order_queue.take_overtaken());
         self.todo.takeover = self.takeovers.finished(now, self.streams.told());
         std::mem::take(&mut self.todo)
     }
 
+    /// Tells what has become of orders: to the decisions where they count on what did not happen.
+    fn settle_orders(&mut self) {
+        for (order, outcome) in self.order_queue.take_settled() {
+            self.coverage.settled(&order, outcome == Outcome::Taken);
+            match outcome {
+                Outcome::Refused => self.events.push(Event::OrderRefused { order }),
+                Outcome::Taken | Outcome::Superseded | Outcome::Void => {}
+            }
+        }
+    }
+
     /// Asked to end: what is ordered goes out, whoever asks on an open connection is answered, and nothing new is
     /// decided.
     pub fn shut_down(&mut self) {
@@ -436,11 +463,14 @@
     fn order(&mut self, now: Nanos, order: &Order, proxy: Option<ProxyId>) {
         if !self.permits(order) {
             self.pending.order_forbidden();
+            self.events.push(Event::OrderRefused { order: order.clone() });
             return self.note(format!("an order that would break a rule is not sent: {order:?}"));
         }
         self.orders += 1;
         self.takeovers.ordered(now, order);
-        let encoded = |text| EncodedOrder { text, proxy, subject: relay::subject(order) };
+        self.coverage.ordered(order);
+        let subject = relay::subject(order);
+        let encoded = |text| EncodedOrder { order: order.clone(), text, proxy, subject };
         self.order_queue.offer(relay::order(order, &self.names).map(encoded));
     }
 
@@ -485,6 +515,7 @@
             event_streams: self.streams.streams(),
             news_malformed: self.news_malformed,
             violations: self.pending.violations(),
+            coverage: self.coverage.figures(),
         }
     }
 }
--- a/crates/craneknot-node/src/order_queue.rs
+++ b/crates/craneknot-node/src/order_queue.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 
-use craneknot::interface::{Nanos, ProxyId};
+use craneknot::interface::{Nanos, Order, ProxyId};
 use craneknot_http::request;
 use craneknot_platform::relay::{self, Answer, Refusal};
 use http::{header, Method};
@@ -25,12 +25,26 @@
 /// An order as the relay reads it, and the proxy without which it is of no use.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EncodedOrder {
+    pub order: Order,
     pub text: String,
     pub proxy: Option<ProxyId>,
     /// What it sets: a later order of the same subject leaves nothing of it.
     pub subject: Option<String>,
 }
 
+/// What became of an order. Each that was offered has one outcome, unless the process ends before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The relay has carried it out.
+    Taken,
+    /// The relay can't use it, looked at twice.
+    Refused,
+    /// A later order of the same subject took its place.
+    Superseded,
+    /// Its proxy has left.
+    Void,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
     /// Nothing is in flight; a call may be made from then on.
@@ -73,6 +87,8 @@
     offered: u64,
     acknowledged: Acknowledged,
     overtaken: u64,
+    /// What has become of orders since that was last asked for.
+    settled: Vec<(Order, Outcome)>,
 }
 
 /// The last order known to be taken, by proxy (nothing: of those for all).
@@ -108,6 +124,7 @@
             offered: 0,
             acknowledged: Acknowledged::default(),
             overtaken: 0,
+            settled: Vec::new(),
         }
     }
 
@@ -135,12 +152,28 @@
     fn fold(&mut self) {
         let first = self.in_flight();
         let mut seen: HashSet<String> = HashSet::new();
-        let mut kept: Vec<Queued> = self.queue.drain(first..).rev().collect();
-        kept.retain(|queued| queued.order.subject.clone().is_none_or(|subject| seen.insert(subject)));
+        let later = self.queue.drain(first..).rev();
+        let (kept, superseded): (Vec<Queued>, Vec<Queued>) =
+            later.partition(|queued| queued.order.subject.clone().is_none_or(|subject| seen.insert(subject)));
         self.queue.extend(kept.into_iter().rev());
+        self.settle(superseded, Outcome::Superseded);
         self.fold_at = FOLD_FROM.max(2 * self.queue.len());
     }
 
+    fn settle(&mut self, orders: impl IntoIterator<Item = Queued>, outcome: Outcome) {
+        self.settled.extend(orders.into_iter().map(|queued| (queued.order.order, outcome)));
+    }
+
+    /// What has become of orders since the last call.
+    pub fn take_settled(&mut self) -> Vec<(Order, Outcome)> {
+        std::mem::take(&mut self.settled)
+    }
+
+    /// Calls in a row that came to nothing.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
     /// Orders not known to be taken.
     pub fn waiting(&self) -> usize {
         self.queue.len() + self.held.values().map(|held| held.orders.len()).sum::<usize>()
@@ -153,23 +186,28 @@
     /// A proxy has left: orders for it alone are of no use. Those in flight stand until their call has ended,
     /// since its answer counts them.
     pub fn left(&mut self, proxy: ProxyId) {
-        self.held.remove(&proxy);
+        let held = self.held.remove(&proxy);
+        self.settle(held.into_iter().flat_map(|held| held.orders), Outcome::Void);
         self.acknowledged.forget(proxy);
         let sent = self.in_flight();
         for queued in self.queue.iter_mut().filter(|queued| queued.order.proxy == Some(proxy)) {
             queued.void = true;
         }
-        let mut place = 0;
-        self.queue.retain(|queued| {
-            place += 1;
-            place <= sent || !queued.void
-        });
+        self.drop_void(sent);
+    }
+
+    /// Takes out what is of no use any more, but for the first `sent` orders.
+    fn drop_void(&mut self, sent: usize) {
+        let (void, kept): (Vec<Queued>, Vec<Queued>) =
+            self.queue.drain(sent..).partition(|queued| queued.void);
+        self.queue.extend(kept);
+        self.settle(void, Outcome::Void);
     }
 
     /// The call in flight has ended.
     fn rest(&mut self, from: Nanos) {
         self.state = State::Resting { from };
-        self.queue.retain(|queued| !queued.void);
+        self.drop_void(0);
     }
 
     /// The relay is elsewhere from now on.
@@ -257,7 +295,7 @@
                 let refused = taken < orders && self.queue.front().is_some_and(|next| !next.void);
                 let given_up = if refused { self.refused(now) } else { None };
                 self.rest(now);
-                given_up.map_or(Ok(()), |order| Err(format!("the relay can't use {order:?}")))
+                given_up.map_or(Ok(()), |order| Err(format!("the relay can't use {}", order.text)))
             }
             Ok(Answer::Refused(Refusal::Throttled)) => {
                 self.rest(now + THROTTLED);
@@ -282,9 +320,13 @@
     /// The first orders of the queue were taken. That none of a proxy's, or of those for all, overtook another is
     /// checked here, where it is known what the relay did.
     fn acknowledge(&mut self, count: usize) {
-        for queued in self.queue.drain(..count) {
+        let taken: Vec<Queued> = self.queue.drain(..count).collect();
+        for queued in taken {
             let in_turn = self.acknowledged.take(queued.order.proxy, queued.number);
             self.overtaken += u64::from(!in_turn);
+            // It may have been carried out for the proxy's stream before.
+            let outcome = if queued.void { Outcome::Void } else { Outcome::Taken };
+            self.settle([queued], outcome);
         }
     }
 
@@ -300,7 +342,10 @@
         let first = self.queue.front_mut()?;
         if first.second {
             self.rejected += 1;
-            return self.queue.pop_front().map(|queued| queued.order);
+            let given_up = self.queue.pop_front()?;
+            let order = given_up.order.clone();
+            self.settle([given_up], Outcome::Refused);
+            return Some(order);
         }
         first.second = true;
         let proxy = first.order.proxy?;
--- a/crates/craneknot-node/src/server_age.rs
+++ b/crates/craneknot-node/src/server_age.rs
@@ -1,6 +1,10 @@
 //! When a server started, by this process's own clock. Discovery tells it as a wall-clock time, and a wall clock may be
-//! wrong by an hour; what is first seen, or seen to change, while this process runs is no older than the time since it
-//! was last seen otherwise.
+//! wrong by an hour either way. So a start is an upper bound, beside which stands whether it is known: decisions that
+//! need a server to be warm take the bound, decisions that need it to be cold ask whether the bound is known.
+//!
+//! - What is first seen, or seen to change, while this process runs is no older than the time since the list before.
+//! - Nothing starts in the future: a wall clock that says so is behind, by that much or more.
+//! - A start that looks recent shows that the wall clock is not ahead.
 
 use std::collections::BTreeMap;
 
@@ -10,11 +14,20 @@
                                                               // says 6 s
 const REMEMBERED: Nanos = Nanos::from_millis(600_000); // ms; a server that was removed for so long is a new one
 
+/// When a server started, as far as can be told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Start {
+    /// At the latest, by this process's clock; nothing: long ago.
+    pub latest: Option<Nanos>,
+    /// Whether that is when it started; else it may have been at any time before.
+    pub is_certain: bool,
+}
+
 struct Observed {
     /// As discovery tells it.
     claimed: Option<Nanos>,
     /// As believed here.
-    started: Option<Nanos>,
+    start: Start,
     seen: Nanos,
 }
 
@@ -24,27 +37,47 @@
     observed: BTreeMap<ServerId, Observed>,
     /// When the last list came from discovery; nothing: none came yet.
     list_at: Option<Nanos>,
+    /// How far the wall clock that this process began with is behind, at the least.
+    clock_behind: Nanos,
+    /// A start looked recent: the wall clock is not ahead.
+    is_clock_proven: bool,
 }
 
 impl ServerStarts {
+    /// Learns of this process's wall clock from a start that a list tells; to be called for all of a list before any of
+    /// its servers is observed.
+    pub fn learn_clock(&mut self, now: Nanos, claimed: Nanos) {
+        self.clock_behind = self.clock_behind.max(claimed - now);
+        self.is_clock_proven |= claimed <= now && now - claimed <= DISCOVERY_LAG_MOST;
+    }
+
     /// When a listed server started, as far as can be believed. `claimed`: as discovery tells it, nothing: long ago.
-    pub fn observe(&mut self, now: Nanos, server: &ServerId, claimed: Option<Nanos>) -> Option<Nanos> {
-        let known = self.observed.get(server).filter(|known| known.claimed == claimed);
-        let started = match known {
-            Some(known) => known.started,
-            None => claimed.map(|claimed| self.believed(now, claimed)),
+    pub fn observe(&mut self, now: Nanos, server: &ServerId, claimed: Option<Nanos>) -> Start {
+        let known = self.observed.get(server);
+        let start = match known.filter(|known| known.claimed == claimed) {
+            Some(known) => known.start,
+            None => claimed.map_or(Start { latest: None, is_certain: true }, |claimed| {
+                self.believed(now, claimed, known.is_some())
+            }),
         };
-        self.observed.insert(server.clone(), Observed { claimed, started, seen: now });
-        started
+        self.observed.insert(server.clone(), Observed { claimed, start, seen: now });
+        start
     }
 
-    /// No later than now; and where the time is too long ago for a start that the list before did not show, the wall
-    /// clock is wrong: then it counts from that list.
-    fn believed(&self, now: Nanos, claimed: Nanos) -> Nanos {
-        let claimed = claimed.min(now);
-        match self.list_at {
-            Some(before) if now - claimed > (now - before) + DISCOVERY_LAG_MOST => before,
-            Some(_) | None => claimed,
+    /// `is_restart`: it was listed with another start before.
+    fn believed(&self, now: Nanos, claimed: Nanos, is_restart: bool) -> Start {
+        let claimed = claimed.min(now + self.clock_behind) - self.clock_behind;
+        // A start that the list before did not show, though it was long before that: the wall clock is ahead, or the
+        // server was not listed for a while.
+        let before = self.list_at.filter(|before| now - claimed > (now - *before) + DISCOVERY_LAG_MOST);
+        match before {
+            Some(before) if is_restart || !self.is_clock_proven => {
+                Start { latest: Some(before), is_certain: is_restart }
+            }
+            Some(_) | None => {
+                let is_certain = is_restart || self.clock_behind == Nanos(0);
+                Start { latest: Some(claimed), is_certain }
+            }
         }
     }
 
--- a/crates/craneknot-node/src/shell.rs
+++ b/crates/craneknot-node/src/shell.rs
@@ -440,7 +440,7 @@
     /// Lets the coordinator act, and carries out what it asks for.
     fn turn(&mut self) {
         let now = self.reactor.now();
-        let Todo { client_actions, acts, notes, takeover } = self.coordinator.turn(now);
+        let Todo { client_actions, acts, notes, takeover, lapses: _ } = self.coordinator.turn(now);
         notes.iter().for_each(|note| warn!("{note}"));
         if let Some(takeover) = takeover {
             info!(?takeover, "proxies were taken over");
--- a/crates/craneknot-node/tests/helpers/mod.rs
+++ b/crates/craneknot-node/tests/helpers/mod.rs
@@ -3,7 +3,8 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
-use craneknot::interface::Nanos;
+use craneknot::interface::{Nanos, Order, ProxyId};
+use craneknot_node::order_queue::EncodedOrder;
 use craneknot_platform::config::Config;
 use serde_json::{json, Value};
 
@@ -34,4 +35,9 @@
     Config::read(configuration(6).to_string().as_bytes()).unwrap()
 }
 
+/// An order as the relay reads it; what it orders is of no account to the queue.
+pub fn encoded(text: String, proxy: Option<ProxyId>, subject: Option<String>) -> EncodedOrder {
+    EncodedOrder { order: Order::Mark { mark: 0 }, text, proxy, subject }
+}
+
 pub mod peers;
--- a/crates/craneknot-platform/src/discovery.rs
+++ b/crates/craneknot-platform/src/discovery.rs
@@ -75,6 +75,7 @@
         cell: CellId(cell.unwrap_or(0) as i64),
         weight: object.get("size").map(|_| object.number("size", LARGEST)).transpose()?,
         started: started.filter(|at| *at > 0.0).map(|millis| Nanos::from_secs(millis / 1e3)),
+        is_start_certain: true,
         readiness: match object.text("phase")? {
             "SERVING" => Readiness::Ready,
             "DRAINING" => Readiness::Draining,
--- a/crates/craneknot-solver/src/steer.rs
+++ b/crates/craneknot-solver/src/steer.rs
@@ -217,6 +217,7 @@
                 Event::ProxyHolds { .. }
                 | Event::Probed { .. }
                 | Event::Applied { .. }
+                | Event::OrderRefused { .. }
                 | Event::Woken
                 | Event::PeerSaid { .. }
                 | Event::SliceGiven { .. }
--- a/crates/craneknot-solver/tests/fleet.rs
+++ b/crates/craneknot-solver/tests/fleet.rs
@@ -193,6 +193,7 @@
         cell: CellId(0),
         weight: Some(weight),
         started: started.map(Nanos::from_secs),
+        is_start_certain: true,
         readiness: Readiness::Ready,
     }
 }
--- a/crates/craneknot-wirehost/src/wire.rs
+++ b/crates/craneknot-wirehost/src/wire.rs
@@ -191,6 +191,7 @@
                     cell: CellId(row.cell),
                     weight: row.weight,
                     started: row.started.map(Nanos::from_secs),
+                    is_start_certain: true,
                     readiness: row.readiness,
                 })
                 .collect();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -176,8 +176,11 @@
     pub kind: KindId,
     pub cell: CellId,
     pub weight: Option<f64>,
-    /// When it last started; nothing: long ago.
+    /// When it last started, at the latest; nothing: long ago.
     pub started: Option<Nanos>,
+    /// Whether that is known. Else it may have started at any time before, as far as can be told: it may be cold, and it
+    /// may be warm.
+    pub is_start_certain: bool,
     pub readiness: Readiness,
 }
 
@@ -255,6 +258,10 @@
         took: Nanos,
         report: LoadReport,
     },
+    /// An order was not carried out, and will not be: the proxies hold what they held before.
+    OrderRefused {
+        order: Order,
+    },
     /// A proxy has applied all orders up to a mark.
     Applied {
         proxy: ProxyId,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -74,6 +74,9 @@
 const ASK_AGAIN_MOST: Nanos = Nanos::from_millis(4_000); // ms; the longest: it is one service for all
 const FORGET: Nanos = Nanos::from_millis(60_000); // ms; a server gone for so long comes back as a new one
 const PLACES: usize = 256; // placements a group can have tables for: table numbers end at 65535
+const LINE_STEPS: f64 = 1e4; // a unit of weight is told in so many steps
+const LINE_LEAST: f64 = 1.0 / LINE_STEPS; // the least weight of a line: what is smaller would be none
+const REFUSED_AGAIN: Nanos = Nanos::from_millis(500); // ms; until a refused order is given again: its cause may pass
 const RATE_ALL: f64 = 1e6; // operations a second; more than any proxy carries: a level that lets all in
 
 /// A server's states, sign, next state, effect. The first sign that holds and has a row is taken.
@@ -120,11 +123,21 @@
         self.listing.started.is_none_or(|started| now - started >= settings.warm_after)
     }
 
-    /// What it can surely do now, as a share of its listed weight.
-    fn share(&self, now: Nanos, born: Nanos, settings: &Settings) -> f64 {
+    /// Whether it is warm, or may be as far as can be told.
+    fn may_be_warm(&self, now: Nanos, settings: &Settings) -> bool {
+        self.warm(now, settings) || !self.listing.is_start_certain
+    }
+
+    /// The share of its capacity that it has warmed up to, at the least.
+    fn warmed(&self, now: Nanos, settings: &Settings) -> f64 {
         let warmth = |started: Nanos| ((now - started).secs() / settings.warm_after.secs()).min(1.0);
         let ramp = |warmth: f64| settings.cold_share + (1.0 - settings.cold_share) * warmth;
-        let ramp = self.listing.started.map_or(1.0, |started| ramp(warmth(started)));
+        self.listing.started.map_or(1.0, |started| ramp(warmth(started)))
+    }
+
+    /// What it can surely do now, as a share of its listed weight.
+    fn share(&self, now: Nanos, born: Nanos, settings: &Settings) -> f64 {
+        let ramp = self.warmed(now, settings);
         let step = if self.joined.is_some_and(|joined| now - joined < STEP) { JOIN_SHARE } else { 1.0 };
         match self.state {
             Away | Out => 0.0,
@@ -224,6 +237,10 @@
                     ProbeOutcome::Failed => (0, server.probes_bad + 1),
                 };
             }
+            Event::OrderRefused { order } => {
+                self.note_refused(order);
+                self.refused.extend(Subject::of(order).map(|subject| (subject, now + REFUSED_AGAIN)));
+            }
             Event::Applied { mark, .. } => self.channel.applied(*mark),
             Event::Woken | Event::PeerSaid { .. } => {}
             Event::SliceGiven { .. } | Event::SliceLine { .. } | Event::SliceDemand { .. } => {}
@@ -538,16 +555,20 @@
         TableId((group.min(254) * PLACES + place) as u16)
     }
 
-    /// Weight of each server of a group that a placement allows; if none warm may be used, of any warm one
-    /// that is listed ready, however it seems: a proxy must have a line while there is one.
+    /// Weight of each server of a group that a placement allows; if none warm may be used, of any one that is
+    /// listed ready and may be warm, however it seems: a proxy must have a line while there is one.
     fn weights_of(&self, group: usize, placement: &Placement) -> Vec<(&Server, f64)> {
         let fits = |s: &&Server| s.ready() && placement.allows(&s.listing);
         let members = || self.groups[group].members.iter().map(|id| &self.servers[id]).filter(fits);
         let weigh = |s: &Server| s.listed_weight() * s.share(self.now, self.born, &self.settings);
         let mut open: Vec<_> = members().map(|s| (s, weigh(s))).filter(|(_, weight)| *weight > 0.0).collect();
         if open.iter().all(|(s, _)| s.state == Cold) {
-            let warm = members().filter(|s| s.warm(self.now, &self.settings));
-            open.extend(warm.map(|s| (s, LAST_RESORT * s.listed_weight())));
+            let used: BTreeSet<&ServerId> = open.iter().map(|(s, _)| &s.listing.server).collect();
+            let unused = members().filter(|s| !used.contains(&s.listing.server));
+            let last = unused.filter(|s| s.may_be_warm(self.now, &self.settings));
+            let weigh = |s: &Server| s.listed_weight() * LAST_RESORT.min(s.warmed(self.now, &self.settings));
+            let last: Vec<_> = last.map(|s| (s, weigh(s))).collect();
+            open.extend(last);
         }
         open
     }
@@ -650,12 +671,18 @@
         let (open, cold) = (&self.groups[group].seen, self.groups[group].cold.unwrap_or_default());
         let answered = 1.0 - open.share().max(cold.share());
         let guard = if open.share() < ODD_SHARE { answered.powi(2).max(LEAST) } else { 0.0 };
-        let line = |(server, weight): (&Server, f64)| {
-            let weight =
-                weight * if server.state == Cold { server.pace.min(1.0) * guard } else { server.pace };
-            (server.listing.server.clone(), (weight * 1e4).round() / 1e4)
+        let lines = |guard: f64| -> BTreeMap<ServerId, f64> {
+            let line = |(server, weight): (&Server, f64)| {
+                let cold = server.state == Cold;
+                let weight = weight * if cold { server.pace.min(1.0) * guard } else { server.pace };
+                // Rounding must not end a line, however small the weights that are listed.
+                let told = ((weight * LINE_STEPS).round() / LINE_STEPS).max(LINE_LEAST);
+                (weight > 0.0).then(|| (server.listing.server.clone(), told))
+            };
+            self.weights_of(group, placement).into_iter().filter_map(line).collect()
         };
-        self.weights_of(group, placement).into_iter().map(line).filter(|(_, weight)| *weight > 0.0).collect()
+        // A group that nothing else is left of keeps a line to its cold servers.
+        Some(lines(guard)).filter(|lines| !lines.is_empty()).unwrap_or_else(|| lines(LEAST))
     }
 
     /// Sends what changed, as far as the channel can drain it; moves off lost servers go first.
@@ -692,7 +719,8 @@
                 true => (self.wanted_lines(group, &self.placements[place]), self.wanted_levels(group)),
                 false => (held.without(lost), BTreeMap::new()),
             };
-            let bare = !held.lines.keys().any(|id| wanted.contains_key(id));
+            let stands = |(id, weight): (&ServerId, &f64)| *weight > LINE_LEAST && wanted.contains_key(id);
+            let bare = !held.lines.iter().any(stands);
             let rank = |late: u8| if bare || !users.contains_key(&table) { 0 } else { late };
             for (server, weight) in held.changes(&wanted, CHANGE) {
                 let sinks = held.lines.get(&server).is_some_and(|old| weight < *old);
@@ -709,6 +737,10 @@
         }
         let bind = |((proxy, table), (rank, classes))| (rank, Order::Bind { proxy, classes, table });
         ranked.extend(binds.into_iter().map(bind));
+        self.refused.retain(|_, until| *until > self.now);
+        ranked.retain(|(_, order)| {
+            Subject::of(order).is_none_or(|subject| !self.refused.contains_key(&subject))
+        });
         ranked.sort_by_key(|(rank, _)| *rank);
         // What is not applied yet still waits, where the channel runs slower than counted on.
         let limit = self.settings.channel_lines_limit;
--- a/src/state.rs
+++ b/src/state.rs
@@ -234,6 +234,26 @@
     pub home_only: bool,
 }
 
+/// What an order sets: a later order of the same subject leaves nothing of it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Subject {
+    Line(TableId, ServerId),
+    Bind(ProxyId),
+    Level(TableId, ClassSet),
+}
+
+impl Subject {
+    /// Of an order to proxies; nothing for any other.
+    pub fn of(order: &Order) -> Option<Self> {
+        match order {
+            Order::Line { table, server, .. } => Some(Subject::Line(*table, server.clone())),
+            Order::Bind { proxy, .. } => Some(Subject::Bind(*proxy)),
+            Order::Level { table, classes, .. } => Some(Subject::Level(*table, *classes)),
+            Order::Mark { .. } | Order::Probe { .. } | Order::WatchList | Order::Wake { .. } => None,
+        }
+    }
+}
+
 /// One proxy's binding for one class.
 #[derive(Clone, Debug, Default)]
 pub struct Binding {
@@ -371,6 +391,12 @@
         kept.map(|(id, weight)| (id.clone(), *weight)).collect()
     }
 
+    /// A line was not set: whether proxies hold one is not known, and with which weight. It counts as held, so that it
+    /// is set or removed anew, at next to no weight, so that nobody counts on it.
+    fn unset_line(&mut self, server: &ServerId) {
+        self.lines.insert(server.clone(), f64::MIN_POSITIVE);
+    }
+
     pub fn set_line(&mut self, server: &ServerId, weight: f64) {
         self.lines.insert(server.clone(), weight);
         self.lines.retain(|_, weight| *weight > 0.0);
@@ -533,6 +559,8 @@
     /// Operations a second that all joined proxies usually get.
     pub(crate) usual: f64,
     pub(crate) channel: Channel,
+    /// What was refused of late, and until when it is not ordered again.
+    pub(crate) refused: BTreeMap<Subject, Nanos>,
 }
 
 impl Controller {
@@ -564,6 +592,7 @@
             most_listed: 0.0,
             usual: 0.0,
             channel: Channel::new(now),
+            refused: BTreeMap::new(),
             settings,
         }
     }
@@ -622,6 +651,25 @@
         users
     }
 
+    /// Takes back what an order that was refused was held to have left at the proxies.
+    pub(crate) fn note_refused(&mut self, order: &Order) {
+        match order {
+            Order::Line { table, server, .. } => self.tables.entry(*table).or_default().unset_line(server),
+            Order::Level { table, classes, .. } => {
+                let levels = &mut self.tables.entry(*table).or_default().levels;
+                levels.retain(|class, _| !classes.has(ClassId(*class as u8)));
+            }
+            Order::Bind { proxy, classes, table } => {
+                let bindings = self.proxies.get_mut(proxy).into_iter().flat_map(|proxy| &mut proxy.bindings);
+                let named = bindings.enumerate().filter(|(class, _)| classes.has(ClassId(*class as u8)));
+                for (_, binding) in named.filter(|(_, binding)| binding.sent == Some(*table)) {
+                    binding.sent = None;
+                }
+            }
+            Order::Probe { .. } | Order::Mark { .. } | Order::WatchList | Order::Wake { .. } => {}
+        }
+    }
+
     /// Keeps what an order leaves at the proxies, and tells its lines and the proxies it reaches.
     pub(crate) fn note_sent(
         &mut self,
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -23,6 +23,7 @@
         cell: CellId((number % 4) as i64),
         weight: Some(1.0 + (number % 3) as f64),
         started,
+        is_start_certain: true,
         readiness,
     }
 }
