Node: typed log events, and a run-time judgement of proxies without a line

Cause: the users' collector cuts a line at 300 characters, so that the counts of violations and the lowest level never reached anybody; nothing compared what proxies hold with what they need; no transition was logged.

Change: one event a line with typed fields, the telling ones first, 40 of a kind between two status lines and a count of the rest; four short status lines in place of one dump. `coverage` logs each proxy that has lacked a line for longer than `extra.bare`, with the step that waits; a relay that takes no calls yet makes nobody late. The operators' page lists lines and figures, and a test holds it to the code.

--- a/crates/craneknot-node/src/coordinator.rs
+++ b/crates/craneknot-node/src/coordinator.rs
@@ -15,31 +15,26 @@
 use http::{Response, StatusCode};
 
 use crate::clients::{ClientAction, ClientId, Clients};
-use crate::coverage::{Coverage, CoverageFigures, Lapse};
+use crate::coverage::{Coverage, CoverageFigures};
 use crate::descriptors::Descriptors;
 use crate::event_streams::EventStreams;
 use crate::link::{Act, LinkId, Links};
+use crate::log_event::LogEvent;
 use crate::order_queue::{EncodedOrder, OrderQueue, Outcome};
 use crate::pending::{CloseReason, PendingWork, Violations};
 use crate::probes::{self, Probes};
 use crate::server_age::ServerStarts;
-use crate::takeover::{Takeover, TakeoverWatch};
+use crate::takeover::TakeoverWatch;
 use crate::watch::Watch;
 
 const GAP: Nanos = Nanos::from_millis(5); // ms; what comes together is decided on together
-const NOTES: usize = 64; // between two turns: a storm of the same must not fill the log
 
 /// What the shell is to do.
 #[derive(Debug, Default)]
 pub struct Todo {
     pub client_actions: Vec<ClientAction>,
     pub acts: Vec<Act>,
-    /// For the log.
-    pub notes: Vec<String>,
-    /// A takeover that is over, for the log.
-    pub takeover: Option<Takeover>,
-    /// Proxies that have lacked a line for longer than the settings allow.
-    pub lapses: Vec<Lapse>,
+    pub log: Vec<LogEvent>,
 }
 
 /// What an operator wants to know at a glance.
@@ -121,7 +116,7 @@
             wake_at: Some(now),
             shutting_down: false,
             backlog: false,
-            todo: Todo { notes: config.notes, ..Todo::default() },
+            todo: Todo { log: config.notes.into_iter().map(LogEvent::Note).collect(), ..Todo::default() },
             reports: 0,
             orders: 0,
             news_malformed: 0,
@@ -227,12 +222,14 @@
                 News::Joined { proxy, zone, usual_rate } => {
                     self.takeovers.joined(now, proxy);
                     self.coverage.joined(now, proxy, zone);
+                    self.todo.log.push(LogEvent::ProxyJoined { proxy, zone });
                     Event::ProxyJoined { proxy, zone, usual_rate }
                 }
                 News::Left { proxy } => {
                     self.takeovers.left(proxy);
                     self.order_queue.left(proxy);
                     self.coverage.left(proxy);
+                    self.todo.log.push(LogEvent::ProxyLeft { proxy });
                     Event::ProxyLeft { proxy }
                 }
                 News::Applied { proxy, mark } => {
@@ -247,9 +244,15 @@
     pub fn answered(&mut self, now: Nanos, link: LinkId, response: &Response<Bytes>, keeps: bool) {
         let (status, body) = (response.status(), response.body());
         if self.order_queue.has(link) {
-            if let Err(cause) = self.order_queue.answered(now, body, keeps, &mut self.todo.acts) {
+            let retried = self.order_queue.retried;
+            let answered = self.order_queue.answered(now, body, keeps, &mut self.todo.acts);
+            self.log_retry(retried, answered.as_ref().err().map_or("turned away for now", String::as_str));
+            if let Err(cause) = answered {
                 self.note(cause);
             }
+            if self.order_queue.is_throttled() {
+                self.coverage.begin_anew(now);
+            }
         } else if self.watch.has(link) {
             let list = if status == StatusCode::OK {
                 discovery::read(body, &mut self.names)
@@ -259,8 +262,11 @@
             match list {
                 Ok(roster) => match self.watch.answered(now, &roster, keeps, &mut self.todo.acts) {
                     Ok(()) => {
-                        self.take_roster(now, roster, None);
+                        let (revision, whole) = (roster.revision, roster.complete);
+                        let changed = self.take_roster(now, roster, None);
                         self.starts.list_taken(now);
+                        let listed = self.listed.len();
+                        self.todo.log.push(LogEvent::ListTaken { revision, whole, changed, listed });
                     }
                     Err(cause) => self.list_failed(&cause),
                 },
@@ -281,15 +287,18 @@
     /// A link has ended by itself, or never came up.
     pub fn link_lost(&mut self, now: Nanos, link: LinkId, cause: &str) {
         if self.order_queue.has(link) {
+            let retried = self.order_queue.retried;
             self.order_queue.lost(now);
+            self.log_retry(retried, cause);
         } else if self.watch.has(link) {
             if self.watch.lost(now) {
                 self.list_failed(cause);
             }
         } else if self.streams.has(link) {
-            self.note(format!("a stream of news has ended: {cause}"));
             let mut out = Vec::new();
             self.streams.lost(now, link, &mut out);
+            let streams = self.streams.streams();
+            self.todo.log.push(LogEvent::StreamEnded { cause: cause.to_owned(), streams });
             self.take_news(now, out);
         } else if let Some((server, took)) = self.probes.end(now, link) {
             self.probe_failed(server, took);
@@ -302,14 +311,16 @@
     }
 
     fn list_failed(&mut self, cause: &str) {
-        self.note(format!("the list can't be followed: {cause}"));
+        self.todo.log.push(LogEvent::WatchFailed { cause: cause.to_owned() });
         self.events.push(Event::List { scope: ListScope::Failed, entries: [].into() });
     }
 
-    fn take_roster(&mut self, now: Nanos, roster: Roster, scope: Option<ListScope>) {
+    /// Takes a list in; how many servers are new or have changed.
+    fn take_roster(&mut self, now: Nanos, roster: Roster, scope: Option<ListScope>) -> usize {
         let told = if roster.complete { ListScope::Whole } else { ListScope::Changes };
         let before = if roster.complete { std::mem::take(&mut self.listed) } else { BTreeMap::new() };
         let mut entries = Vec::with_capacity(roster.servers.len());
+        let mut changed = 0;
         for (id, cause) in roster.malformed {
             // Whose entry can't be read stands as it was: it is listed all the same.
             if let Some(entry) = id.as_ref().and_then(|id| before.get(id)) {
@@ -325,6 +336,17 @@
         for (mut listing, address) in roster.servers {
             let start = self.starts.observe(now, &listing.server, listing.started);
             (listing.started, listing.is_start_certain) = (start.latest, start.is_certain);
+            let known = before.get(&listing.server).or_else(|| self.listed.get(&listing.server));
+            if known.is_none_or(|(known, _)| *known != listing) {
+                changed += 1;
+                self.todo.log.extend((scope != Some(ListScope::Remembered)).then(|| {
+                    LogEvent::ServerListed {
+                        server: listing.server.clone(),
+                        readiness: listing.readiness,
+                        is_start_certain: listing.is_start_certain,
+                    }
+                }));
+            }
             match listing.readiness {
                 Readiness::Ready | Readiness::Draining => {
                     self.listed.insert(listing.server.clone(), (listing.clone(), address));
@@ -334,11 +356,21 @@
             entries.push(listing);
         }
         self.events.push(Event::List { scope: scope.unwrap_or(told), entries: entries.into() });
+        changed
     }
 
     fn note(&mut self, note: String) {
-        if self.todo.notes.len() < NOTES {
-            self.todo.notes.push(note);
+        self.todo.log.push(LogEvent::Note(note));
+    }
+
+    /// Logs that the call to the relay is made again, if it is; `before`: how many had been until now.
+    fn log_retry(&mut self, before: u64, cause: &str) {
+        if self.order_queue.retried > before {
+            self.todo.log.push(LogEvent::CallRetried {
+                cause: cause.to_owned(),
+                failures: self.order_queue.failures(),
+                orders_waiting: self.order_queue.waiting(),
+            });
         }
     }
 
@@ -353,22 +385,49 @@
             self.clients.turn(now, &mut self.todo.client_actions);
             self.decide(now);
         }
+        let retried = self.order_queue.retried;
         self.order_queue.turn(now, &mut self.links, &mut self.todo.acts);
-        let listed = self.listed.values().map(|(listing, _)| listing);
-        self.todo.lapses = self.coverage.look(now, listed);
+        self.log_retry(retried, "no answer in time");
+        self.look_for_lapses(now);
         self.pending.set_orders(self.order_queue.waiting());
         self.pending.orders_overtaken(self.order_queue.take_overtaken());
-        self.todo.takeover = self.takeovers.finished(now, self.streams.told());
+        self.todo.log.extend(self.takeovers.finished(now, self.streams.told()).map(LogEvent::Takeover));
         std::mem::take(&mut self.todo)
     }
 
+    /// Logs who has lacked a line for longer than the settings allow.
+    fn look_for_lapses(&mut self, now: Nanos) {
+        let listed = self.listed.values().map(|(listing, _)| listing);
+        for lapse in self.coverage.look(now, listed) {
+            let class = self.class_names(ClassSet::of(lapse.class));
+            let calls_failed = self.order_queue.failures();
+            let orders_waiting = self.order_queue.waiting();
+            self.todo.log.push(LogEvent::Lapse { lapse, class, calls_failed, orders_waiting });
+        }
+    }
+
+    fn class_names(&self, classes: ClassSet) -> String {
+        self.names.classes_in(classes).collect::<Vec<_>>().join("+")
+    }
+
+    /// An order was not carried out: the decisions are told, with the next step.
+    fn refuse(&mut self, order: Order, cause: &'static str) {
+        let text = relay::order(&order, &self.names).unwrap_or_default();
+        self.todo.log.push(LogEvent::OrderRefused { order: text, cause });
+        self.events.push(Event::OrderRefused { order });
+    }
+
     /// Tells what has become of orders: to the decisions where they count on what did not happen.
     fn settle_orders(&mut self) {
         for (order, outcome) in self.order_queue.take_settled() {
-            self.coverage.settled(&order, outcome == Outcome::Taken);
-            match outcome {
-                Outcome::Refused => self.events.push(Event::OrderRefused { order }),
-                Outcome::Taken | Outcome::Superseded | Outcome::Void => {}
+            self.coverage.settled(&order, outcome);
+            match (outcome, order) {
+                (Outcome::Refused, order) => self.refuse(order, "the relay can't use it"),
+                (Outcome::Taken, Order::Bind { proxy, classes, table }) => {
+                    let classes = self.class_names(classes);
+                    self.todo.log.push(LogEvent::ProxyBound { proxy, table, classes });
+                }
+                (Outcome::Taken | Outcome::Superseded | Outcome::Void, _) => {}
             }
         }
     }
@@ -440,6 +499,7 @@
                 }
             }
         }
+        self.todo.log.extend(self.controller.take_transitions().into_iter().map(LogEvent::Decision));
     }
 
     /// Whether an order may go out, whatever the decisions believe: no line for a server that is not listed as ready, no
@@ -463,8 +523,7 @@
     fn order(&mut self, now: Nanos, order: &Order, proxy: Option<ProxyId>) {
         if !self.permits(order) {
             self.pending.order_forbidden();
-            self.events.push(Event::OrderRefused { order: order.clone() });
-            return self.note(format!("an order that would break a rule is not sent: {order:?}"));
+            return self.refuse(order.clone(), "it would break a rule");
         }
         self.orders += 1;
         self.takeovers.ordered(now, order);
--- a/crates/craneknot-node/src/coverage.rs
+++ b/crates/craneknot-node/src/coverage.rs
@@ -9,6 +9,8 @@
 
 use craneknot::interface::*;
 
+use crate::order_queue::Outcome;
+
 const LOOK_EVERY: Nanos = Nanos::from_millis(100); // ms; how exact the spans are
 
 /// What a proxy without a line waits for.
@@ -18,6 +20,8 @@
     Binding,
     /// The relay has not taken the binding yet.
     BindingTaken,
+    /// The relay could not use the binding, and it was not given again yet.
+    BindingRefused,
     /// The table is empty, and no line of it was ordered.
     Line,
     /// The table is empty, and the relay has not taken its lines yet.
@@ -50,11 +54,13 @@
 }
 
 /// One class of one proxy.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Held {
     table: Option<TableId>,
-    /// A binding was ordered and is not settled yet.
-    is_ordered: bool,
+    /// Bindings ordered and not settled yet.
+    ordered: u32,
+    /// The last one that was settled had been refused.
+    is_refused: bool,
     /// Since when it has had no line; nothing: it has one, or needs none.
     since: Option<Nanos>,
     is_over_limit: bool,
@@ -98,7 +104,7 @@
 
     /// A proxy has joined: none of its bindings stands.
     pub fn joined(&mut self, now: Nanos, proxy: ProxyId, zone: ZoneId) {
-        let held = Held { table: None, is_ordered: false, since: Some(now), is_over_limit: false };
+        let held = Held { since: Some(now), ..Held::default() };
         self.proxies.insert(proxy, Joined { zone, held: vec![held; self.classes.len()] });
     }
 
@@ -124,14 +130,15 @@
         match order {
             Order::Line { table, .. } => *self.ordered_lines.entry(*table).or_default() += 1,
             Order::Bind { proxy, classes, .. } => {
-                self.bindings(*proxy, *classes).for_each(|held| held.is_ordered = true);
+                self.bindings(*proxy, *classes).for_each(|held| held.ordered += 1);
             }
             _ => {}
         }
     }
 
-    /// What became of an order that was given; `is_taken`: the relay has carried it out.
-    pub fn settled(&mut self, order: &Order, is_taken: bool) {
+    /// What became of an order that was given.
+    pub fn settled(&mut self, order: &Order, outcome: Outcome) {
+        let is_taken = outcome == Outcome::Taken;
         match order {
             Order::Line { table, server, weight } => {
                 let ordered = self.ordered_lines.entry(*table).or_default();
@@ -145,7 +152,8 @@
             }
             Order::Bind { proxy, classes, table } => {
                 for held in self.bindings(*proxy, *classes) {
-                    held.is_ordered = false;
+                    held.ordered = held.ordered.saturating_sub(1);
+                    held.is_refused = outcome == Outcome::Refused;
                     held.table = if is_taken { Some(*table) } else { held.table };
                 }
             }
@@ -155,7 +163,11 @@
 
     fn waiting_for(&self, held: &Held) -> WaitingFor {
         let Some(table) = held.table else {
-            return if held.is_ordered { WaitingFor::BindingTaken } else { WaitingFor::Binding };
+            return match held.ordered {
+                0 if held.is_refused => WaitingFor::BindingRefused,
+                0 => WaitingFor::Binding,
+                _ => WaitingFor::BindingTaken,
+            };
         };
         if self.tables.get(&table).is_some_and(|lines| !lines.is_empty()) {
             return WaitingFor::UsableServer;
--- a/crates/craneknot-node/src/lib.rs
+++ b/crates/craneknot-node/src/lib.rs
@@ -4,7 +4,7 @@
 //! What is decided here is the program's own, each in a file of its own with the clock passed in: who may speak
 //! at the coordinator's address ([`clients`]), what is owed to whom ([`pending`]), which stream of news counts
 //! ([`event_streams`]), when a call in doubt is made again ([`order_queue`]), how the list is followed ([`watch`]), how old
-//! a server is ([`server_age`]), whether each proxy has a server to go to ([`coverage`]), what descriptors are for ([`descriptors`]), which probes are in flight ([`probes`]).
+//! a server is ([`server_age`]), whether each proxy has a server to go to ([`coverage`]), what is logged ([`log_event`]), what descriptors are for ([`descriptors`]), which probes are in flight ([`probes`]).
 
 pub mod clients;
 pub mod coordinator;
@@ -12,6 +12,7 @@
 pub mod descriptors;
 pub mod event_streams;
 pub mod link;
+pub mod log_event;
 pub mod order_queue;
 pub mod pending;
 pub mod probes;
--- a/crates/craneknot-node/src/order_queue.rs
+++ b/crates/craneknot-node/src/order_queue.rs
@@ -80,6 +80,8 @@
     state: State,
     /// Calls in a row that came to nothing.
     failures: u32,
+    /// The last answer said that the relay takes no calls for now.
+    is_throttled: bool,
     /// Orders given up on, since the relay can't use them; calls made again.
     pub rejected: u64,
     pub retried: u64,
@@ -119,6 +121,7 @@
             fold_at: FOLD_FROM,
             state: State::Resting { from: now },
             failures: 0,
+            is_throttled: false,
             rejected: 0,
             retried: 0,
             offered: 0,
@@ -174,6 +177,11 @@
         self.failures
     }
 
+    /// Whether the relay takes no calls for now, by its last answer.
+    pub fn is_throttled(&self) -> bool {
+        self.is_throttled
+    }
+
     /// Orders not known to be taken.
     pub fn waiting(&self) -> usize {
         self.queue.len() + self.held.values().map(|held| held.orders.len()).sum::<usize>()
@@ -287,7 +295,9 @@
             self.relay.hang_up(acts);
             return Err("the relay answered what was not asked".into());
         };
-        match relay::answer(body, orders) {
+        let answer = relay::answer(body, orders);
+        self.is_throttled = matches!(answer, Ok(Answer::Refused(Refusal::Throttled)));
+        match answer {
             Ok(Answer::Taken(taken)) => {
                 self.failures = 0;
                 self.acknowledge(taken);
--- a/crates/craneknot-node/src/shell.rs
+++ b/crates/craneknot-node/src/shell.rs
@@ -23,7 +23,8 @@
 use crate::coordinator::{Coordinator, Todo};
 use crate::descriptors::Descriptors;
 use crate::link::{Act, LinkId};
-use crate::pending::CloseReason;
+use crate::log_event::{cut, write_status, EventLog, LogEvent};
+use crate::pending::{CloseReason, Violations};
 
 const INPUT: usize = 256 * 1024; // bytes read ahead of a peer that has joined, or was dialled
 const OUTPUT: usize = 512 * 1024; // bytes waiting for a peer: a call carries far less, a client gets single lines
@@ -39,6 +40,8 @@
 const RELOAD_RETRY: Nanos = Nanos::from_millis(200); // ms; until a configuration that can't be read is read again
 const RELOAD_TRIES: u32 = 5; // it may be half written
 
+const UNREAD: &str = "it does not read its answers";
+
 const SIGHUP: i32 = 1;
 const SIGTERM: i32 = 15;
 
@@ -100,6 +103,7 @@
     next_client: u64,
     turn_at: Option<Nanos>,
     shutdown: Shutdown,
+    log: EventLog,
 }
 
 /// Why a configuration can't be taken.
@@ -195,6 +199,7 @@
             next_client: 0,
             turn_at: None,
             shutdown: Shutdown::No,
+            log: EventLog::default(),
         })
     }
 
@@ -266,7 +271,8 @@
             Happened::Timer(Due::Turn) => self.turn_at = None,
             Happened::Timer(Due::Status) => {
                 let (connections, retried) = (self.reactor.connections(), self.reactor.system_failures());
-                info!(status = ?self.coordinator.status(), connections, system_calls_retried = retried, "status");
+                write_status(&self.coordinator.status(), connections, retried);
+                self.log.begin_anew();
                 self.tell_beliefs();
                 self.reactor.set_timer(self.reactor.now() + STATUS_EVERY, Due::Status);
             }
@@ -331,7 +337,12 @@
         }
         let violations = self.coordinator.abandon();
         if violations.total() > 0 {
-            warn!(?violations, "ended with this owed");
+            let Violations { closed_unanswered, orders_dropped, orders_forbidden, orders_overtaken } =
+                violations;
+            warn!(
+                closed_unanswered,
+                orders_dropped, orders_forbidden, orders_overtaken, "ended with this owed"
+            );
         } else {
             info!("ended with nothing owed");
         }
@@ -349,7 +360,7 @@
             }
             Err(cause) => {
                 let cause = cause.into_text();
-                error!(%cause, failed, "the configuration is not in order; the old one stands");
+                error!(failed, cause = cut(&cause), "the configuration is not in order; the old one stands");
                 if failed < RELOAD_TRIES {
                     self.reactor.set_timer(self.reactor.now() + RELOAD_RETRY, Due::Reload(failed + 1));
                 }
@@ -368,8 +379,11 @@
             debug!(
                 number, zone = ?group.zone, load = ?group.load, limit = group.limit, arrives = group.arrives,
                 handled = group.handled, wait = group.wait, unanswered = group.unanswered, busy = group.busy,
-                weight = group.weight, listed = group.listed, members = ?group.members, "group"
+                weight = group.weight, listed = group.listed, "group"
             );
+            for (server, state, pace) in &group.members {
+                debug!(server = %server.0, ?state, pace, number, "member of a group");
+            }
         }
     }
 
@@ -440,10 +454,9 @@
     /// Lets the coordinator act, and carries out what it asks for.
     fn turn(&mut self) {
         let now = self.reactor.now();
-        let Todo { client_actions, acts, notes, takeover, lapses: _ } = self.coordinator.turn(now);
-        notes.iter().for_each(|note| warn!("{note}"));
-        if let Some(takeover) = takeover {
-            info!(?takeover, "proxies were taken over");
+        let Todo { client_actions, acts, log } = self.coordinator.turn(now);
+        for event in &log {
+            self.log.write(event);
         }
         client_actions.into_iter().for_each(|action| self.serve(action));
         acts.into_iter().for_each(|act| self.act(act));
@@ -459,7 +472,9 @@
     fn serve(&mut self, action: ClientAction) {
         match action {
             ClientAction::Answer(id) => self.answer(id),
-            ClientAction::Note(cause, line) => debug!(%cause, line, "left out a report"),
+            ClientAction::Note(cause, line) => {
+                debug!(cause = cut(&cause.to_string()), line, "left out a report")
+            }
             ClientAction::Widen(id) => {
                 if let Some(conn) = self.client_conns.get(&id) {
                     self.reactor.limit_input(*conn, lines::LONGEST);
@@ -468,7 +483,7 @@
             ClientAction::Reject(id, cause) => self.reject(id, &cause),
             ClientAction::Evict(id, cause) => self.evict(id, &cause),
             ClientAction::Close(id, cause) => {
-                info!(client = id.0, %cause, "closing");
+                self.log.write(&LogEvent::ClientClosed { client: id, cause: cause.to_string() });
                 if let Some(conn) = self.forget(id, CloseReason::Dropped) {
                     self.reactor.finish(conn);
                 }
@@ -485,7 +500,7 @@
                 self.forget(id, CloseReason::ByPeer);
             }
             Err(SendError::Full) => {
-                info!(client = id.0, "closing: it does not read its answers");
+                self.log.write(&LogEvent::ClientClosed { client: id, cause: UNREAD.to_owned() });
                 self.forget(id, CloseReason::ByPeer);
                 self.reactor.close(conn);
             }
@@ -494,7 +509,7 @@
 
     /// Tells a client why it is turned away, which is its final answer, and closes.
     fn reject(&mut self, id: ClientId, cause: &str) {
-        debug!(client = id.0, cause, "turning away");
+        self.log.write(&LogEvent::ClientRejected { client: id, cause: cause.to_owned() });
         let Some(conn) = self.forget(id, CloseReason::Rejected) else { return };
         let _ = self.reactor.send(conn, [Bytes::from(lines::reject(cause))]);
         self.reactor.finish(conn);
@@ -508,7 +523,7 @@
         } else if !self.coordinator.owes(id) {
             self.reject(id, cause);
         } else if self.reactor.stuck(conn) >= STUCK_MOST {
-            info!(client = id.0, "closing: it does not read its answers");
+            self.log.write(&LogEvent::ClientClosed { client: id, cause: UNREAD.to_owned() });
             self.forget(id, CloseReason::ByPeer);
             self.reactor.close(conn);
         }
--- a/crates/craneknot-node/tests/coordinator.rs
+++ b/crates/craneknot-node/tests/coordinator.rs
@@ -6,7 +6,9 @@
 use craneknot::interface::*;
 use craneknot_node::clients::ClientId;
 use craneknot_node::coordinator::{Coordinator, Todo};
+use craneknot_node::coverage::WaitingFor;
 use craneknot_node::link::{Act, LinkId};
+use craneknot_node::log_event::LogEvent;
 use craneknot_node::pending::CloseReason;
 use craneknot_platform::config::Config;
 use http::{Response, StatusCode};
@@ -44,6 +46,9 @@
     mute: bool,
     /// The relay can't use orders for this proxy.
     unknown_proxy: Option<u16>,
+    /// The relay takes no calls for now.
+    throttles: bool,
+    log: Vec<LogEvent>,
 }
 
 impl Platform {
@@ -54,8 +59,9 @@
     /// A coordinator that starts with this configuration at a moment of its own clock.
     fn start(config: Config, now: Nanos) -> Self {
         let coordinator = Coordinator::new(config, now);
-        let (news, watches, probes, orders) = Default::default();
-        Platform { coordinator, now, news, watches, probes, orders, mute: false, unknown_proxy: None }
+        let (news, watches, probes, orders, log) = Default::default();
+        let (mute, throttles, unknown_proxy) = (false, false, None);
+        Platform { coordinator, now, news, watches, probes, orders, mute, unknown_proxy, throttles, log }
     }
 
     fn run(&mut self, millis: u64) {
@@ -68,6 +74,7 @@
 
     fn turn(&mut self) -> Todo {
         let todo = self.coordinator.turn(self.now);
+        self.log.extend(todo.log.iter().cloned());
         for act in &todo.acts {
             let (link, request) = match act {
                 Act::Dial { link, request, .. } | Act::Send { link, request } => (*link, request),
@@ -81,6 +88,9 @@
                 "/api/events" => self.news.push(link),
                 "/metrics/load" => self.probes.push(link),
                 "/api/" if self.mute => {}
+                "/api/" if self.throttles => {
+                    self.answer(link, StatusCode::OK, "<Response><error>throttled</error></Response>");
+                }
                 "/api/" => {
                     let (_, form) = text.split_once("ops=").unwrap();
                     let orders = form.split("%3B").map(|order| order.replace("%2C", ","));
@@ -374,3 +384,39 @@
     assert!(platform.bound(3) > 0, "no news came, and it is still not bound");
     assert!(!platform.lines(3, "lookup").is_empty());
 }
+
+/// The run-time judgement of the rule sees what the decisions do not: a binding that is held back is told with its step.
+#[test]
+fn a_binding_that_is_held_back_is_told_while_it_lasts() {
+    let mut platform = Platform::new();
+    platform.unknown_proxy = Some(3);
+    platform.attach(0..6);
+    platform.run(BARE_MOST + 500);
+    let coverage = platform.coordinator.status().coverage;
+    assert_eq!((coverage.uncovered, coverage.over_limit), (2, 2), "two classes of one proxy");
+    assert!(coverage.longest > ms(BARE_MOST));
+    let lapses = platform.log.iter().filter_map(|event| match event {
+        LogEvent::Lapse { lapse, class, .. } => Some((lapse.proxy.0, class.as_str(), lapse.waiting_for)),
+        _ => None,
+    });
+    let told: Vec<_> = lapses.collect();
+    assert_eq!(told, [(3, "lookup", WaitingFor::BindingRefused), (3, "issue", WaitingFor::BindingRefused)]);
+    platform.unknown_proxy = None;
+    platform.run(2_000);
+    assert_eq!(platform.coordinator.status().coverage.uncovered, 0);
+}
+
+/// Before the platform puts its coordinators to use, the relay turns their calls away: nobody is late by that.
+#[test]
+fn a_relay_that_takes_no_calls_yet_makes_nobody_late() {
+    let mut platform = Platform::new();
+    platform.throttles = true;
+    platform.attach(0..6);
+    platform.run(2 * BARE_MOST);
+    assert_eq!(platform.coordinator.status().coverage.over_limit, 0);
+    platform.throttles = false;
+    platform.run(500);
+    let coverage = platform.coordinator.status().coverage;
+    assert_eq!((coverage.uncovered, coverage.over_limit), (0, 0));
+    assert!(coverage.longest < ms(500), "{coverage:?}");
+}
--- /dev/null
+++ b/crates/craneknot-node/tests/observability.rs
@@ -0,0 +1,287 @@
+//! What an operator sees: log lines that are kept whole and bounded, and proxies without a line that are told of.
+
+use std::collections::BTreeSet;
+use std::io::{self, Write};
+use std::sync::{Arc, Mutex};
+
+use craneknot::interface::*;
+use craneknot::{Load, Sign, State, Transition};
+use craneknot_node::clients::ClientId;
+use craneknot_node::coordinator::Status;
+use craneknot_node::coverage::{Coverage, CoverageFigures, Lapse, WaitingFor};
+use craneknot_node::log_event::{write_status, EventLog, LogEvent};
+use craneknot_node::order_queue::Outcome;
+use craneknot_node::pending::Violations;
+use craneknot_node::takeover::Takeover;
+use tracing_subscriber::fmt::MakeWriter;
+
+mod helpers;
+use helpers::{config, ms};
+
+const LINE_MOST: usize = 250; // bytes that an operator's collector keeps for sure
+const BARE: u64 = 2_800; // ms; of the configuration: how long a proxy may lack a line
+
+/// Keeps what is logged.
+#[derive(Clone, Default)]
+struct Lines(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Lines {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl<'a> MakeWriter<'a> for Lines {
+    type Writer = Lines;
+
+    fn make_writer(&'a self) -> Lines {
+        self.clone()
+    }
+}
+
+/// What is logged meanwhile, a line each.
+fn logged(is_json: bool, act: impl FnOnce()) -> Vec<String> {
+    let lines = Lines::default();
+    let log = tracing_subscriber::fmt().with_writer(lines.clone()).with_target(false).with_ansi(false);
+    if is_json {
+        tracing::subscriber::with_default(log.json().finish(), act);
+    } else {
+        tracing::subscriber::with_default(log.finish(), act);
+    }
+    let text = String::from_utf8(lines.0.lock().unwrap().clone()).unwrap();
+    text.lines().map(str::to_owned).collect()
+}
+
+/// Every kind of event, with the longest that may stand in it.
+fn all_events() -> Vec<LogEvent> {
+    let long = "\u{1}\"\\é".repeat(200);
+    let server = || ServerId(long.as_str().into());
+    let (proxy, table, span) = (ProxyId(u16::MAX), TableId(u16::MAX), Some(Nanos::from_millis(600_000)));
+    let lapse = Lapse {
+        proxy,
+        class: ClassId(0),
+        table: Some(table),
+        waiting_for: WaitingFor::BindingRefused,
+        lasted: Nanos::from_millis(600_000),
+    };
+    let takeover = Takeover {
+        proxies: 2_400,
+        joined: 2_400,
+        first_bind: span,
+        last_bind: span,
+        first_applied: span,
+        last_applied: span,
+        first_report: span,
+        unbound: 2_400,
+        lowest_level: Some(1.234567890123e-10),
+    };
+    vec![
+        LogEvent::Note(long.clone()),
+        LogEvent::Lapse { lapse, class: long.clone(), calls_failed: 10_000, orders_waiting: 1_000_000 },
+        LogEvent::Takeover(takeover),
+        LogEvent::ProxyJoined { proxy, zone: ZoneId(u16::MAX) },
+        LogEvent::ProxyLeft { proxy },
+        LogEvent::ProxyBound { proxy, table, classes: long.clone() },
+        LogEvent::ListTaken { revision: u64::MAX, whole: false, changed: 1_000_000, listed: 1_000_000 },
+        LogEvent::ServerListed { server: server(), readiness: Readiness::Draining, is_start_certain: false },
+        LogEvent::WatchFailed { cause: long.clone() },
+        LogEvent::CallRetried { cause: long.clone(), failures: 10_000, orders_waiting: 1_000_000 },
+        LogEvent::OrderRefused { order: long.clone(), cause: "it would break a rule" },
+        LogEvent::StreamEnded { cause: long.clone(), streams: 4 },
+        LogEvent::ClientRejected { client: ClientId(u64::MAX), cause: long.clone() },
+        LogEvent::ClientClosed { client: ClientId(u64::MAX), cause: long.clone() },
+        LogEvent::Decision(Transition::Server {
+            server: server(),
+            from: State::Doubted,
+            to: State::Cold,
+            sign: Sign::Unlisted,
+        }),
+        LogEvent::Decision(Transition::Group {
+            group: 1_000,
+            from: Load::Shedding,
+            to: Load::Shedding,
+            limit: f64::MAX,
+        }),
+        LogEvent::Decision(Transition::TableEmptied { table }),
+        LogEvent::Decision(Transition::TableFilled { table }),
+    ]
+}
+
+#[test]
+fn no_line_of_the_log_is_longer_than_is_kept() {
+    let many = 100_000_000;
+    let status = Status {
+        proxies: 65_535,
+        servers: 65_535,
+        collectors: 1_000,
+        unidentified: 1_000,
+        clients_pending: 1_000,
+        reports: many,
+        reports_malformed: many,
+        orders: many,
+        orders_waiting: 1_000_000,
+        orders_rejected: 1_000_000,
+        calls_retried: 1_000_000,
+        event_streams: 4,
+        news_malformed: many,
+        violations: Violations {
+            closed_unanswered: 1_000_000,
+            orders_dropped: 1_000_000,
+            orders_forbidden: 1_000_000,
+            orders_overtaken: 1_000_000,
+        },
+        coverage: CoverageFigures {
+            uncovered: 7_200,
+            longest: Nanos::from_millis(600_000),
+            over_limit: 100_000,
+        },
+    };
+    for is_json in [false, true] {
+        let mut log = EventLog::default();
+        let lines = logged(is_json, || {
+            write_status(&status, 1_024, many);
+            all_events().iter().for_each(|event| assert!(log.write(event)));
+        });
+        assert_eq!(lines.len(), 4 + all_events().len(), "one line an event");
+        for line in lines {
+            assert!(line.len() <= LINE_MOST, "{} bytes: {line}", line.len());
+        }
+    }
+}
+
+#[test]
+fn a_storm_of_one_kind_hides_no_other_and_is_counted() {
+    let mut log = EventLog::default();
+    let lines = logged(false, || {
+        for proxy in 0..1_000 {
+            log.write(&LogEvent::ProxyJoined { proxy: ProxyId(proxy), zone: ZoneId(0) });
+        }
+        assert!(log.write(&LogEvent::ProxyLeft { proxy: ProxyId(7) }));
+        assert_eq!(log.begin_anew().into_iter().collect::<Vec<_>>(), [("proxy joined", 960)]);
+    });
+    assert_eq!(lines.len(), 40 + 1 + 1, "forty, the other kind, and the count");
+    assert!(lines.last().unwrap().contains("lines=960"), "{lines:?}");
+    assert!(log.begin_anew().is_empty());
+}
+
+#[test]
+fn the_operators_page_lists_every_kind_of_event() {
+    let page = include_str!("../../../docs/operate/platform.md");
+    let kinds: BTreeSet<&str> = all_events().iter().map(LogEvent::kind).collect();
+    let missing: Vec<&&str> = kinds.iter().filter(|kind| !page.contains(&format!("`{kind}`"))).collect();
+    assert!(missing.is_empty(), "{missing:?}");
+}
+
+fn listing(name: &str, zone: u16, started: Option<u64>) -> Listing {
+    Listing {
+        server: ServerId(name.into()),
+        zone: ZoneId(zone),
+        kind: KindId(0),
+        cell: CellId(0),
+        weight: Some(1.0),
+        started: started.map(ms),
+        is_start_certain: true,
+        readiness: Readiness::Ready,
+    }
+}
+
+/// The configuration has two classes, the second of which may run in the first zone alone.
+fn coverage() -> Coverage {
+    coverage_since(0)
+}
+
+/// With a proxy that joins then.
+fn coverage_since(joined: u64) -> Coverage {
+    let mut coverage = Coverage::new(&config().settings);
+    coverage.joined(ms(joined), ProxyId(1), ZoneId(1));
+    coverage
+}
+
+fn line(server: &str, weight: f64) -> Order {
+    Order::Line { table: TableId(4), server: ServerId(server.into()), weight }
+}
+
+const BIND: Order = Order::Bind { proxy: ProxyId(1), classes: ClassSet(3), table: TableId(4) };
+
+#[test]
+fn a_proxy_without_a_line_is_told_with_the_step_that_waits() {
+    let list = [listing("a-1", 0, None), listing("b-1", 1, None)];
+    let mut coverage = coverage();
+    coverage.ordered(&BIND);
+    coverage.settled(&BIND, Outcome::Refused);
+    let refused = coverage.look(ms(BARE + 200), list.iter());
+    assert!(refused.iter().all(|lapse| lapse.waiting_for == WaitingFor::BindingRefused), "{refused:?}");
+    assert_eq!(refused.len(), 2);
+    let steps: [(&[Order], &[Order], WaitingFor); 4] = [
+        (&[], &[], WaitingFor::Binding),
+        (&[BIND], &[], WaitingFor::BindingTaken),
+        (&[BIND], &[BIND], WaitingFor::Line),
+        (&[line("a-1", 1.0), BIND], &[BIND], WaitingFor::LineTaken),
+    ];
+    for (ordered, taken, waiting_for) in steps {
+        let mut coverage = coverage_since(0);
+        ordered.iter().for_each(|order| coverage.ordered(order));
+        taken.iter().for_each(|order| coverage.settled(order, Outcome::Taken));
+        assert!(coverage.look(ms(BARE), list.iter()).is_empty(), "{waiting_for:?}: not yet");
+        let lapses = coverage.look(ms(BARE + 200), list.iter());
+        assert_eq!(lapses.len(), 2, "both classes");
+        assert!(lapses.iter().all(|lapse| lapse.waiting_for == waiting_for), "{waiting_for:?}: {lapses:?}");
+        assert!(coverage.look(ms(BARE + 400), list.iter()).is_empty(), "told once");
+        let figures = coverage.figures();
+        assert_eq!((figures.uncovered, figures.over_limit), (2, 2));
+        assert_eq!(figures.longest, ms(BARE + 400));
+    }
+}
+
+#[test]
+fn only_a_line_to_a_warm_server_that_the_class_may_use_counts() {
+    let mut coverage = coverage_since(40_000);
+    for order in [line("a-1", 1.0), line("b-1", 1.0), BIND] {
+        coverage.ordered(&order);
+        coverage.settled(&order, Outcome::Taken);
+    }
+    let list = [listing("a-1", 0, Some(30_000)), listing("a-2", 0, None), listing("b-1", 1, None)];
+    coverage.look(ms(40_000), list.iter());
+    // The first class has a line to the server of the second zone; the other's only one is to a cold server.
+    assert_eq!(coverage.figures().uncovered, 1);
+    let lapses = coverage.look(ms(40_000 + BARE + 100), list.iter());
+    assert_eq!(
+        lapses.iter().map(|lapse| (lapse.class, lapse.waiting_for)).collect::<Vec<_>>(),
+        [(ClassId(1), WaitingFor::UsableServer)]
+    );
+    // It is warm by now.
+    coverage.look(ms(60_000), list.iter());
+    assert_eq!(coverage.figures().uncovered, 0);
+    // Nobody lacks what there is none of.
+    coverage.settled(&line("a-1", 0.0), Outcome::Taken);
+    coverage.look(ms(61_000), list[2..].iter());
+    assert_eq!(coverage.figures().uncovered, 0);
+    coverage.look(ms(62_000), list.iter());
+    assert_eq!(coverage.figures().uncovered, 1, "from now on, and not from when the line went");
+    assert_eq!(coverage.figures().longest, ms(BARE + 100));
+}
+
+#[test]
+fn what_was_refused_leaves_what_stood() {
+    let mut coverage = coverage();
+    let list = [listing("a-1", 0, None)];
+    for order in [line("a-1", 1.0), BIND] {
+        coverage.settled(&order, Outcome::Taken);
+    }
+    let elsewhere = Order::Bind { proxy: ProxyId(1), classes: ClassSet(3), table: TableId(9) };
+    for order in [line("a-1", 0.0), elsewhere] {
+        coverage.ordered(&order);
+        coverage.settled(&order, Outcome::Refused);
+    }
+    coverage.look(ms(100), list.iter());
+    assert_eq!(coverage.figures().uncovered, 0);
+    coverage.left(ProxyId(1));
+    coverage.joined(ms(200), ProxyId(1), ZoneId(1));
+    coverage.look(ms(300), list.iter());
+    assert_eq!(coverage.figures().uncovered, 2, "a binding ends with the proxy's stream");
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,4 +6,4 @@
 pub mod policy;
 mod state;
 
-pub use state::Controller;
+pub use state::{Controller, Load, Sign, State, Transition};
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -317,7 +317,7 @@
         })
     }
 
-    fn sign_of(&self, server: &Server) -> Option<(State, Effect)> {
+    fn sign_of(&self, server: &Server) -> Option<(Sign, State, Effect)> {
         let (now, seen) = (self.now, server.seen(self.now));
         let (tries, share) = (seen.tries, seen.share());
         let cold = !server.warm(now, &self.settings);
@@ -341,7 +341,7 @@
             Sign::Cleared => waited && (server.probes_good >= needed || !self.settings.probes),
         };
         let row = |row: &&(&[State], Sign, State, Effect)| row.0.contains(&server.state) && holds(row.1);
-        SERVER_MOVES.iter().find(row).map(|(_, _, next, effect)| (*next, *effect))
+        SERVER_MOVES.iter().find(row).map(|(_, sign, next, effect)| (*sign, *next, *effect))
     }
 
     /// Carries every server through `SERVER_MOVES`, the worst first while its group has room to shut out.
@@ -351,7 +351,9 @@
             self.servers.iter().map(|(id, server)| (id.clone(), server.seen(now).share())).collect();
         order.sort_by(|(_, a), (_, b)| b.total_cmp(a));
         for (id, _) in order {
-            let Some((next, effect)) = self.sign_of(&self.servers[&id]) else { continue };
+            let Some((sign, next, effect)) = self.sign_of(&self.servers[&id]) else { continue };
+            let from = self.servers[&id].state;
+            self.note_transition(Transition::Server { server: id.clone(), from, to: next, sign });
             let Some(server) = self.servers.get_mut(&id) else { continue };
             (server.state, server.since, server.fresh) = (next, now, false);
             (server.probes_good, server.probes_bad) = (0, 0);
@@ -479,7 +481,11 @@
                 Limit::Lift if rested >= GROW_EVERY => group.limit = f64::INFINITY,
                 Limit::Cut | Limit::Grow | Limit::Lift => continue,
             }
+            let (from, limit) = (group.load, group.limit);
             (group.load, group.changed) = (*next, self.now);
+            if from != *next {
+                self.note_transition(Transition::Group { group: index, from, to: *next, limit });
+            }
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -7,6 +7,8 @@
 
 use crate::interface::*;
 
+const TRANSITIONS_KEPT: usize = 1_024; // between two looks: a fleet of that many servers may change at once
+
 /// A sum that halves with every half-life, which comes with what is added; brought up to date when read.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Decay {
@@ -192,6 +194,32 @@
     Lift,
 }
 
+/// A change of state that an operator wants to see.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Transition {
+    Server {
+        server: ServerId,
+        from: State,
+        to: State,
+        sign: Sign,
+    },
+    /// `limit`: operations a second that the group takes in at most.
+    Group {
+        group: usize,
+        from: Load,
+        to: Load,
+        limit: f64,
+    },
+    /// A table has lost its last line.
+    TableEmptied {
+        table: TableId,
+    },
+    /// A table without lines has got one.
+    TableFilled {
+        table: TableId,
+    },
+}
+
 pub struct Server {
     pub listing: Listing,
     pub group: usize,
@@ -561,6 +589,8 @@
     pub(crate) channel: Channel,
     /// What was refused of late, and until when it is not ordered again.
     pub(crate) refused: BTreeMap<Subject, Nanos>,
+    /// What has changed since that was last asked for.
+    transitions: Vec<Transition>,
 }
 
 impl Controller {
@@ -593,10 +623,23 @@
             usual: 0.0,
             channel: Channel::new(now),
             refused: BTreeMap::new(),
+            transitions: Vec::new(),
             settings,
         }
     }
 
+    /// Keeps a change for whoever looks on; beyond what is kept nobody has looked for long.
+    pub(crate) fn note_transition(&mut self, transition: Transition) {
+        if self.transitions.len() < TRANSITIONS_KEPT {
+            self.transitions.push(transition);
+        }
+    }
+
+    /// What has changed since the last call.
+    pub fn take_transitions(&mut self) -> Vec<Transition> {
+        std::mem::take(&mut self.transitions)
+    }
+
     /// What is believed of load and health, to be held against what passes.
     pub fn beliefs(&self) -> Vec<GroupView> {
         let view = |group: &Group| GroupView {
@@ -678,7 +721,14 @@
     ) -> (usize, BTreeSet<ProxyId>) {
         match order {
             Order::Line { table, server, weight } => {
-                self.tables.entry(*table).or_default().set_line(server, *weight);
+                let held = self.tables.entry(*table).or_default();
+                let was_empty = held.lines.is_empty();
+                held.set_line(server, *weight);
+                match (was_empty, held.lines.is_empty()) {
+                    (true, false) => self.note_transition(Transition::TableFilled { table: *table }),
+                    (false, true) => self.note_transition(Transition::TableEmptied { table: *table }),
+                    (true, true) | (false, false) => {}
+                }
                 (1, users.get(table).cloned().unwrap_or_default())
             }
             Order::Level { table, classes, level, tries } => {
