--- a/crates/craneknot-cli/src/main.rs
+++ b/crates/craneknot-cli/src/main.rs
@@ -17,7 +17,7 @@
 use craneknot_node::shell::NoStart;
 use craneknot_reactor::{SignalFlags, SteadyClock};
 use craneknot_rehearsal::conduct::{Kept, Programs};
-use craneknot_rehearsal::soak::SoakSettings;
+use craneknot_rehearsal::soak::{Day, SoakSettings};
 use craneknot_rehearsal::Script;
 use craneknot_settings::{load, schema_text, AgentSettings, CoordinatorSettings, Problems};
 use serde::Serialize;
@@ -130,6 +130,10 @@
         /// How long each seed lasts, s.
         #[arg(long, default_value_t = 30)]
         seconds: u64,
+        /// The incident's day in place of random faults alone: a release without end, a coordinator killed, a zone lost
+        /// with another, all proxies at the first, its planned restart.
+        #[arg(long)]
+        incident: bool,
         /// The program to soak, another build of this one; left out: this one.
         #[arg(long)]
         program: Option<PathBuf>,
@@ -308,10 +312,11 @@
                 Err(Failed::Rule)
             }
         }
-        Command::Soak { seed, seeds, nodes, seconds, program, fault_library, folder } => {
+        Command::Soak { seed, seeds, nodes, seconds, incident, program, fault_library, folder } => {
             let kept = tempfile::tempdir().map_err(system)?;
             let settings = SoakSettings {
                 seed,
+                day: if incident { Day::Incident } else { Day::Random },
                 nodes: usize::from(nodes),
                 length: Duration::from_secs(seconds),
                 program: program.map_or_else(std::env::current_exe, Ok).map_err(system)?,
--- a/crates/craneknot-cli/src/soak.rs
+++ b/crates/craneknot-cli/src/soak.rs
@@ -1,6 +1,6 @@
 //! `craneknot soak`: several seeds in a row, a line a seed, and all that is needed to play a failure again.
 
-use craneknot_rehearsal::soak::{run, SoakReport, SoakSettings};
+use craneknot_rehearsal::soak::{run, Day, SoakReport, SoakSettings};
 
 use crate::{system, Failed};
 
@@ -31,7 +31,8 @@
     let descriptors = report.sizes.iter().map(|(_, descriptors)| *descriptors).max().unwrap_or_default();
     format!(
         "seed {}: {} ({} faults, {} starts, {} answered, {} turned away, {} in flight at a kill, slowest {} ms, \
-         most {memory} KiB and {descriptors} descriptors)",
+         without a line {:.1} s at most ({:.1} s told), machine late {:.1} s, most {memory} KiB and {descriptors} \
+         descriptors)",
         report.seed,
         if report.broken.is_empty() { "passed" } else { "FAILED" },
         report.faults,
@@ -39,7 +40,10 @@
         report.answered,
         report.rejected,
         report.excused,
-        report.slowest_millis
+        report.slowest_millis,
+        report.uncovered_longest.as_secs_f64(),
+        report.uncovered_told as f64 / 1e3,
+        report.machine_late.as_secs_f64(),
     )
 }
 
@@ -49,8 +53,9 @@
     report.schedule.iter().for_each(|planned| println!("  played: {planned}"));
     let library = settings.fault_library.as_ref();
     let library = library.map_or(String::new(), |path| format!(" --fault-library {}", path.display()));
+    let day = if settings.day == Day::Incident { " --incident" } else { "" };
     println!(
-        "  again: craneknot soak --seed {} --nodes {} --seconds {}{library}",
+        "  again: craneknot soak{day} --seed {} --nodes {} --seconds {}{library}",
         settings.seed,
         settings.nodes,
         settings.length.as_secs()
--- a/crates/craneknot-cli/tests/soak.rs
+++ b/crates/craneknot-cli/tests/soak.rs
@@ -3,41 +3,55 @@
 use std::path::Path;
 use std::time::Duration;
 
-use craneknot_rehearsal::soak::{run, schedule, SoakSettings};
+use craneknot_rehearsal::soak::{run, schedule, Day, SoakSettings};
 
 mod helpers;
 use helpers::fault_library;
 
 const LENGTH: Duration = Duration::from_secs(22);
+const INCIDENT_LENGTH: Duration = Duration::from_secs(40);
 
 #[test]
 fn one_seed_gives_one_schedule() {
-    let first = schedule::draw(7, 10, 12, LENGTH);
+    let first = schedule::draw(7, 10, 12, LENGTH, Day::Random);
     assert!(first.len() > 20, "{} faults", first.len());
-    assert_eq!(first, schedule::draw(7, 10, 12, LENGTH));
-    assert_ne!(first, schedule::draw(8, 10, 12, LENGTH));
+    assert_eq!(first, schedule::draw(7, 10, 12, LENGTH, Day::Random));
+    assert_ne!(first, schedule::draw(8, 10, 12, LENGTH, Day::Random));
+}
+
+/// Plays a soak of this program; nothing may be broken.
+fn plays_without_a_break(seed: u64, day: Day, length: Duration) {
+    let folder = tempfile::tempdir().unwrap();
+    let settings = SoakSettings {
+        seed,
+        day,
+        nodes: 10,
+        length,
+        program: Path::new(env!("CARGO_BIN_EXE_craneknot")).to_owned(),
+        fault_library: Some(fault_library()),
+        folder: folder.path().to_owned(),
+    };
+    let report = run(&settings).unwrap();
+    assert!(report.answered > 1_000, "seed {seed}: {} heartbeats answered", report.answered);
+    assert!(
+        report.broken.is_empty(),
+        "{day:?} day, craneknot soak --seed {seed} --nodes 10 --seconds {}\n{}\n{}",
+        length.as_secs(),
+        report.broken.join("\n"),
+        report.schedule.join("\n")
+    );
 }
 
 #[test]
 fn the_invariants_hold_in_random_faults_that_overlap() {
     for seed in [1, 2] {
-        let folder = tempfile::tempdir().unwrap();
-        let settings = SoakSettings {
-            seed,
-            nodes: 10,
-            length: LENGTH,
-            program: Path::new(env!("CARGO_BIN_EXE_craneknot")).to_owned(),
-            fault_library: Some(fault_library()),
-            folder: folder.path().to_owned(),
-        };
-        let report = run(&settings).unwrap();
-        assert!(report.answered > 1_000, "seed {seed}: {} heartbeats answered", report.answered);
-        assert!(
-            report.broken.is_empty(),
-            "craneknot soak --seed {seed} --nodes 10 --seconds {}\n{}\n{}",
-            LENGTH.as_secs(),
-            report.broken.join("\n"),
-            report.schedule.join("\n")
-        );
+        plays_without_a_break(seed, Day::Random, LENGTH);
     }
 }
+
+/// Seed 2 steps a wall clock back an hour before the coordinator that gets all proxies is started anew. The build that
+/// the users reported on leaves proxies without a line on it.
+#[test]
+fn the_invariants_hold_on_the_incident_day() {
+    plays_without_a_break(2, Day::Incident, INCIDENT_LENGTH);
+}
--- a/crates/craneknot-node/src/coverage.rs
+++ b/crates/craneknot-node/src/coverage.rs
@@ -2,8 +2,8 @@
 //! left without a server, judged while the program runs and apart from what the decisions believe.
 //!
 //! A proxy lacks a line from its joining until the relay has taken a binding to a table that has a line to a server which
-//! is listed ready and warm and which the class may use; and again from the moment at which that ceases to hold. While no
-//! such server is listed nobody lacks anything. What is on its way from the relay to the proxy is not seen here.
+//! is listed ready and which the class may use; and again from the moment at which that ceases to hold. While no such
+//! server is listed that is warm, nobody lacks anything. What is on its way from the relay to the proxy is not seen here.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -26,7 +26,7 @@
     Line,
     /// The table is empty, and the relay has not taken its lines yet.
     LineTaken,
-    /// All lines are to servers that are lost, cold or closed to the class.
+    /// All lines are to servers that drain, are gone or are closed to the class.
     UsableServer,
 }
 
@@ -230,9 +230,11 @@
     }
 }
 
-/// The servers that are listed ready and warm, by zone and kind as classes ask for them.
+/// The servers that are listed ready.
 struct Usable<'c, 'a> {
     classes: &'c [ClassSettings],
+    now: Nanos,
+    warm_after: Nanos,
     servers: BTreeMap<&'a ServerId, &'a Listing>,
 }
 
@@ -243,11 +245,14 @@
         classes: &'c [ClassSettings],
         listed: impl Iterator<Item = &'a Listing>,
     ) -> Self {
-        let is_warm = |entry: &&Listing| {
-            entry.started.is_none_or(|started| now - started >= warm_after) || !entry.is_start_certain
-        };
-        let ready = listed.filter(|entry| entry.readiness == Readiness::Ready).filter(is_warm);
-        Usable { classes, servers: ready.map(|entry| (&entry.server, entry)).collect() }
+        let ready = listed.filter(|entry| entry.readiness == Readiness::Ready);
+        Usable { classes, now, warm_after, servers: ready.map(|entry| (&entry.server, entry)).collect() }
+    }
+
+    /// Whether it is warm, or may be.
+    fn is_warm(&self, entry: &Listing) -> bool {
+        let is_old = |started: Nanos| self.now - started >= self.warm_after;
+        entry.started.is_none_or(is_old) || !entry.is_start_certain
     }
 
     fn is_open(&self, class: usize, zone: ZoneId, entry: &Listing) -> bool {
@@ -263,6 +268,7 @@
             self.servers.get(server).is_some_and(|entry| self.is_open(class, zone, entry))
         };
         let is_covered = lines.is_some_and(|lines| lines.iter().any(has));
-        !is_covered && self.servers.values().any(|entry| self.is_open(class, zone, entry))
+        let is_due = |entry: &&Listing| self.is_warm(entry) && self.is_open(class, zone, entry);
+        !is_covered && self.servers.values().any(is_due)
     }
 }
--- a/crates/craneknot-node/tests/observability.rs
+++ b/crates/craneknot-node/tests/observability.rs
@@ -239,33 +239,49 @@
 }
 
 #[test]
-fn only_a_line_to_a_warm_server_that_the_class_may_use_counts() {
+fn a_line_counts_where_its_server_is_ready_and_open_to_the_class() {
     let mut coverage = coverage_since(40_000);
     for order in [line("a-1", 1.0), line("b-1", 1.0), BIND] {
         coverage.ordered(&order);
         coverage.settled(&order, Outcome::Taken);
     }
-    let list = [listing("a-1", 0, Some(30_000)), listing("a-2", 0, None), listing("b-1", 1, None)];
+    let draining = |mut entry: Listing| {
+        entry.readiness = Readiness::Draining;
+        entry
+    };
+    let list = [draining(listing("a-1", 0, None)), listing("a-2", 0, None), listing("b-1", 1, None)];
     coverage.look(ms(40_000), list.iter());
-    // The first class has a line to the server of the second zone; the other's only one is to a cold server.
+    // The first class has a line to the server of the second zone; the other's only one is to a server that drains.
     assert_eq!(coverage.figures().uncovered, 1);
     let lapses = coverage.look(ms(40_000 + BARE + 100), list.iter());
-    assert_eq!(
-        lapses.iter().map(|lapse| (lapse.class, lapse.waiting_for)).collect::<Vec<_>>(),
-        [(ClassId(1), WaitingFor::UsableServer)]
-    );
-    // It is warm by now.
-    coverage.look(ms(60_000), list.iter());
+    let told: Vec<_> = lapses.iter().map(|lapse| (lapse.class, lapse.waiting_for)).collect();
+    assert_eq!(told, [(ClassId(1), WaitingFor::UsableServer)]);
+    // A line to a cold server is a line.
+    let list = [listing("a-1", 0, Some(42_000)), listing("a-2", 0, None), listing("b-1", 1, None)];
+    coverage.look(ms(43_000), list.iter());
     assert_eq!(coverage.figures().uncovered, 0);
-    // Nobody lacks what there is none of.
+    // Nobody lacks what there is none of: no warm server is open to the second class.
     coverage.settled(&line("a-1", 0.0), Outcome::Taken);
-    coverage.look(ms(61_000), list[2..].iter());
+    let cold = [listing("a-1", 0, Some(42_000)), listing("b-1", 1, None)];
+    coverage.look(ms(44_000), cold.iter());
     assert_eq!(coverage.figures().uncovered, 0);
-    coverage.look(ms(62_000), list.iter());
+    coverage.look(ms(45_000), list.iter());
     assert_eq!(coverage.figures().uncovered, 1, "from now on, and not from when the line went");
     assert_eq!(coverage.figures().longest, ms(BARE + 100));
 }
 
+/// One whose age is not known may be warm: there is a server for it.
+#[test]
+fn a_server_of_unknown_age_is_one_to_go_to() {
+    let mut coverage = coverage_since(0);
+    let mut list = [listing("a-1", 0, Some(0))];
+    coverage.look(ms(100), list.iter());
+    assert_eq!(coverage.figures().uncovered, 0, "it is cold for certain");
+    list[0].is_start_certain = false;
+    coverage.look(ms(300), list.iter());
+    assert_eq!(coverage.figures().uncovered, 2);
+}
+
 #[test]
 fn what_was_refused_leaves_what_stood() {
     let mut coverage = coverage();
--- a/crates/craneknot-rehearsal/src/soak/clients.rs
+++ b/crates/craneknot-rehearsal/src/soak/clients.rs
@@ -13,7 +13,7 @@
 
 use super::fleet::{Fleet, CLASSES, ZONES};
 use super::node::Life;
-use super::oracle::{Answer, Oracle};
+use super::oracle::{Answer, Oracle, Request};
 
 const HEARTBEAT: &[u8] = b"{\"type\":\"hb\"}\n";
 const PATIENCE: Duration = Duration::from_secs(6); // for an answer; longer than any pause and crowd
@@ -40,14 +40,17 @@
         self.over.load(Ordering::Relaxed)
     }
 
-    fn judge(&self, what: &str, sent: Instant, epoch: u64, answer: Answer) {
+    fn judge(&self, what: &str, request: Request, answer: Answer) {
         if answer == Answer::Answered {
             let mut life = self.life.lock().unwrap();
-            life.ready |= life.epoch == epoch;
+            if life.epoch == request.epoch {
+                life.ready = true;
+                life.ready_at = life.ready_at.or_else(|| Some(Instant::now()));
+            }
         }
         // What ended with the soak is nobody's fault.
         if !self.is_over() {
-            self.oracle.judge(self.node, what, sent, &self.life(), epoch, answer);
+            self.oracle.judge(self.node, what, request, &self.life(), answer);
         }
     }
 }
@@ -56,6 +59,7 @@
 struct Connection {
     reader: BufReader<TcpStream>,
     epoch: u64,
+    opened: Instant,
 }
 
 impl Connection {
@@ -64,7 +68,12 @@
         let stream = life.address.and_then(|address| TcpStream::connect(address).ok())?;
         stream.set_read_timeout(Some(PATIENCE)).ok()?;
         stream.set_nodelay(true).ok()?;
-        Some(Connection { reader: BufReader::new(stream), epoch: life.epoch })
+        Some(Connection { reader: BufReader::new(stream), epoch: life.epoch, opened: Instant::now() })
+    }
+
+    /// A request on it that was written whole just now.
+    fn sent(&self) -> Request {
+        Request { epoch: self.epoch, opened: self.opened, sent: Instant::now() }
     }
 
     fn write(&mut self, bytes: &[u8]) -> bool {
@@ -100,7 +109,7 @@
             thread::sleep(Duration::from_millis(rng.random_range(0..40)));
             written = open.write(second);
         }
-        let sent = Instant::now();
+        let sent = open.sent();
         if !written {
             // It had ended before the request was whole.
             connection = None;
@@ -112,7 +121,7 @@
             let _ = open.reader.get_ref().shutdown(Shutdown::Write);
         }
         let answer = open.answer();
-        around.judge("a heartbeat", sent, open.epoch, answer);
+        around.judge("a heartbeat", sent, answer);
         if last || answer != Answer::Answered || rng.random_bool(0.1) {
             connection = None;
         }
@@ -136,14 +145,14 @@
         round += 1;
         let written = open.write(reports(zone, around.node, fleet).as_bytes());
         let asks = round % 2 == 0;
-        let sent = Instant::now();
+        let sent = open.sent();
         if !written || asks && !open.write(HEARTBEAT) {
             connection = None;
             continue;
         }
         if asks {
             let answer = open.answer();
-            around.judge("a collector's heartbeat", sent, open.epoch, answer);
+            around.judge("a collector's heartbeat", sent, answer);
             if answer != Answer::Answered {
                 connection = None;
             }
@@ -178,7 +187,7 @@
 /// called.
 pub struct CrowdOfAskers {
     around: Surroundings,
-    waiting: Vec<(Connection, Instant)>,
+    waiting: Vec<(Connection, Request)>,
 }
 
 impl CrowdOfAskers {
@@ -186,7 +195,7 @@
     pub fn come(around: &Surroundings, count: usize) -> Self {
         let asked = (0..count).filter_map(|_| {
             let mut open = Connection::open(around)?;
-            let sent = Instant::now();
+            let sent = open.sent();
             open.write(HEARTBEAT).then_some((open, sent))
         });
         CrowdOfAskers { around: around.clone(), waiting: asked.collect() }
@@ -196,7 +205,7 @@
     pub fn judge(self) {
         for (mut open, sent) in self.waiting {
             let answer = open.answer();
-            self.around.judge("a crowd's heartbeat", sent, open.epoch, answer);
+            self.around.judge("a crowd's heartbeat", sent, answer);
         }
     }
 }
--- a/crates/craneknot-rehearsal/src/soak/fleet.rs
+++ b/crates/craneknot-rehearsal/src/soak/fleet.rs
@@ -1,7 +1,7 @@
 //! What relay and discovery know: which proxy is joined to which node, what each was ordered, and the list of servers.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// One server as listed.
 #[derive(Clone, Debug)]
@@ -13,6 +13,39 @@
     pub version: u64,
     /// When it started, in milliseconds since 1970; 0: long ago.
     pub started: u64,
+    /// The same by the clock that nobody steps; nothing: long ago.
+    pub started_at: Option<Instant>,
+}
+
+/// What may become of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    Ready,
+    Draining,
+    Gone,
+}
+
+impl Phase {
+    fn name(self) -> &'static str {
+        match self {
+            Phase::Ready => "SERVING",
+            Phase::Draining => "DRAINING",
+            Phase::Gone => "DELETED",
+        }
+    }
+}
+
+/// A list as JSON.
+fn list_of<'a>(version: u64, complete: bool, servers: impl Iterator<Item = &'a Server>) -> String {
+    let entry = |server: &Server| {
+        format!(
+            "{{\"id\":\"{}\",\"host_port\":\"127.0.0.1:1\",\"locality\":\"{}\",\"flavor\":\"m2\",\"cell\":0,\
+             \"phase\":\"{}\",\"size\":1.0,\"up_since_ms\":{}}}",
+            server.id, server.zone, server.phase, server.started
+        )
+    };
+    let entries: Vec<String> = servers.map(entry).collect();
+    format!("{{\"revision\":{version},\"complete\":{complete},\"members\":[{}]}}", entries.join(","))
 }
 
 /// What one node's proxies hold.
@@ -37,6 +70,10 @@
     pub holdings: Vec<Holdings>,
     /// By node: since when it knows of each server that drains or is gone.
     pub known_lost: Vec<BTreeMap<String, Instant>>,
+    /// By node: the list as it was last told, whatever process of the node heard it.
+    pub told: Vec<BTreeMap<String, Server>>,
+    /// The zone that is lost for now: its servers are gone, and stay so.
+    lost_zone: Option<usize>,
     /// Discovery answers whole lists, and how late.
     pub answer_whole: bool,
     pub lag: Duration,
@@ -47,22 +84,34 @@
 
 pub const CLASSES: [&str; 2] = ["lookup", "issue"];
 pub const ZONES: [&str; 2] = ["a", "b"];
+const LAST_RELEASE: Duration = Duration::from_secs(1_800); // before the soak: all servers started then
+/// The class that may run in one zone alone, and that zone's place.
+pub const ONLY_ZONE_CLASS: &str = "issue";
+pub const ONLY_ZONE: usize = 0;
 
 impl Fleet {
     /// So many nodes, proxies and servers; proxies are joined to nodes in turn.
     pub fn new(nodes: usize, proxies: u16, servers: usize) -> Self {
+        let date = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let started = date.saturating_sub(LAST_RELEASE).as_millis() as u64;
         let server = |number: usize| Server {
             id: format!("s-{number:02}"),
             zone: ZONES[number % 2],
             phase: "SERVING",
             version: 1,
-            started: 0,
+            started,
+            started_at: None,
         };
+        let servers: Vec<Server> = (0..servers).map(server).collect();
+        let told: BTreeMap<String, Server> =
+            servers.iter().map(|server| (server.id.clone(), server.clone())).collect();
         let mut fleet = Fleet {
-            servers: (0..servers).map(server).collect(),
+            servers,
             version: 1,
             holdings: (0..nodes).map(|_| Holdings::default()).collect(),
             known_lost: vec![BTreeMap::new(); nodes],
+            told: vec![told; nodes],
+            lost_zone: None,
             answer_whole: false,
             lag: Duration::ZERO,
             broken: Vec::new(),
@@ -198,13 +247,45 @@
         true
     }
 
-    /// A server's phase changes. `started`: as the list tells it.
-    pub fn set_phase(&mut self, server: usize, phase: &'static str, started: Option<u64>) {
+    /// A server's phase changes; one of a lost zone stays gone. `ready` has it start anew.
+    pub fn set_phase(&mut self, server: usize, phase: Phase) {
+        let is_lost = self.lost_zone.is_some_and(|zone| server % ZONES.len() == zone);
+        if is_lost && phase != Phase::Gone {
+            return;
+        }
         self.version += 1;
         let version = self.version;
         let server = &mut self.servers[server];
-        (server.phase, server.version) = (phase, version);
-        server.started = started.unwrap_or(server.started);
+        (server.phase, server.version) = (phase.name(), version);
+        if phase == Phase::Ready {
+            let date = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+            (server.started, server.started_at) = (date.as_millis() as u64, Some(Instant::now()));
+        }
+    }
+
+    /// A zone is lost: its servers are gone, and its proxies leave. Who they were.
+    pub fn lose_zone(&mut self, zone: usize) -> Vec<u16> {
+        self.lost_zone = Some(zone);
+        (0..self.servers.len()).filter(|server| server % ZONES.len() == zone).for_each(|server| {
+            self.set_phase(server, Phase::Gone);
+        });
+        let mut left = Vec::new();
+        for node in 0..self.holdings.len() {
+            let joined = self.joined(node).into_iter();
+            for proxy in joined.filter(|proxy| usize::from(*proxy) % ZONES.len() == zone) {
+                self.leave(proxy, node);
+                left.push(proxy);
+            }
+        }
+        left
+    }
+
+    /// The zone is back: all of its servers start anew.
+    pub fn regain_zone(&mut self, zone: usize) {
+        self.lost_zone = None;
+        (0..self.servers.len()).filter(|server| server % ZONES.len() == zone).for_each(|server| {
+            self.set_phase(server, Phase::Ready);
+        });
     }
 
     /// The list as JSON: whole, or what changed after a version.
@@ -213,29 +294,20 @@
             Some(version) => server.version > version,
             None => server.phase != "DELETED",
         });
-        let entry = |(place, server): (usize, &Server)| {
-            format!(
-                "{{\"id\":\"{}\",\"host_port\":\"127.0.0.1:{}\",\"locality\":\"{}\",\"flavor\":\"m2\",\"cell\":0,\
-                 \"phase\":\"{}\",\"size\":1.0,\"up_since_ms\":{}}}",
-                server.id,
-                1 + place,
-                server.zone,
-                server.phase,
-                server.started
-            )
-        };
-        let entries: Vec<String> = entries.enumerate().map(entry).collect();
-        let complete = after.is_none();
-        format!(
-            "{{\"revision\":{},\"complete\":{complete},\"members\":[{}]}}",
-            self.version,
-            entries.join(",")
-        )
+        list_of(self.version, after.is_none(), entries)
+    }
+
+    /// The list as JSON, as a node was told it last.
+    pub fn known(&self, node: usize) -> String {
+        let version = self.told[node].values().map(|server| server.version).max().unwrap_or(0);
+        let entries = self.told[node].values().filter(|server| server.phase != "DELETED");
+        list_of(version, true, entries)
     }
 
     /// A list was written to a node: from now on it knows who is lost.
     pub fn list_told(&mut self, node: usize, listed: &[Server]) {
         let known = &mut self.known_lost[node];
+        self.told[node] = listed.iter().map(|server| (server.id.clone(), server.clone())).collect();
         for server in listed {
             if server.phase == "SERVING" {
                 known.remove(&server.id);
--- a/crates/craneknot-rehearsal/src/soak/mod.rs
+++ b/crates/craneknot-rehearsal/src/soak/mod.rs
@@ -3,9 +3,11 @@
 //!
 //! [`schedule`] draws all faults from one seed. [`fleet`] is what relay and discovery know, [`relay`] and [`discovery`]
 //! put it on sockets, [`fault_proxy`] stands between them and each node. [`clients`] ask for signs of life and report.
-//! [`oracle`] judges what the peers saw; [`node`] keeps the processes; [`run`] plays the schedule.
+//! [`oracle`] judges what the peers saw, [`coverage`] what proxies hold; [`node`] keeps the processes; [`run`] plays the
+//! schedule.
 
 pub mod clients;
+pub mod coverage;
 pub mod discovery;
 pub mod fault_proxy;
 pub mod fleet;
@@ -17,3 +19,4 @@
 pub mod schedule;
 
 pub use run::{run, SoakReport, SoakSettings};
+pub use schedule::Day;
--- a/crates/craneknot-rehearsal/src/soak/node.rs
+++ b/crates/craneknot-rehearsal/src/soak/node.rs
@@ -1,5 +1,6 @@
 //! One node's process: its configuration, signals, log, and what is known of its life.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
@@ -7,15 +8,31 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::json;
 
 use super::fault_proxy::FaultProxy;
-use super::fleet::{CLASSES, ZONES};
+use super::fleet::{Fleet, CLASSES, ONLY_ZONE, ONLY_ZONE_CLASS, ZONES};
 use super::oracle::Oracle;
 
+/// How long a proxy may lack a line, and how long it may keep one to a server that drains: the settings' figures.
+pub const BARE: Duration = Duration::from_millis(2_800);
+pub const DRAIN_GRACE: Duration = Duration::from_millis(2_700);
+/// How long after its start a server is warm, by the settings.
+pub const WARM_AFTER: Duration = Duration::from_millis(18_000);
+
+/// How a process that was followed by another had ended.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EndedLife {
+    pub terminated: Option<Instant>,
+    /// It was killed then; nothing: it had ended by itself.
+    pub killed: Option<Instant>,
+    pub paused_until: Option<Instant>,
+    pub crowded_until: Option<Instant>,
+}
+
 /// What clients and the oracle need to know of a process, whatever becomes of it.
 #[derive(Clone, Debug, Default)]
 pub struct Life {
@@ -33,6 +50,12 @@
     pub crowded_until: Option<Instant>,
     /// It has answered since it started.
     pub ready: bool,
+    /// When it first did.
+    pub ready_at: Option<Instant>,
+    /// The processes of this node before, by their numbers.
+    pub before: BTreeMap<u64, EndedLife>,
+    /// The longest that a process of this node says a proxy lacked a line, in milliseconds.
+    pub told_uncovered: u64,
     /// The last fault that touched it, or will until then.
     pub disturbed_until: Option<Instant>,
 }
@@ -56,14 +79,21 @@
     pub life: Arc<Mutex<Life>>,
     pub relay: FaultProxy,
     pub discovery: FaultProxy,
+    fleet: Arc<Mutex<Fleet>>,
     setting: Setting,
     child: Option<Child>,
 }
 
 impl Node {
     /// A node that is not started yet.
-    pub fn new(number: usize, setting: Setting, relay: FaultProxy, discovery: FaultProxy) -> Self {
-        Node { number, life: Arc::default(), relay, discovery, setting, child: None }
+    pub fn new(
+        number: usize,
+        setting: Setting,
+        fleet: Arc<Mutex<Fleet>>,
+        relay: FaultProxy,
+        discovery: FaultProxy,
+    ) -> Self {
+        Node { number, life: Arc::default(), relay, discovery, fleet, setting, child: None }
     }
 
     fn config_file(&self) -> PathBuf {
@@ -76,26 +106,28 @@
 
     fn configuration(&self) -> String {
         let profile = |name: &str| match name {
-            "issue" => {
+            ONLY_ZONE_CLASS => {
                 json!({"name": name, "aim": 1.5, "deadline": 4.0, "worth": 3.0, "semantics": "single_shot",
-                              "only-zones": ["a"]})
+                              "only-zones": [ZONES[ONLY_ZONE]]})
             }
             _ => json!({"name": name, "aim": 1.2, "deadline": 3.0, "worth": 2.0, "semantics": "free"}),
         };
+        let known = self.fleet.lock().unwrap().known(self.number);
+        let known: serde_json::Value = serde_json::from_str(&known).unwrap_or_default();
         json!({
             "name": format!("n{}", self.number), "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
             "discovery": self.discovery.address().to_string(),
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": self.setting.sockets},
             "distributor": {"address": self.relay.address().to_string()},
-            "known": {"revision": 0, "complete": true, "members": []},
+            "known": known,
             "settings": {
                 "localities": ZONES, "kinds": ["m2"], "balancers": self.setting.nodes, "registry-mode": "on_request",
                 "reporting": {"how": "answers", "names": ["busy", "rif", "lat_ms"]},
                 "profiles": CLASSES.map(profile),
                 "caps": {"probing": false},
-                "rules": {"ask-within": 10.0, "cold-share": 0.2, "fall": 3.0, "fall-multiple": 3.0, "ramp-time": 4.0,
-                          "stop-sending-within": 2.7},
-                "extra": {"data-plane-size": self.setting.proxies, "bare": 2.8, "admission": "rps",
+                "rules": {"ask-within": 10.0, "cold-share": 0.18, "fall": 3.0, "fall-multiple": 3.0,
+                          "ramp-time": WARM_AFTER.as_secs_f64(), "stop-sending-within": DRAIN_GRACE.as_secs_f64()},
+                "extra": {"data-plane-size": self.setting.proxies, "bare": BARE.as_secs_f64(), "admission": "rps",
                           "egress-per-s": 14800.0, "queue-cap": 29600.0, "envelope": 3.0, "update-cap": 0,
                           "reload-span": 10.0, "interval": 0.5, "slices": 0, "home-only": [false, false]}
             }
@@ -132,7 +164,11 @@
             let now = Some(Instant::now());
             // A network fault goes on whatever becomes of the process.
             let disturbed_until = life.disturbed_until.max(now);
-            *life = Life { epoch: life.epoch + 1, started: now, disturbed_until, ..Life::default() };
+            let mut before = std::mem::take(&mut life.before);
+            let Life { terminated, killed, paused_until, crowded_until, told_uncovered, .. } = *life;
+            before.insert(life.epoch, EndedLife { terminated, killed, paused_until, crowded_until });
+            let epoch = life.epoch + 1;
+            *life = Life { epoch, started: now, disturbed_until, before, told_uncovered, ..Life::default() };
             life.epoch
         };
         let log = self.setting.folder.join(format!("node-{}-{epoch}.log", self.number));
@@ -204,6 +240,12 @@
                 oracle.told_violation(number, epoch, figure);
             }
         }
+        if let Some(longest) =
+            told.pointer("/fields/uncovered_longest_ms").and_then(serde_json::Value::as_u64)
+        {
+            let mut life = life.lock().unwrap();
+            life.told_uncovered = life.told_uncovered.max(longest);
+        }
         kept.push_str(&line);
         kept.push('\n');
     }
--- a/crates/craneknot-rehearsal/src/soak/oracle.rs
+++ b/crates/craneknot-rehearsal/src/soak/oracle.rs
@@ -5,13 +5,11 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use super::fleet::{Fleet, CLASSES};
-use super::node::Life;
+use super::coverage::Broken;
+use super::node::{EndedLife, Life};
 
 const ANSWERED_WITHIN: Duration = Duration::from_millis(500); // a process that runs answers within, on a busy machine
 const READY_WITHIN: Duration = Duration::from_secs(10); // of a start
-const BARE_MOST: Duration = Duration::from_millis(4_500); // 2.8 s of the settings, 0.3 of the platform, and a busy machine
-const DRAIN_MOST: Duration = Duration::from_millis(4_500); // 2.7 s of the settings, the same
 const BROKEN_KEPT: usize = 50; // enough to find a cause
 
 /// What became of one request.
@@ -24,6 +22,16 @@
     Lost,
 }
 
+/// A request that was written whole.
+#[derive(Clone, Copy, Debug)]
+pub struct Request {
+    /// The process that it was sent to.
+    pub epoch: u64,
+    /// When its connection was opened, and when it was sent.
+    pub opened: Instant,
+    pub sent: Instant,
+}
+
 /// What has been seen.
 pub struct Oracle {
     begun: Instant,
@@ -83,21 +91,23 @@
         self.broken.lock().unwrap().clone()
     }
 
-    /// Judges a request: `sent` is when it was written whole, `life` what became of its process since.
-    pub fn judge(&self, node: usize, what: &str, sent: Instant, life: &Life, epoch: u64, answer: Answer) {
-        let took = sent.elapsed();
+    /// Judges a request by the life of the process that it was sent to.
+    pub fn judge(&self, node: usize, what: &str, request: Request, life: &Life, answer: Answer) {
+        let took = request.sent.elapsed();
         match answer {
             Answer::Answered => {
                 self.answered.fetch_add(1, Ordering::Relaxed);
                 self.slowest_millis.fetch_max(took.as_millis() as u64, Ordering::Relaxed);
             }
             Answer::Rejected => drop(self.rejected.fetch_add(1, Ordering::Relaxed)),
-            Answer::Lost if self.is_excused(sent, life, epoch) => {
+            Answer::Lost if self.is_excused(request, life) => {
                 self.excused.fetch_add(1, Ordering::Relaxed);
             }
             Answer::Lost => {
-                let since = life.terminated.map(|at| sent.saturating_duration_since(at));
-                let process = life.epoch;
+                let own = life_of(life, request.epoch);
+                let after = |at: Instant| request.sent.saturating_duration_since(at);
+                let since = own.and_then(|own| own.terminated).map(after);
+                let (epoch, process) = (request.epoch, life.epoch);
                 self.broken(format!(
                     "node {node}: {what} lost after {took:?}; process {epoch} of {process}, sent {since:?} after SIGTERM"
                 ));
@@ -105,16 +115,17 @@
         }
     }
 
-    /// A request is no process's to answer that was killed before it had the time to, or had been killed already.
-    fn is_excused(&self, sent: Instant, life: &Life, epoch: u64) -> bool {
-        if life.epoch != epoch {
-            // Its process was followed by another, before which it was killed or had ended.
-            return true;
-        }
+    /// A request is no process's to answer that was killed before it had the time to, or had ended by itself before the
+    /// request's connection was taken in.
+    fn is_excused(&self, request: Request, life: &Life) -> bool {
+        let Some(own) = life_of(life, request.epoch) else { return false };
         // Neither can it answer while it is stopped, nor who waits behind a crowd that it has no room for.
-        let held_up = life.paused_until.max(life.crowded_until);
-        let runs_from = held_up.map_or(sent, |until| until.max(sent));
-        life.killed.is_some_and(|killed| killed.saturating_duration_since(runs_from) < ANSWERED_WITHIN)
+        let held_up = own.paused_until.max(own.crowded_until);
+        let runs_from = held_up.map_or(request.sent, |until| until.max(request.sent));
+        let is_killed =
+            own.killed.is_some_and(|killed| killed.saturating_duration_since(runs_from) < ANSWERED_WITHIN);
+        let has_ended = own.killed.is_none() && request.epoch < life.epoch;
+        is_killed || has_ended && own.terminated.is_some_and(|at| request.opened >= at)
     }
 
     /// Judges how soon a process was ready.
@@ -127,36 +138,17 @@
         }
     }
 
-    /// Judges what a node's proxies hold.
-    pub fn judge_holdings(&self, node: usize, life: &Life, fleet: &Fleet) {
-        let serves = life.ready && life.terminated.is_none() && life.killed.is_none();
-        let Some(disturbed) = life.disturbed_until.filter(|_| serves) else { return };
-        let holdings = &fleet.holdings[node];
-        let is_over = |since: Instant, most: Duration| since.max(disturbed).elapsed() > most;
-        for (proxy, joined) in &holdings.joined {
-            for class in CLASSES {
-                let table = holdings.bound.get(&(*proxy, class.to_owned()));
-                let lines = table.and_then(|table| holdings.tables.get(table));
-                let serves = |id: &String| {
-                    fleet.servers.iter().any(|server| server.id == *id && server.phase == "SERVING")
-                };
-                if is_over(*joined, BARE_MOST) && !lines.is_some_and(|lines| lines.keys().any(serves)) {
-                    let since = joined.elapsed().as_secs_f64();
-                    self.broken_once(
-                        format!("node {node}: proxy {proxy} has no line for {class}"),
-                        &format!("joined {since:.1} s ago, table {table:?} with {lines:?}"),
-                    );
-                }
-                for (server, known) in &fleet.known_lost[node] {
-                    let is_named = lines.is_some_and(|lines| lines.contains_key(server));
-                    if is_named && is_over((*known).max(*joined), DRAIN_MOST) {
-                        self.broken_once(
-                            format!("node {node}: proxy {proxy} still has a line for {server}"),
-                            &format!("known for {:.1} s", known.elapsed().as_secs_f64()),
-                        );
-                    }
-                }
-            }
-        }
+    /// What proxies hold has been wrong for too long.
+    pub fn broken_coverage(&self, broken: Vec<Broken>) {
+        broken.into_iter().for_each(|broken| self.broken_once(broken.what, &broken.detail));
+    }
+}
+
+/// What is known of a node's process: the one that runs, or one before.
+fn life_of(life: &Life, epoch: u64) -> Option<EndedLife> {
+    if epoch != life.epoch {
+        return life.before.get(&epoch).copied();
     }
+    let Life { terminated, killed, paused_until, crowded_until, .. } = *life;
+    Some(EndedLife { terminated, killed, paused_until, crowded_until })
 }
--- a/crates/craneknot-rehearsal/src/soak/run.rs
+++ b/crates/craneknot-rehearsal/src/soak/run.rs
@@ -7,32 +7,37 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use rustix::process::Signal;
 
 use super::clients::{ask, await_ready, collect, come_silently, CrowdOfAskers, Surroundings};
+use super::coverage::{CoverageJudge, MachineLateness};
 use super::fault_proxy::FaultProxy;
-use super::fleet::{Fleet, ZONES};
+use super::fleet::{Fleet, Phase, ZONES};
 use super::node::{Node, Setting};
 use super::oracle::Oracle;
-use super::schedule::{self, Fault, ListChange, Neighbour, Planned};
+use super::schedule::{self, Day, Fault, ListChange, Neighbour, Planned};
 use super::{discovery, relay};
 
 const LOOK_EVERY: Duration = Duration::from_millis(100); // between looks of the oracle
 const ASKERS: usize = 4; // clients that ask each node all the time
 const PROXIES_PER_NODE: u16 = 12;
-const SERVERS: usize = 12;
+const SERVERS: usize = 24;
 const REDIAL_AFTER: Duration = Duration::from_millis(300); // proxies whose coordinator is gone join another
 const OLD_ADDRESS_ENDS: Duration = Duration::from_millis(1_500); // after a reload, as on the platform
 const CROWD_LASTS: Duration = Duration::from_secs(4); // the largest crowd at the node with the fewest descriptors
 const MEMORY_MOST_KB: u64 = 64 * 1024;
+const DRAIN_LASTS: Duration = Duration::from_millis(2_000); // of a server that restarts
+const GONE_LASTS: Duration = Duration::from_millis(1_000); // after that, until it is back
+const RELEASE_EVERY: Duration = Duration::from_millis(2_000); // between two servers of a release
 const FIRST_READY: Duration = Duration::from_secs(30); // of the first start of all nodes
 
 /// What is asked for.
 #[derive(Clone, Debug)]
 pub struct SoakSettings {
     pub seed: u64,
+    pub day: Day,
     pub nodes: usize,
     pub length: Duration,
     /// The program whose `node` is soaked.
@@ -54,6 +59,12 @@
     /// Requests in flight as their process was killed.
     pub excused: u64,
     pub slowest_millis: u64,
+    /// The longest that a proxy of an undisturbed node was without a line, as the oracle saw it.
+    pub uncovered_longest: Duration,
+    /// The same as nodes tell it of themselves, disturbed or not, in milliseconds.
+    pub uncovered_told: u64,
+    /// What the machine itself overslept, in all.
+    pub machine_late: Duration,
     /// By node at the end: memory in KiB, and descriptors.
     pub sizes: Vec<(u64, usize)>,
     /// What was broken; nothing: the soak has passed.
@@ -75,13 +86,15 @@
     oracle: Arc<Oracle>,
     over: Arc<AtomicBool>,
     upstream: Vec<BTreeMap<bool, std::net::SocketAddr>>,
+    lateness: MachineLateness,
+    uncovered_longest: Arc<Mutex<Duration>>,
     tasks: Vec<JoinHandle<()>>,
     begun: Instant,
 }
 
 /// Plays a soak.
 pub fn run(settings: &SoakSettings) -> io::Result<SoakReport> {
-    let planned = schedule::draw(settings.seed, settings.nodes, SERVERS, settings.length);
+    let planned = schedule::draw(settings.seed, settings.nodes, SERVERS, settings.length, settings.day);
     let mut soak = Soak::raise(settings)?;
     soak.await_first_start();
     soak.begun = Instant::now();
@@ -105,6 +118,8 @@
             oracle: oracle.clone(),
             over: over.clone(),
             upstream: Vec::new(),
+            lateness: MachineLateness::measure(),
+            uncovered_longest: Arc::default(),
             tasks: Vec::new(),
             begun: Instant::now(),
         };
@@ -122,7 +137,7 @@
                 nodes: settings.nodes,
             };
             let (relay, discovery) = (FaultProxy::start(relay)?, FaultProxy::start(discovery)?);
-            let mut node = Node::new(number, setting, relay, discovery);
+            let mut node = Node::new(number, setting, fleet.clone(), relay, discovery);
             node.start(&oracle)?;
             oracle.starts.fetch_add(1, Ordering::Relaxed);
             let (life, oracle, over) = (node.life.clone(), oracle.clone(), over.clone());
@@ -151,6 +166,8 @@
     fn raise_oracle(&mut self) {
         let (nodes, around) = (self.nodes.clone(), self.around.clone());
         let (fleet, oracle, over) = (self.fleet.clone(), self.oracle.clone(), self.over.clone());
+        let (mut coverage, longest) =
+            (CoverageJudge::new(self.lateness.clone()), self.uncovered_longest.clone());
         self.tasks.push(thread::spawn(move || {
             while !over.load(Ordering::Relaxed) {
                 for (node, around) in nodes.iter().zip(&around) {
@@ -160,8 +177,10 @@
                         oracle.ended_by_itself(around.node, life.epoch, &status);
                     }
                     oracle.judge_start(around.node, &life);
-                    oracle.judge_holdings(around.node, &life, &fleet.lock().unwrap());
+                    let broken = coverage.look(around.node, &life, &fleet.lock().unwrap());
+                    oracle.broken_coverage(broken);
                 }
+                *longest.lock().unwrap() = coverage.longest();
                 thread::sleep(LOOK_EVERY);
             }
         }));
@@ -222,6 +241,8 @@
                 let _ = self.nodes[number].lock().unwrap().step_clock(seconds);
             }
             Fault::List(change) => self.change_list(change),
+            Fault::Release { millis } => self.release(Duration::from_millis(millis)),
+            Fault::LoseZone { zone, millis } => self.lose_zone(number, zone, Duration::from_millis(millis)),
         }
     }
 
@@ -377,13 +398,37 @@
                 thread::sleep(Duration::from_secs(3));
                 fleet.lock().unwrap().lag = Duration::ZERO;
             }
-            ListChange::Restart(server) => {
-                fleet.lock().unwrap().set_phase(server, "DRAINING", None);
-                thread::sleep(Duration::from_secs(2));
-                fleet.lock().unwrap().set_phase(server, "DELETED", None);
-                thread::sleep(Duration::from_secs(1));
-                let date = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-                fleet.lock().unwrap().set_phase(server, "SERVING", Some(date.as_millis() as u64));
+            ListChange::Restart(server) => restart_server(&fleet, server),
+        }));
+    }
+
+    /// Restarts all servers in place, one after the other, over and over.
+    fn release(&mut self, span: Duration) {
+        let (fleet, until) = (self.fleet.clone(), Instant::now() + span);
+        self.tasks.push(thread::spawn(move || {
+            for server in (0..SERVERS).cycle() {
+                if Instant::now() + DRAIN_LASTS + GONE_LASTS >= until {
+                    return;
+                }
+                let fleet = fleet.clone();
+                thread::spawn(move || restart_server(&fleet, server));
+                thread::sleep(RELEASE_EVERY);
+            }
+        }));
+    }
+
+    /// A zone is lost with a node; its proxies come back where nodes run by then.
+    fn lose_zone(&mut self, number: usize, zone: usize, span: Duration) {
+        self.replace(number, span);
+        let left = self.fleet.lock().unwrap().lose_zone(zone);
+        self.scatter(number);
+        let (fleet, nodes) = (self.fleet.clone(), self.nodes.len());
+        self.tasks.push(thread::spawn(move || {
+            thread::sleep(span);
+            let mut fleet = fleet.lock().unwrap();
+            fleet.regain_zone(zone);
+            for proxy in left {
+                fleet.join(proxy, (number + 1 + usize::from(proxy) % (nodes - 1).max(1)) % nodes);
             }
         }));
     }
@@ -412,6 +457,14 @@
             rejected: count(&self.oracle.rejected),
             excused: count(&self.oracle.excused),
             slowest_millis: count(&self.oracle.slowest_millis),
+            uncovered_longest: *self.uncovered_longest.lock().unwrap(),
+            uncovered_told: self
+                .around
+                .iter()
+                .map(|of| of.life.lock().unwrap().told_uncovered)
+                .max()
+                .unwrap_or(0),
+            machine_late: self.lateness.total(),
             sizes,
             broken,
             schedule: planned.iter().map(|planned| format!("{planned:?}")).collect(),
@@ -419,6 +472,15 @@
     }
 }
 
+/// A server drains, is gone, and starts again.
+fn restart_server(fleet: &Mutex<Fleet>, server: usize) {
+    fleet.lock().unwrap().set_phase(server, Phase::Draining);
+    thread::sleep(DRAIN_LASTS);
+    fleet.lock().unwrap().set_phase(server, Phase::Gone);
+    thread::sleep(GONE_LASTS);
+    fleet.lock().unwrap().set_phase(server, Phase::Ready);
+}
+
 /// A process's memory in KiB and its descriptors.
 fn size_of(process: u32) -> Option<(u64, usize)> {
     let folder = Path::new("/proc").join(process.to_string());
--- a/crates/craneknot-rehearsal/src/soak/schedule.rs
+++ b/crates/craneknot-rehearsal/src/soak/schedule.rs
@@ -65,6 +65,21 @@
     StepClock { seconds: i64 },
     /// Something becomes of the list, for all nodes.
     List(ListChange),
+    /// All servers restart in place, one after the other, over and over, for so many milliseconds.
+    Release { millis: u64 },
+    /// A zone is lost with this node for so many milliseconds: its servers are gone and its proxies leave; then all come
+    /// back, the servers cold under their old names.
+    LoseZone { zone: usize, millis: u64 },
+}
+
+/// What a soak is like.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Day {
+    /// Random faults alone.
+    Random,
+    /// A release without end, one coordinator killed, a zone lost with another, all proxies at the first, and its
+    /// planned restart, with random faults laid over.
+    Incident,
 }
 
 /// A fault at its time, of one node.
@@ -112,11 +127,12 @@
 }
 
 /// Draws the faults of a soak, in the order of their times: about one each second for each three nodes, so that they
-/// overlap, and now and then two for one node within the same second.
-pub fn draw(seed: u64, nodes: usize, servers: usize, length: Duration) -> Vec<Planned> {
+/// overlap, and now and then two for one node within the same second. On the incident's day half as many.
+pub fn draw(seed: u64, nodes: usize, servers: usize, length: Duration, day: Day) -> Vec<Planned> {
     let mut rng = Pcg32::seed_from_u64(seed);
     let end = (length.as_millis() as u64).saturating_sub(QUIET_LAST);
-    let pace = 3_000 / nodes.max(1) as u64;
+    let thinned = if day == Day::Incident { 2 } else { 1 };
+    let pace = thinned * 3_000 / nodes.max(1) as u64;
     let (mut at, mut planned) = (SETTLE_FIRST, Vec::new());
     while at < end {
         let node = rng.random_range(0..nodes);
@@ -128,10 +144,37 @@
         }
         at += rng.random_range(1..2 * pace.max(1) + 1);
     }
+    if day == Day::Incident {
+        planned.extend(incident(&mut rng, nodes, end));
+    }
     planned.sort_by_key(|planned| planned.at);
     planned
 }
 
+/// The incident's own faults, in its order. The first node is one whose wall clock can be stepped.
+fn incident(rng: &mut Pcg32, nodes: usize, end: u64) -> Vec<Planned> {
+    let first = 1;
+    let second = (first + 1 + rng.random_range(0..nodes.max(3) - 2)) % nodes.max(1);
+    let at = |hundredths: u64| SETTLE_FIRST + (end - SETTLE_FIRST) * hundredths / 100;
+    let (killed, lost, restarted) = (at(35), at(60), at(85));
+    let mut planned = vec![
+        Planned { at: SETTLE_FIRST, node: first, fault: Fault::Release { millis: end - SETTLE_FIRST } },
+        Planned { at: killed, node: first, fault: Fault::Kill { back_after: 500 } },
+        Planned {
+            at: lost,
+            node: second,
+            fault: Fault::LoseZone { zone: rng.random_range(0..2), millis: at(80) - lost },
+        },
+        Planned { at: lost + 400, node: first, fault: Fault::MoveAll },
+        Planned { at: restarted, node: first, fault: Fault::Terminate { again: None, crowd: 0 } },
+    ];
+    if rng.random_bool(0.5) {
+        let seconds = if rng.random_bool(0.5) { 3_600 } else { -3_600 };
+        planned.push(Planned { at: killed - 200, node: first, fault: Fault::StepClock { seconds } });
+    }
+    planned
+}
+
 /// When the platform kills after SIGTERM.
 pub fn kill_after_term() -> Duration {
     Duration::from_millis(KILL_AFTER_TERM)
