Test of a group that holds operations for long; it is red

Change: a test that what servers hold, over what they handle, lowers what a group takes in, and one that a takeover is no such sign.

--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -131,6 +131,13 @@
         Event::Heard { server, zone, tries, unanswered, span, latency, report }
     }
 
+    /// A report of a server that does well, half busy, and holds so many operations.
+    pub fn heard_holding(number: usize, held: f64) -> Event {
+        let report = LoadReport { busy: Some(0.5), held: Some(held), ..LoadReport::default() };
+        let (server, zone, span) = (server(number), ZoneId((number % 2) as u16), secs(1.0));
+        Event::Heard { server, zone, tries: 8, unanswered: 0, span, latency: secs(0.3), report }
+    }
+
     /// The lines a proxy picks from for a class.
     pub fn lines(&self, proxy: u16, class: usize) -> BTreeMap<ServerId, f64> {
         let table = self.bound.get(&(ProxyId(proxy), class));
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -291,3 +291,43 @@
         assert!(world.lines(proxy, 0).len() >= 4, "tables hold who is listed: {:?}", world.lines(proxy, 0));
     }
 }
+
+/// What servers hold, over what they handle, is how long operations stay: it tells of a queue before their answers do.
+#[test]
+fn a_group_that_holds_operations_for_long_takes_in_less() {
+    let level_while_holding = |held: f64| {
+        let mut world = calm_world(LevelUnit::Share);
+        for _ in 0..8 {
+            let reports: Vec<Event> = (0..10).map(|number| World::heard_holding(number, held)).collect();
+            let demands = (0..6).flat_map(|proxy| [(0, 9), (1, 9), (2, 3)].map(|(k, n)| demand(proxy, k, n)));
+            world.step(0.5, &reports.into_iter().chain(demands).collect::<Vec<_>>());
+            world.step(0.5, &[Event::Woken]);
+        }
+        (0..6).map(|proxy| level(&world, proxy, 0)).sum::<f64>() / 6.0
+    };
+    let (short, long) = (level_while_holding(2.0), level_while_holding(60.0));
+    assert_eq!(short, 1.0, "eight a second, two held: a quarter of a second each");
+    assert!(long < 0.9, "eight a second, sixty held: {long} is let in");
+    assert!(long > 0.2, "and no more is cut than what is handled: {long}");
+}
+
+/// Proxies that have just joined bring load that no sum holds yet: what is held is no sign then.
+#[test]
+fn a_takeover_is_no_sign_that_operations_are_held_for_long() {
+    let mut settings = settings(LevelUnit::Share);
+    (settings.proxies, settings.controllers) = (6, 2);
+    let mut world = World::new(settings, 7, 10);
+    world.step(0.1, &[World::join(0)]);
+    let reports = || (0..10).map(|number| World::heard_holding(number, 2.0)).collect::<Vec<Event>>();
+    for _ in 0..16 {
+        world.step(0.5, &reports());
+        world.step(0.5, &[Event::Woken]);
+    }
+    let calm = level(&world, 0, 0);
+    world.step(0.1, &(1..6).map(World::join).collect::<Vec<_>>());
+    for _ in 0..3 {
+        world.step(0.5, &reports());
+        world.step(0.5, &[Event::Woken]);
+        assert!(level(&world, 0, 0) >= calm, "{} of {calm}", level(&world, 0, 0));
+    }
+}
