Decisions: a group that holds operations for long takes in less

Change: what a group's servers tell they hold, over what they handle, is how long an operation stays; above one latency goal the group takes in 0.9 of what it handles, less by the root of the excess. It acts only where most of the group's traffic has been here for 5 s, since sums lag behind a takeover.

Weights by what is held: no help.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -54,6 +54,10 @@
 const BUSY_UNTOLD: f64 = 0.6; // taken for the busy share where servers report none: a usual one
 const BUSY_LEAST: f64 = 0.3; // least busy share counted with: a nearly idle one tells nothing of capacity
 const YIELD_HALF_LIFE: Nanos = Nanos::from_millis(30_000); // ms; what servers can do changes slowly
+const HELD_LONG: f64 = 1.0; // latency goals an operation is held for on average, above which a group is crowded
+const HELD_CUT: f64 = 0.9; // share of what it handles that a crowded group takes in, less by the root of the excess
+const HELD_CUT_MOST: f64 = 0.5; // the least of that root: what is held is told late
+const SETTLED: f64 = 0.6; // share of a group's traffic that must have been here for long, or sums lag behind it
 const CUT: f64 = 0.9; // a cut's share of what is handled: queues must drain
 const CUT_MOST: f64 = 0.6; // a cut leaves at least this share of what was let in: reports lag behind it
 const CUT_EVERY: Nanos = Nanos::from_millis(2_500); // ms; reports of the last cut must have come
@@ -210,6 +214,7 @@
                 // Where lines wait their turn a report covers more, and must last until the next one.
                 let half = (*span).clamp(HALF_LIFE, LASTING);
                 server.busy.hear(now, half, report.busy);
+                server.held.hear(now, half, report.held);
                 // A try without an answer weighs as much as the slowest that is of use.
                 let (tries, failed) = (*tries as f64, *tries.min(unanswered) as f64);
                 let answering = (tries - failed) * latency.secs();
@@ -421,6 +426,9 @@
             group.better = (better.failed + 1.0) / (better.tries + EVIDENCE);
             group.cold = members().filter(|s| s.state == Cold).map(|s| s.met(now)).reduce(Seen::plus);
             (group.seen, group.weight, group.listed) = (seen, weight, listed);
+            let held =
+                members().filter(|s| s.in_use() || s.state == Cold).filter_map(|s| s.held.mean(now, HEARD));
+            group.held = held.sum();
             group.busy = busy.filter(|_| weight > 0.0).map(|busy| (busy / weight).clamp(BUSY_LEAST, 1.0));
             handled += seen.handled;
             busy_weight += weight * group.busy.unwrap_or(BUSY_UNTOLD);
@@ -498,19 +506,39 @@
     /// lately and is unheard, the usual: many that come at once would else count for nothing.
     fn count_arrivals(&mut self) {
         let mut arrivals = vec![vec![Vec::new(); self.classes.len()]; self.groups.len()];
+        let mut settled = vec![0.0; self.groups.len()];
         for proxy in self.proxies.values() {
             for (class, binding) in proxy.bindings.iter().enumerate() {
                 let Some(group) = binding.group else { continue };
                 let age = self.now - proxy.joined;
                 let heard = !binding.recent.is_empty() || age >= LASTING;
                 let rate = heard.then(|| binding.recent.rate(self.now, age.max(LEAST_AGE)));
-                arrivals[group][class].push(rate.unwrap_or_else(|| self.demand(proxy, class)));
+                let rate = rate.unwrap_or_else(|| self.demand(proxy, class));
+                settled[group] += if age >= STEP { rate } else { 0.0 };
+                arrivals[group][class].push(rate);
             }
         }
-        self.groups.iter_mut().zip(arrivals).for_each(|(group, arrivals)| group.arrivals = arrivals);
+        for (group, (arrivals, settled)) in self.groups.iter_mut().zip(arrivals.into_iter().zip(settled)) {
+            group.settled = settled / arrivals.iter().flatten().sum::<f64>().max(1e-9);
+            group.arrivals = arrivals;
+        }
         self.usual = self.proxies.values().map(|proxy| proxy.usual_rate).sum();
     }
 
+    /// What a group takes in at most while its servers hold operations for long: by what they hold and handle, which
+    /// shows a queue before its answers come late. An operation refused at once has its answer; one that waits may have
+    /// none in time.
+    fn crowded_limit(&self, group: &Group) -> f64 {
+        let handled = group.seen.handled + group.cold.map_or(0.0, |cold| cold.handled);
+        // Sums hold what has been here for long; servers tell what they hold of all controllers' proxies.
+        let (handled, own) = (handled / group.settled.max(SETTLED), group.held * self.own_part());
+        let excess = own / handled.max(HEARD) / (HELD_LONG * self.goals.0);
+        if group.settled < SETTLED || handled < 1.0 || excess <= 1.0 {
+            return f64::INFINITY;
+        }
+        handled * HELD_CUT * excess.powf(-0.5).max(HELD_CUT_MOST)
+    }
+
     /// Levels of a group's classes: the limit goes to the most important first.
     fn wanted_levels(&self, index: usize) -> BTreeMap<usize, (f64, FurtherTries)> {
         let group = &self.groups[index];
@@ -525,7 +553,7 @@
             None if group.cold.is_some() || best == 0.0 => each * (group.weight + fresh),
             None => f64::INFINITY,
         };
-        let limit = group.limit.min(able);
+        let limit = group.limit.min(able).min(self.crowded_limit(group));
         let sums: Vec<f64> = group.arrivals.iter().map(|arrivals| arrivals.iter().sum()).collect();
         let mut levels = BTreeMap::new();
         for (class, row) in self.classes.iter().enumerate() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -235,6 +235,8 @@
     pub far: Met,
     /// The busy share it reports.
     pub busy: Mean,
+    /// The operations it holds, as it reports them.
+    pub held: Mean,
     pub probed: Nanos,
     pub probes_good: u32,
     pub probes_bad: u32,
@@ -388,6 +390,10 @@
     /// The unanswered share at the better half of them.
     pub better: f64,
     pub busy: Option<f64>,
+    /// Operations that its members hold, of all controllers' proxies.
+    pub held: f64,
+    /// Share of what arrives that comes from proxies which joined a while ago.
+    pub settled: f64,
     pub weight: f64,
     /// Listed weight of all members listed ready.
     pub listed: f64,
@@ -507,6 +513,7 @@
             near: Met::default(),
             far: Met::default(),
             busy: Mean::default(),
+            held: Mean::default(),
             probed: Nanos(0),
             probes_good: 0,
             probes_bad: 0,
@@ -530,6 +537,8 @@
             seen: Seen::default(),
             better: 0.0,
             busy: None,
+            held: 0.0,
+            settled: 0.0,
             weight: 0.0,
             listed: 0.0,
             cold: None,
