--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,9 +1,13 @@
 //! The decisions of a traffic director for a fleet of sidecar proxies.
 //!
-//! [`interface`] holds what goes in and what comes out, free of any wire; [`policy`] holds every decision.
+//! [`interface`] holds what goes in and what comes out, free of any wire. Decisions stand in [`policy`] (groups and
+//! bindings), `health` (servers), `levels` (what groups take in) and `sender` (what is sent when).
 
+mod health;
 pub mod interface;
+mod levels;
 pub mod policy;
+mod sender;
 mod state;
 
 pub use state::{Controller, Load, Sign, State, Transition};
--- /dev/null
+++ b/src/sender.rs
@@ -0,0 +1,118 @@
+//! The paced sender: what proxies should hold, against what they hold, in ranks, as far as the channel can drain it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::interface::*;
+use crate::policy::{LEAST, ODD_SHARE, PLACES, TURN};
+use crate::state::State::Cold;
+use crate::state::*;
+
+const CHANGE: f64 = 0.12; // share by which a line or level must move: less is not worth the channel
+const CHANNEL_SHARE: f64 = 0.5; // share of the channel's told pace counted on: it may run slower
+const QUEUE_SHARES: [f64; 5] = [0.7, 0.5, 0.3, 0.3, 0.3]; // by rank: share of the limit to be filled
+const MARK_SHARE: f64 = 0.1; // share of the channel's limit sent between marks: a mark costs a line a message
+const WAY: Nanos = Nanos::from_millis(1_000); // ms; a message's way to a proxy and its answer's back, at most
+const MARK_LOST: Nanos = Nanos::from_millis(10_000); // ms; an answer this late is lost, with its stream
+const LINE_STEPS: f64 = 1e4; // a unit of weight is told in so many steps
+const LINE_LEAST: f64 = 1.0 / LINE_STEPS; // the least weight of a line: what is smaller would be none
+
+impl Controller {
+    pub(crate) fn wanted_lines(&self, group: usize, placement: &Placement) -> BTreeMap<ServerId, f64> {
+        // Where tries fail more are made, and proxies that avoid failing servers send all to one that has not
+        // failed them yet: a cold server gets less, and, beside servers that fail, nothing.
+        let (open, cold) = (&self.groups[group].seen, self.groups[group].cold.unwrap_or_default());
+        let answered = 1.0 - open.share().max(cold.share());
+        let guard = if open.share() < ODD_SHARE { answered.powi(2).max(LEAST) } else { 0.0 };
+        let lines = |guard: f64| -> BTreeMap<ServerId, f64> {
+            let line = |(server, weight): (&Server, f64)| {
+                let cold = server.state == Cold;
+                let weight = weight * if cold { server.pace.min(1.0) * guard } else { server.pace };
+                // Rounding must not end a line, however small the weights that are listed.
+                let told = ((weight * LINE_STEPS).round() / LINE_STEPS).max(LINE_LEAST);
+                (weight > 0.0).then(|| (server.listing.server.clone(), told))
+            };
+            self.weights_of(group, placement).into_iter().filter_map(line).collect()
+        };
+        // A group that nothing else is left of keeps a line to its cold servers.
+        Some(lines(guard)).filter(|lines| !lines.is_empty()).unwrap_or_else(|| lines(LEAST))
+    }
+
+    /// Sends what changed, as far as the channel can drain it; moves off lost servers go first.
+    pub(crate) fn publish(&mut self, orders: &mut Vec<Order>) {
+        self.channel.drain(self.now, self.settings.channel_lines_per_second * CHANNEL_SHARE);
+        let gap = self.settings.message_span.0.checked_div(u64::from(self.settings.message_limit));
+        let rested = self.now - self.channel.sent_at;
+        if rested < Nanos(gap.unwrap_or(0)) {
+            return;
+        }
+        let mut users = self.users();
+        let mut binds: BTreeMap<(ProxyId, TableId), (u8, ClassSet)> = BTreeMap::new();
+        let mut used: BTreeSet<TableId> = BTreeSet::new();
+        let lost = |id: &ServerId| !self.servers[id].ready() || self.servers[id].state == Cold;
+        let left_bare = |table: &TableId| self.tables[table].lines.keys().all(lost);
+        for (id, proxy) in &self.proxies {
+            for (class, binding) in proxy.bindings.iter().enumerate() {
+                let Some(group) = binding.group else { continue };
+                let table = self.table_of(group, binding.place);
+                used.insert(table);
+                if binding.sent != Some(table) {
+                    let bind = binds.entry((*id, table)).or_insert((2, ClassSet(0)));
+                    let urgent = binding.sent.as_ref().is_none_or(left_bare);
+                    *bind = (bind.0.min(if urgent { 1 } else { 2 }), bind.1.with(ClassId(class as u8)));
+                }
+            }
+        }
+        // By rank: lost servers and lines for empty tables, bare proxies, bindings, weights, levels.
+        let mut ranked: Vec<(u8, Order)> = Vec::new();
+        for table in self.tables.keys().chain(&used).copied().collect::<BTreeSet<TableId>>() {
+            let held = self.tables.get(&table).cloned().unwrap_or_default();
+            let (group, place) = (usize::from(table.0) / PLACES, usize::from(table.0) % PLACES);
+            let (wanted, levels) = match used.contains(&table) {
+                true => (self.wanted_lines(group, &self.placements[place]), self.wanted_levels(group)),
+                false => (held.without(lost), BTreeMap::new()),
+            };
+            let stands = |(id, weight): (&ServerId, &f64)| *weight > LINE_LEAST && wanted.contains_key(id);
+            let bare = !held.lines.iter().any(stands);
+            let rank = |late: u8| if bare || !users.contains_key(&table) { 0 } else { late };
+            for (server, weight) in held.changes(&wanted, CHANGE) {
+                let sinks = held.lines.get(&server).is_some_and(|old| weight < *old);
+                let rank = if sinks && lost(&server) { 0 } else { rank(3) };
+                ranked.push((rank, Order::Line { table, server, weight }));
+            }
+            for (class, (level, tries)) in levels {
+                let differs = |old: &(f64, _)| tries != old.1 || (level - old.0).abs() > CHANGE * old.0;
+                if held.levels.get(&class).is_none_or(differs) {
+                    let classes = ClassSet::of(ClassId(class as u8));
+                    ranked.push((rank(4), Order::Level { table, classes, level, tries }));
+                }
+            }
+        }
+        let bind = |((proxy, table), (rank, classes))| (rank, Order::Bind { proxy, classes, table });
+        ranked.extend(binds.into_iter().map(bind));
+        self.refused.retain(|_, until| *until > self.now);
+        ranked.retain(|(_, order)| {
+            Subject::of(order).is_none_or(|subject| !self.refused.contains_key(&subject))
+        });
+        ranked.sort_by_key(|(rank, _)| *rank);
+        // What is not applied yet still waits, where the channel runs slower than counted on.
+        let limit = self.settings.channel_lines_limit;
+        let under_way = self.settings.channel_lines_per_second * WAY.secs();
+        let queued = self.channel.queued.max(self.channel.unapplied(self.now, MARK_LOST) - under_way);
+        let (mut cost, mut touched) = (0.0, BTreeSet::new());
+        for (rank, order) in ranked {
+            let spent = cost + touched.len() as f64 * self.settings.lines_per_message;
+            if queued + spent > limit * QUEUE_SHARES[usize::from(rank)] || rank >= 3 && rested < TURN + TURN {
+                break;
+            }
+            let (lines, reached) = self.note_sent(&order, &mut users);
+            cost += (lines * reached.len()) as f64;
+            touched.extend(reached);
+            orders.push(order);
+        }
+        if !touched.is_empty() {
+            let lines = cost + touched.len() as f64 * self.settings.lines_per_message;
+            let marked = self.channel.send(self.now, lines, touched.len() as f64, MARK_SHARE * limit);
+            orders.extend(marked.map(|mark| Order::Mark { mark }));
+        }
+    }
+}
