--- a/crates/craneknot-node/tests/walks.rs
+++ b/crates/craneknot-node/tests/walks.rs
@@ -31,6 +31,8 @@
     joined: BTreeSet<u16>,
     /// All that was ever carried out, in order.
     done: Vec<String>,
+    /// Orders of which the queue has told what became of them.
+    settled: usize,
 }
 
 impl Calls {
@@ -120,6 +122,7 @@
             asked: None,
             joined: (0..PROXIES).collect(),
             done: Vec::new(),
+            settled: 0,
         };
         // What was given: orders for all, and for each proxy since it is told as joined.
         let (mut common, mut own) = (Vec::new(), vec![Vec::new(); usize::from(PROXIES)]);
@@ -162,6 +165,9 @@
                 _ => calls.end_call(if quiet { 9 } else { rng.random_range(0..10) }),
             }
             calls.turn();
+            calls.settled += calls.order_queue.take_settled().len();
+            let accounted = calls.settled + calls.order_queue.waiting();
+            assert_eq!(accounted, number, "seed {seed}: each order has one outcome, or waits");
         }
         let places = last_places(&calls.done, &common);
         assert!(places.iter().all(Option::is_some) && places.is_sorted(), "seed {seed}: {places:?}");
