Decisions: what is refused again and again is given again with growing waits

Cause: an order for a server that the relay never heard listed is refused for good; given again each half second, each time costs a call, for ever.

Change: the wait doubles with each refusal in a row, up to 4 s; a proxy that joins anew begins anew.

Measured: the new test gives 4 to 7 tries in 20 s, the first within 1.25 s.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -41,6 +41,7 @@
 const ASK_AGAIN_MOST: Nanos = Nanos::from_millis(4_000); // ms; the longest: it is one service for all
 pub(crate) const PLACES: usize = 256; // placements a group can have tables for: table numbers end at 65535
 const REFUSED_AGAIN: Nanos = Nanos::from_millis(500); // ms; until a refused order is given again: its cause may pass
+const REFUSED_DOUBLINGS: u32 = 3; // of that wait, with each further refusal: what is refused for good costs a call
 
 impl Controller {
     /// Takes in what has come and gives the orders of this moment. Reports alone wait for the next turn.
@@ -84,6 +85,7 @@
             Event::ProxyJoined { proxy, zone, usual_rate } => {
                 let places = (0..self.classes.len()).map(|class| self.place_of(class, *zone));
                 let bindings = places.map(|place| Binding { place, ..Binding::default() }).collect();
+                self.refused.remove(&Subject::Bind(*proxy));
                 let joined = Proxy { zone: *zone, usual_rate: *usual_rate, joined: now, bindings };
                 self.proxies.insert(*proxy, joined);
                 self.steps_left = STEPS;
@@ -135,7 +137,11 @@
             }
             Event::OrderRefused { order } => {
                 self.note_refused(order);
-                self.refused.extend(Subject::of(order).map(|subject| (subject, now + REFUSED_AGAIN)));
+                if let Some(subject) = Subject::of(order) {
+                    let times = self.refused.get(&subject).map_or(0, |refusal| refusal.times);
+                    let wait = Nanos(REFUSED_AGAIN.0 << times.min(REFUSED_DOUBLINGS));
+                    self.refused.insert(subject, Refusal { times: times + 1, until: now + wait });
+                }
             }
             Event::Applied { mark, .. } => self.channel.applied(*mark),
             Event::Woken | Event::PeerSaid { .. } => {}
--- a/src/sender.rs
+++ b/src/sender.rs
@@ -9,6 +9,7 @@
 
 const CHANGE: f64 = 0.12; // share by which a line or level must move: less is not worth the channel
 const CHANNEL_SHARE: f64 = 0.5; // share of the channel's told pace counted on: it may run slower
+const REFUSED_FORGOTTEN: Nanos = Nanos::from_millis(10_000); // ms; after its wait a refusal counts no more
 const QUEUE_SHARES: [f64; 5] = [0.7, 0.5, 0.3, 0.3, 0.3]; // by rank: share of the limit to be filled
 const MARK_SHARE: f64 = 0.1; // share of the channel's limit sent between marks: a mark costs a line a message
 const WAY: Nanos = Nanos::from_millis(1_000); // ms; a message's way to a proxy and its answer's back, at most
@@ -89,10 +90,11 @@
         }
         let bind = |((proxy, table), (rank, classes))| (rank, Order::Bind { proxy, classes, table });
         ranked.extend(binds.into_iter().map(bind));
-        self.refused.retain(|_, until| *until > self.now);
-        ranked.retain(|(_, order)| {
-            Subject::of(order).is_none_or(|subject| !self.refused.contains_key(&subject))
-        });
+        // Kept for a while after, so that it is known as refused again.
+        self.refused.retain(|_, refusal| refusal.until + REFUSED_FORGOTTEN > self.now);
+        let waits =
+            |subject: Subject| self.refused.get(&subject).is_some_and(|refusal| refusal.until > self.now);
+        ranked.retain(|(_, order)| !Subject::of(order).is_some_and(waits));
         ranked.sort_by_key(|(rank, _)| *rank);
         // What is not applied yet still waits, where the channel runs slower than counted on.
         let limit = self.settings.channel_lines_limit;
--- a/src/state.rs
+++ b/src/state.rs
@@ -284,6 +284,15 @@
     }
 }
 
+/// An order that was refused, once or several times in a row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// How often.
+    pub times: u32,
+    /// It is not given again before.
+    pub until: Nanos,
+}
+
 /// One proxy's binding for one class.
 #[derive(Clone, Debug, Default)]
 pub struct Binding {
@@ -596,8 +605,8 @@
     /// Operations a second that all joined proxies usually get.
     pub(crate) usual: f64,
     pub(crate) channel: Channel,
-    /// What was refused of late, and until when it is not ordered again.
-    pub(crate) refused: BTreeMap<Subject, Nanos>,
+    /// What was refused of late.
+    pub(crate) refused: BTreeMap<Subject, Refusal>,
     /// What has changed since that was last asked for.
     transitions: Vec<Transition>,
 }
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -333,3 +333,24 @@
         assert!(level(&world, 0, 0) >= calm, "{} of {calm}", level(&world, 0, 0));
     }
 }
+
+/// What is refused for good is given again more and more seldom; what passes is given again soon.
+#[test]
+fn a_refused_order_is_given_again_with_growing_waits() {
+    let mut world = World::new(settings(LevelUnit::Share), 7, 10);
+    world.step(0.1, &(0..6).map(World::join).collect::<Vec<_>>());
+    let line = |order: &&Order| matches!(order, Order::Line { server: to, weight, .. } if *to == server(3) && *weight > 0.0);
+    let mut refused: Option<Order> = world.orders.iter().find(line).cloned();
+    assert!(refused.is_some(), "{:?}", world.orders);
+    let (mut given, mut at) = (Vec::new(), 0.0);
+    while at < 20.0 {
+        at += 0.25;
+        let events: Vec<Event> =
+            refused.take().into_iter().map(|order| Event::OrderRefused { order }).collect();
+        world.step(0.25, &[events, vec![Event::Woken]].concat());
+        refused = world.orders.iter().find(line).cloned();
+        given.extend(refused.is_some().then_some(at));
+    }
+    assert!((4..8).contains(&given.len()), "given again at {given:?}");
+    assert!(given[0] <= 1.25, "soon at first: {given:?}");
+}
