Node: a wall clock that may be ahead makes no server warm that has just started

A start that a first list tells was believed as it stood; with the wall clock an hour ahead a server that had started seconds before counted as warm, and got its whole weight.

Change: where no start looked recent, so that the clock is not proven, each server is held to be as old as the newest start is later than its own, and an hour younger than it seems at the most; it is not certain. A start seen to change while the process runs stays certain.

Measured: 35 tests of the file pass, two of them new.

--- a/crates/craneknot-node/src/server_age.rs
+++ b/crates/craneknot-node/src/server_age.rs
@@ -4,7 +4,9 @@
 //!
 //! - What is first seen, or seen to change, while this process runs is no older than the time since the list before.
 //! - Nothing starts in the future: a wall clock that says so is behind, by that much or more.
-//! - A start that looks recent shows that the wall clock is not ahead.
+//! - A start that looks recent shows that the wall clock is not ahead. Without one a server may have started an hour
+//!   later than it seems; but between two starts lies the same span by any clock, so that each is at least as old as the
+//!   newest one is later than it.
 
 use std::collections::BTreeMap;
 
@@ -12,6 +14,7 @@
 
 const DISCOVERY_LAG_MOST: Nanos = Nanos::from_millis(15_000); // ms; a start is listed well before that: the platform
                                                               // says 6 s
+const CLOCK_ERROR_MOST: Nanos = Nanos::from_millis(3_600_000); // ms; how far a wall clock may be ahead: an hour
 const REMEMBERED: Nanos = Nanos::from_millis(600_000); // ms; a server that was removed for so long is a new one
 
 /// When a server started, as far as can be told.
@@ -41,6 +44,8 @@
     clock_behind: Nanos,
     /// A start looked recent: the wall clock is not ahead.
     is_clock_proven: bool,
+    /// The newest start that any list told.
+    newest: Nanos,
 }
 
 impl ServerStarts {
@@ -49,6 +54,7 @@
     pub fn learn_clock(&mut self, now: Nanos, claimed: Nanos) {
         self.clock_behind = self.clock_behind.max(claimed - now);
         self.is_clock_proven |= claimed <= now && now - claimed <= DISCOVERY_LAG_MOST;
+        self.newest = self.newest.max(claimed);
     }
 
     /// When a listed server started, as far as can be believed. `claimed`: as discovery tells it, nothing: long ago.
@@ -74,13 +80,23 @@
             Some(before) if is_restart || !self.is_clock_proven => {
                 Start { latest: Some(before), is_certain: is_restart }
             }
+            Some(_) | None if is_restart => Start { latest: Some(claimed), is_certain: true },
             Some(_) | None => {
-                let is_certain = is_restart || self.clock_behind == Nanos(0);
-                Start { latest: Some(claimed), is_certain }
+                let ahead = self.ahead_most(now);
+                let is_certain = ahead == Nanos(0) && self.clock_behind == Nanos(0);
+                Start { latest: Some(claimed + ahead), is_certain }
             }
         }
     }
 
+    /// How far the wall clock may be ahead: no further than makes the newest start lie in the future.
+    fn ahead_most(&self, now: Nanos) -> Nanos {
+        if self.is_clock_proven || self.clock_behind > Nanos(0) {
+            return Nanos(0);
+        }
+        CLOCK_ERROR_MOST.min(now - self.newest)
+    }
+
     /// A list from discovery has been taken in whole.
     pub fn list_taken(&mut self, now: Nanos) {
         self.list_at = Some(now);
--- a/crates/craneknot-node/tests/parts.rs
+++ b/crates/craneknot-node/tests/parts.rs
@@ -278,6 +278,38 @@
     assert_eq!(observed[1], Start { latest: Some(ms(now)), is_certain: false });
 }
 
+/// A wall clock that is ahead makes each server look old: none is taken for warm by that, unless it is older than the
+/// newest one by far, or than any error of the clock.
+#[test]
+fn a_wall_clock_that_is_ahead_makes_no_server_warm_that_has_just_started() {
+    let (hour, mut starts) = (3_600_000, ServerStarts::default());
+    let (now, true_time) = (11 * hour, 10 * hour);
+    let claims =
+        [("new", true_time - 2_000), ("older", true_time - 90_000), ("oldest", true_time - 5 * hour)];
+    claims.iter().for_each(|(_, claimed)| starts.learn_clock(ms(now), ms(*claimed)));
+    let observed =
+        claims.map(|(name, claimed)| starts.observe(ms(now), &ServerId(name.into()), Some(ms(claimed))));
+    assert_eq!(observed[0], Start { latest: Some(ms(now - 2_000)), is_certain: false });
+    assert_eq!(observed[1], Start { latest: Some(ms(now - 90_000)), is_certain: false });
+    assert_eq!(
+        observed[2],
+        Start { latest: Some(ms(true_time - 4 * hour)), is_certain: false },
+        "old by any clock"
+    );
+}
+
+/// A fleet that was not touched for a while, and a right clock: by the newest start alone each is at least that much older.
+#[test]
+fn without_a_recent_start_ages_are_told_from_the_newest_one() {
+    let (now, mut starts) = (36_000_000, ServerStarts::default());
+    let claims = [("newest", now - 600_000), ("older", now - 660_000)];
+    claims.iter().for_each(|(_, claimed)| starts.learn_clock(ms(now), ms(*claimed)));
+    let observed =
+        claims.map(|(name, claimed)| starts.observe(ms(now), &ServerId(name.into()), Some(ms(claimed))));
+    assert_eq!(observed[0], Start { latest: Some(ms(now)), is_certain: false });
+    assert_eq!(observed[1], Start { latest: Some(ms(now - 60_000)), is_certain: false });
+}
+
 /// A server that was not listed for a while, as in a cut, is as old as it was, where the wall clock is known to be right;
 /// else its age is not known.
 #[test]
