Soak: a lack of lines begins when it is seen, not when the proxy joined

Cause: `wrong_lines` gave the time of a proxy's joining as the beginning of any lack. The judge remembers a beginning only while the lack lasts, so a proxy that lost its lines at one step was told at once with its whole age.

Change: a lack begins with the first look that meets it, or with the joining where that came after the look before. At the first look of a process nothing is known of before, and the joining still counts, cut off at the first second of service as ever. The moment of a look is passed in, so that the limit can be tested to the millisecond.

A lack is met only if a look, one in 100 ms, falls between the write of the list and the relay's taking of the orders, on an undisturbed node, for a proxy of whose lines all go at one step.

--- a/crates/craneknot-rehearsal/src/soak/coverage.rs
+++ b/crates/craneknot-rehearsal/src/soak/coverage.rs
@@ -74,13 +74,15 @@
 pub struct CoverageJudge {
     lateness: MachineLateness,
     since: BTreeMap<Subject, Since>,
+    /// By node: when it was last looked at, if its process had to serve then.
+    looked: BTreeMap<usize, Instant>,
     longest: Duration,
 }
 
 impl CoverageJudge {
     /// Judges by the clock, and by how late the machine has been.
     pub fn new(lateness: MachineLateness) -> Self {
-        CoverageJudge { lateness, since: BTreeMap::new(), longest: Duration::ZERO }
+        CoverageJudge { lateness, since: BTreeMap::new(), looked: BTreeMap::new(), longest: Duration::ZERO }
     }
 
     /// The longest that a proxy of an undisturbed node was without a line, less what the machine was late by.
@@ -88,16 +90,17 @@
         self.longest
     }
 
-    /// Looks at what a node's proxies hold; gives what has been wrong for too long.
-    pub fn look(&mut self, node: usize, life: &Life, fleet: &Fleet) -> Vec<Broken> {
-        let now = Instant::now();
+    /// Looks at what a node's proxies hold at a moment; gives what has been wrong for too long by then.
+    pub fn look(&mut self, node: usize, life: &Life, fleet: &Fleet, now: Instant) -> Vec<Broken> {
         let serves = life.terminated.is_none() && life.killed.is_none();
         let ready = life.ready_at.filter(|_| serves).map(|at| at + FIRST_SECOND);
         let Some(from) = ready.max(life.disturbed_until.filter(|_| ready.is_some())) else {
             self.since.retain(|subject, _| subject.node != node);
+            self.looked.remove(&node);
             return Vec::new();
         };
-        let wrong = wrong_lines(node, now, fleet);
+        let looked = self.looked.insert(node, now);
+        let wrong = wrong_lines(node, now, looked, fleet);
         self.since.retain(|subject, _| subject.node != node || wrong.contains_key(subject));
         let mut broken = Vec::new();
         for (subject, (at, detail)) in wrong {
@@ -128,8 +131,14 @@
     }
 }
 
-/// What is wrong now with the lines of a node's proxies: since when at the earliest, and what they hold.
-fn wrong_lines(node: usize, now: Instant, fleet: &Fleet) -> BTreeMap<Subject, (Instant, String)> {
+/// What is wrong now with the lines of a node's proxies: since when at the earliest, by the look before, and what they
+/// hold.
+fn wrong_lines(
+    node: usize,
+    now: Instant,
+    looked: Option<Instant>,
+    fleet: &Fleet,
+) -> BTreeMap<Subject, (Instant, String)> {
     let holdings = &fleet.holdings[node];
     let told = &fleet.told[node];
     let mut wrong = BTreeMap::new();
@@ -141,7 +150,8 @@
                 wrong.insert(subject, (since, format!("holds {lines:?}")));
             };
             if is_lacking(told, &lines, class, now) {
-                add(Wrong::NoLine, *joined);
+                let was_covered = looked.is_some_and(|before| *joined <= before);
+                add(Wrong::NoLine, if was_covered { now } else { *joined });
             }
             for (server, known) in &fleet.known_lost[node] {
                 if lines.contains(server) {
--- a/crates/craneknot-rehearsal/src/soak/run.rs
+++ b/crates/craneknot-rehearsal/src/soak/run.rs
@@ -177,7 +177,9 @@
                         oracle.ended_by_itself(around.node, life.epoch, &status);
                     }
                     oracle.judge_start(around.node, &life);
-                    let broken = coverage.look(around.node, &life, &fleet.lock().unwrap());
+                    let held = fleet.lock().unwrap();
+                    let broken = coverage.look(around.node, &life, &held, Instant::now());
+                    drop(held);
                     oracle.broken_coverage(broken);
                 }
                 *longest.lock().unwrap() = coverage.longest();
