Soak: each answer has a due time, and a late one is broken

Cause: `Oracle::judge` asked whether a request was answered, not when. A pause or a crowd excused by its last end alone, so that one that began after an answer was due excused it too, and a crowd excused connections that had been open before it came.

Change: an answer, or a client being turned away, is due half a second after the request, and later by as long as its process was stopped meanwhile, or as a crowd stood before its connection. Spans that overlap count once. Answered, late, never and turned away are counted apart, and those asked after SIGTERM as well. A late one is broken and is told with its node, process, the age of its connection, how late it is, the faults that were active, and by how much the machine itself was late meanwhile, which excuses nothing. The answers of a crowd are each read by a thread of their own: read in turn, one would seem as late as the one before it.

--- a/crates/craneknot-cli/src/soak.rs
+++ b/crates/craneknot-cli/src/soak.rs
@@ -30,14 +30,17 @@
     let memory = report.sizes.iter().map(|(memory, _)| *memory).max().unwrap_or_default();
     let descriptors = report.sizes.iter().map(|(_, descriptors)| *descriptors).max().unwrap_or_default();
     format!(
-        "seed {}: {} ({} faults, {} starts, {} answered, {} turned away, {} in flight at a kill, slowest {} ms, \
-         without a line {:.1} s at most ({:.1} s told), machine late {:.1} s, most {memory} KiB and {descriptors} \
+        "seed {}: {} ({} faults, {} starts, {} answered in time, {} of them asked after SIGTERM, {} late, {} never, \
+         {} turned away, {} in flight at a kill, slowest {} ms, without a line {:.1} s at most ({:.1} s told), machine late {:.1} s, most {memory} KiB and {descriptors} \
          descriptors)",
         report.seed,
         if report.broken.is_empty() { "passed" } else { "FAILED" },
         report.faults,
         report.starts,
         report.answered,
+        report.answered_after_sigterm,
+        report.late,
+        report.never,
         report.rejected,
         report.excused,
         report.slowest_millis,
--- a/crates/craneknot-rehearsal/src/soak/clients.rs
+++ b/crates/craneknot-rehearsal/src/soak/clients.rs
@@ -13,7 +13,7 @@
 
 use super::fleet::{Fleet, CLASSES, ZONES};
 use super::node::Life;
-use super::oracle::{Answer, Oracle, Request};
+use super::oracle::{Answer, Oracle, Reply, Request};
 
 const HEARTBEAT: &[u8] = b"{\"type\":\"hb\"}\n";
 const PATIENCE: Duration = Duration::from_secs(6); // for an answer; longer than any pause and crowd
@@ -40,8 +40,8 @@
         self.over.load(Ordering::Relaxed)
     }
 
-    fn judge(&self, what: &str, request: Request, answer: Answer) {
-        if answer == Answer::Answered {
+    fn judge(&self, what: &str, request: Request, reply: Reply) {
+        if reply.answer == Answer::Answered {
             let mut life = self.life.lock().unwrap();
             if life.epoch == request.epoch {
                 life.ready = true;
@@ -50,7 +50,7 @@
         }
         // What ended with the soak is nobody's fault.
         if !self.is_over() {
-            self.oracle.judge(self.node, what, request, &self.life(), answer);
+            self.oracle.judge(self.node, what, request, &self.life(), reply);
         }
     }
 }
@@ -60,6 +60,7 @@
     reader: BufReader<TcpStream>,
     epoch: u64,
     opened: Instant,
+    oracle: Arc<Oracle>,
 }
 
 impl Connection {
@@ -68,25 +69,28 @@
         let stream = life.address.and_then(|address| TcpStream::connect(address).ok())?;
         stream.set_read_timeout(Some(PATIENCE)).ok()?;
         stream.set_nodelay(true).ok()?;
-        Some(Connection { reader: BufReader::new(stream), epoch: life.epoch, opened: Instant::now() })
+        let (reader, oracle) = (BufReader::new(stream), around.oracle.clone());
+        Some(Connection { reader, epoch: life.epoch, opened: Instant::now(), oracle })
     }
 
     /// A request on it that was written whole just now.
     fn sent(&self) -> Request {
-        Request { epoch: self.epoch, opened: self.opened, sent: Instant::now() }
+        let machine_late = self.oracle.lateness.total();
+        Request { epoch: self.epoch, opened: self.opened, sent: Instant::now(), machine_late }
     }
 
     fn write(&mut self, bytes: &[u8]) -> bool {
         self.reader.get_mut().write_all(bytes).is_ok()
     }
 
-    fn answer(&mut self) -> Answer {
+    fn answer(&mut self) -> Reply {
         let mut line = String::new();
-        match self.reader.read_line(&mut line) {
+        let answer = match self.reader.read_line(&mut line) {
             Ok(count) if count > 0 && line.contains("hb_ok") => Answer::Answered,
             Ok(count) if count > 0 && line.contains("reject") => Answer::Rejected,
             _ => Answer::Lost,
-        }
+        };
+        Reply { answer, at: Instant::now() }
     }
 }
 
@@ -120,9 +124,9 @@
         if last {
             let _ = open.reader.get_ref().shutdown(Shutdown::Write);
         }
-        let answer = open.answer();
-        around.judge("a heartbeat", sent, answer);
-        if last || answer != Answer::Answered || rng.random_bool(0.1) {
+        let reply = open.answer();
+        around.judge("a heartbeat", sent, reply);
+        if last || reply.answer != Answer::Answered || rng.random_bool(0.1) {
             connection = None;
         }
         thread::sleep(Duration::from_millis(rng.random_range(0..120)));
@@ -151,9 +155,9 @@
             continue;
         }
         if asks {
-            let answer = open.answer();
-            around.judge("a collector's heartbeat", sent, answer);
-            if answer != Answer::Answered {
+            let reply = open.answer();
+            around.judge("a collector's heartbeat", sent, reply);
+            if reply.answer != Answer::Answered {
                 connection = None;
             }
         }
@@ -201,12 +205,14 @@
         CrowdOfAskers { around: around.clone(), waiting: asked.collect() }
     }
 
-    /// Waits for the answers.
+    /// Waits for the answers, for each by itself, so that none is read later than it came.
     pub fn judge(self) {
-        for (mut open, sent) in self.waiting {
-            let answer = open.answer();
-            self.around.judge("a crowd's heartbeat", sent, answer);
-        }
+        let around = &self.around;
+        thread::scope(|scope| {
+            for (mut open, sent) in self.waiting {
+                scope.spawn(move || around.judge("a crowd's heartbeat", sent, open.answer()));
+            }
+        });
     }
 }
 
@@ -220,7 +226,7 @@
         let life = around.life();
         let runs_on = life.epoch == open.epoch && life.terminated.is_none() && life.killed.is_none();
         let is_late = !ended || came.elapsed() > CROWD_GONE_WITHIN;
-        let was_paused = life.paused_until.is_some_and(|until| until > came);
+        let was_paused = life.last_paused().is_some_and(|until| until > came);
         if is_late && runs_on && !was_paused && !around.is_over() {
             around.oracle.broken(format!("node {}: a silent client stayed", around.node));
         }
--- a/crates/craneknot-rehearsal/src/soak/mod.rs
+++ b/crates/craneknot-rehearsal/src/soak/mod.rs
@@ -3,14 +3,16 @@
 //!
 //! [`schedule`] draws all faults from one seed. [`fleet`] is what relay and discovery know, [`relay`] and [`discovery`]
 //! put it on sockets, [`fault_proxy`] stands between them and each node. [`clients`] ask for signs of life and report.
-//! [`oracle`] judges what the peers saw, [`coverage`] what proxies hold; [`node`] keeps the processes; [`run`] plays the
+//! [`oracle`] judges what the peers saw, by [`hold_ups`] and [`active_faults`], [`coverage`] what proxies hold; [`node`] keeps the processes; [`run`] plays the
 //! schedule.
 
+pub mod active_faults;
 pub mod clients;
 pub mod coverage;
 pub mod discovery;
 pub mod fault_proxy;
 pub mod fleet;
+pub mod hold_ups;
 mod http;
 pub mod node;
 pub mod oracle;
--- a/crates/craneknot-rehearsal/src/soak/node.rs
+++ b/crates/craneknot-rehearsal/src/soak/node.rs
@@ -15,6 +15,7 @@
 
 use super::fault_proxy::FaultProxy;
 use super::fleet::{Fleet, CLASSES, ONLY_ZONE, ONLY_ZONE_CLASS, ZONES};
+use super::hold_ups::{close_all, last_end, Span};
 use super::oracle::Oracle;
 
 /// How long a proxy may lack a line, and how long it may keep one to a server that drains: the settings' figures.
@@ -23,14 +24,14 @@
 /// How long after its start a server is warm, by the settings.
 pub const WARM_AFTER: Duration = Duration::from_millis(18_000);
 
-/// How a process that was followed by another had ended.
-#[derive(Clone, Copy, Debug, Default)]
+/// What a process that was followed by another had met until its end.
+#[derive(Clone, Debug, Default)]
 pub struct EndedLife {
     pub terminated: Option<Instant>,
     /// It was killed then; nothing: it had ended by itself.
     pub killed: Option<Instant>,
-    pub paused_until: Option<Instant>,
-    pub crowded_until: Option<Instant>,
+    pub paused: Vec<Span>,
+    pub crowded: Vec<Span>,
 }
 
 /// What clients and the oracle need to know of a process, whatever becomes of it.
@@ -44,10 +45,10 @@
     pub started: Option<Instant>,
     pub terminated: Option<Instant>,
     pub killed: Option<Instant>,
-    /// Its last pause ended then, or is still on.
-    pub paused_until: Option<Instant>,
-    /// A crowd may fill its backlog until then.
-    pub crowded_until: Option<Instant>,
+    /// When it was stopped.
+    pub paused: Vec<Span>,
+    /// When a crowd may have filled its backlog.
+    pub crowded: Vec<Span>,
     /// It has answered since it started.
     pub ready: bool,
     /// When it first did.
@@ -60,6 +61,28 @@
     pub disturbed_until: Option<Instant>,
 }
 
+impl Life {
+    /// It is stopped from now on.
+    pub fn begin_pause(&mut self) {
+        self.paused.push(Span::open(Instant::now()));
+    }
+
+    /// It runs on.
+    pub fn end_pauses(&mut self) {
+        close_all(&mut self.paused, Instant::now());
+    }
+
+    /// Whether a pause is on.
+    pub fn is_paused(&self) -> bool {
+        self.paused.iter().any(|span| span.until.is_none())
+    }
+
+    /// When its last pause ended; now, where one is on.
+    pub fn last_paused(&self) -> Option<Instant> {
+        last_end(&self.paused, Instant::now())
+    }
+}
+
 /// Where everything of one soak lies, and how processes are started.
 #[derive(Clone, Debug)]
 pub struct Setting {
@@ -164,10 +187,11 @@
             let now = Some(Instant::now());
             // A network fault goes on whatever becomes of the process.
             let disturbed_until = life.disturbed_until.max(now);
-            let mut before = std::mem::take(&mut life.before);
-            let Life { terminated, killed, paused_until, crowded_until, told_uncovered, .. } = *life;
-            before.insert(life.epoch, EndedLife { terminated, killed, paused_until, crowded_until });
-            let epoch = life.epoch + 1;
+            let mut ended = std::mem::take(&mut *life);
+            let mut before = std::mem::take(&mut ended.before);
+            let Life { terminated, killed, paused, crowded, told_uncovered, .. } = ended;
+            before.insert(ended.epoch, EndedLife { terminated, killed, paused, crowded });
+            let epoch = ended.epoch + 1;
             *life = Life { epoch, started: now, disturbed_until, before, told_uncovered, ..Life::default() };
             life.epoch
         };
@@ -204,7 +228,9 @@
         let Some(mut child) = self.child.take() else { return false };
         let runs = matches!(child.try_wait(), Ok(None));
         if runs {
-            self.life.lock().unwrap().killed = Some(Instant::now());
+            let mut life = self.life.lock().unwrap();
+            life.killed = Some(Instant::now());
+            life.end_pauses();
         }
         let _ = child.kill();
         let _ = child.wait();
--- a/crates/craneknot-rehearsal/src/soak/oracle.rs
+++ b/crates/craneknot-rehearsal/src/soak/oracle.rs
@@ -5,10 +5,11 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use super::coverage::Broken;
+use super::active_faults::FaultLog;
+use super::coverage::{Broken, MachineLateness};
+use super::hold_ups::{due_at, Span};
 use super::node::{EndedLife, Life};
 
-const ANSWERED_WITHIN: Duration = Duration::from_millis(500); // a process that runs answers within, on a busy machine
 const READY_WITHIN: Duration = Duration::from_secs(10); // of a start
 const BROKEN_KEPT: usize = 50; // enough to find a cause
 
@@ -30,6 +31,15 @@
     /// When its connection was opened, and when it was sent.
     pub opened: Instant,
     pub sent: Instant,
+    /// How late the machine had been by then, in all.
+    pub machine_late: Duration,
+}
+
+/// What became of a request, and when its client saw that.
+#[derive(Clone, Copy, Debug)]
+pub struct Reply {
+    pub answer: Answer,
+    pub at: Instant,
 }
 
 /// What has been seen.
@@ -37,7 +47,18 @@
     begun: Instant,
     broken: Mutex<Vec<String>>,
     seen: Mutex<BTreeSet<String>>,
+    /// What was played, and when.
+    pub faults: FaultLog,
+    pub lateness: MachineLateness,
+    /// Answered by their due time.
     pub answered: AtomicU64,
+    /// Those of them that were asked after SIGTERM.
+    pub answered_after_sigterm: AtomicU64,
+    /// Answered or turned away after their due time.
+    pub late: AtomicU64,
+    /// Neither answered nor turned away, and excused by nothing.
+    pub never: AtomicU64,
+    /// Turned away by their due time.
     pub rejected: AtomicU64,
     /// Requests in flight as their process was killed.
     pub excused: AtomicU64,
@@ -45,22 +66,26 @@
     pub slowest_millis: AtomicU64,
 }
 
-impl Default for Oracle {
-    fn default() -> Self {
+impl Oracle {
+    /// One that has seen nothing, with what measures the machine.
+    pub fn new(lateness: MachineLateness) -> Self {
         Oracle {
             begun: Instant::now(),
             broken: Mutex::default(),
             seen: Mutex::default(),
+            faults: FaultLog::default(),
+            lateness,
             answered: AtomicU64::default(),
+            answered_after_sigterm: AtomicU64::default(),
+            late: AtomicU64::default(),
+            never: AtomicU64::default(),
             rejected: AtomicU64::default(),
             excused: AtomicU64::default(),
             starts: AtomicU64::default(),
             slowest_millis: AtomicU64::default(),
         }
     }
-}
 
-impl Oracle {
     /// An invariant does not hold.
     pub fn broken(&self, what: String) {
         let mut broken = self.broken.lock().unwrap();
@@ -91,47 +116,65 @@
         self.broken.lock().unwrap().clone()
     }
 
-    /// Judges a request by the life of the process that it was sent to.
-    pub fn judge(&self, node: usize, what: &str, request: Request, life: &Life, answer: Answer) {
-        let took = request.sent.elapsed();
-        match answer {
-            Answer::Answered => {
-                self.answered.fetch_add(1, Ordering::Relaxed);
-                self.slowest_millis.fetch_max(took.as_millis() as u64, Ordering::Relaxed);
-            }
-            Answer::Rejected => drop(self.rejected.fetch_add(1, Ordering::Relaxed)),
-            Answer::Lost if self.is_excused(request, life) => {
-                self.excused.fetch_add(1, Ordering::Relaxed);
-            }
-            Answer::Lost => {
-                let own = life_of(life, request.epoch);
-                let after = |at: Instant| request.sent.saturating_duration_since(at);
-                let since = own.and_then(|own| own.terminated).map(after);
-                let (epoch, process) = (request.epoch, life.epoch);
-                self.broken(format!(
-                    "node {node}: {what} lost after {took:?}; process {epoch} of {process}, sent {since:?} after SIGTERM"
-                ));
-            }
+    /// Judges a request by the life of the process that it was sent to: an answer is due half a second after the request,
+    /// beyond the time in which the process was stopped or a crowd stood before the connection.
+    pub fn judge(&self, node: usize, what: &str, request: Request, life: &Life, reply: Reply) {
+        let own = life_of(life, request.epoch).unwrap_or_default();
+        let due = due_of(request, &own, reply.at);
+        let took = reply.at.saturating_duration_since(request.sent);
+        self.slowest_millis.fetch_max(took.as_millis() as u64, Ordering::Relaxed);
+        let count = match reply.answer {
+            Answer::Lost if is_excused(request, life, &own, due) => &self.excused,
+            Answer::Lost => &self.never,
+            Answer::Answered | Answer::Rejected if reply.at > due => &self.late,
+            Answer::Rejected => &self.rejected,
+            Answer::Answered => &self.answered,
+        };
+        count.fetch_add(1, Ordering::Relaxed);
+        let is_after_sigterm = own.terminated.is_some_and(|at| at <= request.sent);
+        if std::ptr::eq(count, &self.answered) && is_after_sigterm {
+            self.answered_after_sigterm.fetch_add(1, Ordering::Relaxed);
+        }
+        if std::ptr::eq(count, &self.late) || std::ptr::eq(count, &self.never) {
+            self.broken(self.failed_request(node, what, request, life, reply, due));
         }
     }
 
-    /// A request is no process's to answer that was killed before it had the time to, or had ended by itself before the
-    /// request's connection was taken in.
-    fn is_excused(&self, request: Request, life: &Life) -> bool {
-        let Some(own) = life_of(life, request.epoch) else { return false };
-        // Neither can it answer while it is stopped, nor who waits behind a crowd that it has no room for.
-        let held_up = own.paused_until.max(own.crowded_until);
-        let runs_from = held_up.map_or(request.sent, |until| until.max(request.sent));
-        let is_killed =
-            own.killed.is_some_and(|killed| killed.saturating_duration_since(runs_from) < ANSWERED_WITHIN);
-        let has_ended = own.killed.is_none() && request.epoch < life.epoch;
-        is_killed || has_ended && own.terminated.is_some_and(|at| request.opened >= at)
+    /// All that is known of a request that failed.
+    fn failed_request(
+        &self,
+        node: usize,
+        what: &str,
+        request: Request,
+        life: &Life,
+        reply: Reply,
+        due: Instant,
+    ) -> String {
+        let Request { epoch, opened, sent, machine_late } = request;
+        let became = match reply.answer {
+            Answer::Lost => "never answered, given up",
+            Answer::Rejected => "turned away late,",
+            Answer::Answered => "answered late,",
+        };
+        let took = reply.at.saturating_duration_since(sent);
+        let too_late = reply.at.saturating_duration_since(due);
+        let age = sent.saturating_duration_since(opened);
+        let terminated = life_of(life, epoch).and_then(|own| own.terminated);
+        let after_sigterm = terminated.map(|at| sent.saturating_duration_since(at));
+        let machine_late = self.lateness.total().saturating_sub(machine_late);
+        let faults = self.faults.during(sent, reply.at);
+        format!(
+            "node {node}: {what} {became} after {took:.3?}, {too_late:.3?} past its due time; process {epoch} of {}, \
+             connection {age:.1?} old, sent {after_sigterm:.3?} after SIGTERM, machine late {machine_late:.3?} meanwhile, \
+             faults {faults:?}",
+            life.epoch
+        )
     }
 
     /// Judges how soon a process was ready.
     pub fn judge_start(&self, node: usize, life: &Life) {
         let Some(started) = life.started.filter(|_| !life.ready && life.terminated.is_none()) else { return };
-        let from = life.paused_until.map_or(started, |until| until.max(started));
+        let from = life.last_paused().map_or(started, |until| until.max(started));
         if life.killed.is_none() && from.elapsed() > READY_WITHIN {
             let what = format!("node {node}, process {}: not ready within 10 s", life.epoch);
             self.broken_once(what, &format!("{:?}", from.elapsed()));
@@ -144,11 +187,27 @@
     }
 }
 
+/// When a request's answer is due. Who waits behind a crowd that its process has no room for can't be answered, nor can
+/// a process answer while it is stopped.
+fn due_of(request: Request, own: &EndedLife, now: Instant) -> Instant {
+    let crowded = own.crowded.iter().filter(|span| span.contains(request.opened));
+    let spans: Vec<Span> = own.paused.iter().chain(crowded).copied().collect();
+    due_at(request.sent, &spans, now)
+}
+
+/// A request is no process's to answer that was killed before it was due, or had ended by itself before the request's
+/// connection was taken in.
+fn is_excused(request: Request, life: &Life, own: &EndedLife, due: Instant) -> bool {
+    let is_killed = own.killed.is_some_and(|killed| killed < due);
+    let has_ended = own.killed.is_none() && request.epoch < life.epoch;
+    is_killed || has_ended && own.terminated.is_some_and(|at| request.opened >= at)
+}
+
 /// What is known of a node's process: the one that runs, or one before.
 fn life_of(life: &Life, epoch: u64) -> Option<EndedLife> {
     if epoch != life.epoch {
-        return life.before.get(&epoch).copied();
+        return life.before.get(&epoch).cloned();
     }
-    let Life { terminated, killed, paused_until, crowded_until, .. } = *life;
-    Some(EndedLife { terminated, killed, paused_until, crowded_until })
+    let Life { terminated, killed, paused, crowded, .. } = life.clone();
+    Some(EndedLife { terminated, killed, paused, crowded })
 }
--- a/crates/craneknot-rehearsal/src/soak/run.rs
+++ b/crates/craneknot-rehearsal/src/soak/run.rs
@@ -15,6 +15,7 @@
 use super::coverage::{CoverageJudge, MachineLateness};
 use super::fault_proxy::FaultProxy;
 use super::fleet::{Fleet, Phase, ZONES};
+use super::hold_ups::Span;
 use super::node::{Node, Setting};
 use super::oracle::Oracle;
 use super::schedule::{self, Day, Fault, ListChange, Neighbour, Planned};
@@ -54,7 +55,13 @@
     pub seed: u64,
     pub faults: usize,
     pub starts: u64,
+    /// Answered by their due time, and those of them that were asked after SIGTERM.
     pub answered: u64,
+    pub answered_after_sigterm: u64,
+    /// Answered or turned away after their due time.
+    pub late: u64,
+    /// Neither answered nor turned away, and excused by nothing.
+    pub never: u64,
     pub rejected: u64,
     /// Requests in flight as their process was killed.
     pub excused: u64,
@@ -110,7 +117,8 @@
     fn raise(settings: &SoakSettings) -> io::Result<Self> {
         let proxies = PROXIES_PER_NODE * settings.nodes as u16;
         let fleet = Arc::new(Mutex::new(Fleet::new(settings.nodes, proxies, SERVERS)));
-        let (oracle, over) = (Arc::new(Oracle::default()), Arc::new(AtomicBool::new(false)));
+        let lateness = MachineLateness::measure();
+        let (oracle, over) = (Arc::new(Oracle::new(lateness.clone())), Arc::new(AtomicBool::new(false)));
         let mut soak = Soak {
             nodes: Vec::new(),
             around: Vec::new(),
@@ -118,7 +126,7 @@
             oracle: oracle.clone(),
             over: over.clone(),
             upstream: Vec::new(),
-            lateness: MachineLateness::measure(),
+            lateness,
             uncovered_longest: Arc::default(),
             tasks: Vec::new(),
             begun: Instant::now(),
@@ -209,6 +217,7 @@
 
     fn play(&mut self, planned: &Planned) {
         let number = planned.node;
+        self.oracle.faults.begins(planned, Instant::now());
         match planned.fault {
             Fault::Kill { back_after } => self.kill(number, Duration::from_millis(back_after)),
             Fault::Terminate { again, crowd } => {
@@ -230,7 +239,8 @@
             }
             Fault::Crowd { asking, silent } => {
                 let around = self.around[number].clone();
-                around.life.lock().unwrap().crowded_until = Some(Instant::now() + CROWD_LASTS);
+                let from = Instant::now();
+                around.life.lock().unwrap().crowded.push(Span::closed(from, from + CROWD_LASTS));
                 self.tasks.push(thread::spawn(move || {
                     let quiet = around.clone();
                     let quiet = thread::spawn(move || come_silently(&quiet, silent));
@@ -298,18 +308,14 @@
             return;
         }
         let come = (crowd > 0).then(|| {
+            around.life.lock().unwrap().begin_pause();
             node.lock().unwrap().signal(Signal::STOP);
             CrowdOfAskers::come(&around, crowd)
         });
-        {
-            let mut life = around.life.lock().unwrap();
-            life.terminated = Some(Instant::now());
-            if crowd > 0 {
-                life.paused_until = Some(Instant::now());
-            }
-        }
+        around.life.lock().unwrap().terminated = Some(Instant::now());
         node.lock().unwrap().signal(Signal::TERM);
         node.lock().unwrap().signal(Signal::CONT);
+        around.life.lock().unwrap().end_pauses();
         if let Some(come) = come {
             self.tasks.push(thread::spawn(move || come.judge()));
         }
@@ -369,11 +375,12 @@
     fn pause(&mut self, number: usize, span: Duration) {
         self.disturb(number, span);
         let (node, life) = (self.nodes[number].clone(), self.around[number].life.clone());
-        life.lock().unwrap().paused_until = Some(Instant::now() + span);
+        life.lock().unwrap().begin_pause();
         node.lock().unwrap().signal(Signal::STOP);
         self.tasks.push(thread::spawn(move || {
             thread::sleep(span);
             node.lock().unwrap().signal(Signal::CONT);
+            life.lock().unwrap().end_pauses();
         }));
     }
 
@@ -456,6 +463,9 @@
             faults: planned.len(),
             starts: count(&self.oracle.starts),
             answered: count(&self.oracle.answered),
+            answered_after_sigterm: count(&self.oracle.answered_after_sigterm),
+            late: count(&self.oracle.late),
+            never: count(&self.oracle.never),
             rejected: count(&self.oracle.rejected),
             excused: count(&self.oracle.excused),
             slowest_millis: count(&self.oracle.slowest_millis),
--- a/crates/craneknot-rehearsal/src/soak/schedule.rs
+++ b/crates/craneknot-rehearsal/src/soak/schedule.rs
@@ -72,6 +72,22 @@
     LoseZone { zone: usize, millis: u64 },
 }
 
+impl Fault {
+    /// How long it goes on by itself.
+    pub fn lasts(&self) -> Duration {
+        let millis = match *self {
+            Fault::Kill { back_after } => back_after,
+            Fault::Terminate { .. } => KILL_AFTER_TERM,
+            Fault::Pause { millis }
+            | Fault::Network { millis, .. }
+            | Fault::Release { millis }
+            | Fault::LoseZone { millis, .. } => millis,
+            _ => 0,
+        };
+        Duration::from_millis(millis)
+    }
+}
+
 /// What a soak is like.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Day {
--- /dev/null
+++ b/crates/craneknot-rehearsal/tests/answers.rs
@@ -0,0 +1,140 @@
+//! The soak's judge of answers, with moments that the tests choose.
+
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use craneknot_rehearsal::soak::coverage::MachineLateness;
+use craneknot_rehearsal::soak::hold_ups::Span;
+use craneknot_rehearsal::soak::node::Life;
+use craneknot_rehearsal::soak::oracle::{Answer, Oracle, Reply, Request};
+use craneknot_rehearsal::soak::schedule::{Fault, Planned};
+
+/// What an oracle counts after one request.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct Counts {
+    answered: u64,
+    after_sigterm: u64,
+    late: u64,
+    never: u64,
+    rejected: u64,
+    excused: u64,
+    broken: usize,
+}
+
+fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn request(sent: Instant) -> Request {
+    Request { epoch: 1, opened: sent, sent, machine_late: Duration::ZERO }
+}
+
+fn counts(oracle: &Oracle) -> Counts {
+    let count = |figure: &std::sync::atomic::AtomicU64| figure.load(Ordering::Relaxed);
+    Counts {
+        answered: count(&oracle.answered),
+        after_sigterm: count(&oracle.answered_after_sigterm),
+        late: count(&oracle.late),
+        never: count(&oracle.never),
+        rejected: count(&oracle.rejected),
+        excused: count(&oracle.excused),
+        broken: oracle.all_broken().len(),
+    }
+}
+
+fn judged(request: Request, life: &Life, answer: Answer, after: Duration) -> Counts {
+    let oracle = Oracle::new(MachineLateness::default());
+    oracle.judge(0, "a heartbeat", request, life, Reply { answer, at: request.sent + after });
+    counts(&oracle)
+}
+
+fn running() -> Life {
+    Life { epoch: 1, ready: true, ..Life::default() }
+}
+
+#[test]
+fn an_answer_past_its_due_time_is_not_counted_as_answered() {
+    let sent = Instant::now();
+    let late = Counts { late: 1, broken: 1, ..Counts::default() };
+    assert_eq!(judged(request(sent), &running(), Answer::Answered, millis(501)), late);
+    assert_eq!(judged(request(sent), &running(), Answer::Rejected, millis(501)), late);
+    let in_time = Counts { answered: 1, ..Counts::default() };
+    assert_eq!(judged(request(sent), &running(), Answer::Answered, millis(500)), in_time);
+    let turned_away = Counts { rejected: 1, ..Counts::default() };
+    assert_eq!(judged(request(sent), &running(), Answer::Rejected, millis(500)), turned_away);
+}
+
+#[test]
+fn a_request_without_an_answer_is_broken_unless_its_process_was_killed_before_it_was_due() {
+    let sent = Instant::now();
+    let never = Counts { never: 1, broken: 1, ..Counts::default() };
+    assert_eq!(judged(request(sent), &running(), Answer::Lost, millis(100)), never);
+    let killed_after = |after| Life { killed: Some(sent + after), ..running() };
+    let excused = Counts { excused: 1, ..Counts::default() };
+    assert_eq!(judged(request(sent), &killed_after(millis(499)), Answer::Lost, millis(499)), excused);
+    assert_eq!(judged(request(sent), &killed_after(millis(501)), Answer::Lost, millis(501)), never);
+}
+
+#[test]
+fn a_pause_excuses_no_more_than_its_own_length() {
+    let sent = Instant::now();
+    let paused = Span::closed(sent + millis(100), sent + millis(800));
+    let life = Life { paused: vec![paused], ..running() };
+    let in_time = Counts { answered: 1, ..Counts::default() };
+    let late = Counts { late: 1, broken: 1, ..Counts::default() };
+    assert_eq!(judged(request(sent), &life, Answer::Answered, millis(1_200)), in_time);
+    assert_eq!(judged(request(sent), &life, Answer::Answered, millis(1_201)), late);
+    let later = Life { paused: vec![Span::closed(sent + millis(501), sent + millis(900))], ..running() };
+    assert_eq!(judged(request(sent), &later, Answer::Answered, millis(900)), late);
+}
+
+#[test]
+fn pauses_that_overlap_are_counted_once() {
+    let sent = Instant::now();
+    let first = Span::closed(sent, sent + millis(300));
+    let second = Span::closed(sent + millis(200), sent + millis(400));
+    let life = Life { paused: vec![second, first], ..running() };
+    assert_eq!(judged(request(sent), &life, Answer::Answered, millis(901)).late, 1);
+    assert_eq!(judged(request(sent), &life, Answer::Answered, millis(900)).late, 0);
+}
+
+#[test]
+fn a_crowd_excuses_no_connection_that_was_open_before() {
+    let opened = Instant::now();
+    let crowd = Span::closed(opened + millis(100), opened + millis(4_100));
+    let life = Life { crowded: vec![crowd], ..running() };
+    let open_before = Request { sent: opened + millis(200), ..request(opened) };
+    assert_eq!(judged(open_before, &life, Answer::Answered, millis(501)).late, 1);
+    let behind = request(opened + millis(200));
+    assert_eq!(judged(behind, &life, Answer::Answered, millis(3_000)).answered, 1);
+}
+
+#[test]
+fn a_late_answer_is_told_with_its_connection_and_the_faults_of_its_time() {
+    let opened = Instant::now();
+    let sent = opened + millis(3_000);
+    let oracle = Oracle::new(MachineLateness::default());
+    let before = Planned { at: 0, node: 2, fault: Fault::Pause { millis: 100 } };
+    let meanwhile = Planned { at: 3_100, node: 4, fault: Fault::Kill { back_after: 500 } };
+    oracle.faults.begins(&before, opened);
+    oracle.faults.begins(&meanwhile, sent + millis(100));
+    let asked = Request { sent, ..request(opened) };
+    let reply = Reply { answer: Answer::Answered, at: sent + millis(750) };
+    oracle.judge(4, "a heartbeat", asked, &running(), reply);
+    let told = oracle.all_broken().concat();
+    for part in
+        ["node 4", "answered late, after 750", "250.000ms past", "3.0s old", "Kill { back_after: 500 }"]
+    {
+        assert!(told.contains(part), "{part} is not in: {told}");
+    }
+    assert!(!told.contains("Pause"), "{told}");
+}
+
+#[test]
+fn an_answer_on_an_open_connection_after_sigterm_is_counted_apart() {
+    let opened = Instant::now();
+    let life = Life { terminated: Some(opened + millis(50)), ..running() };
+    let asked = Request { sent: opened + millis(60), ..request(opened) };
+    let expected = Counts { answered: 1, after_sigterm: 1, ..Counts::default() };
+    assert_eq!(judged(asked, &life, Answer::Answered, millis(10)), expected);
+}
