Soak: absent third, restarts in all forms, failures together, load beside

All of it is drawn from streams of their own: the faults drawn for a seed before stay as they were, but for the release, which had one form and no draw.

A client that gives up before its answer is due, since its process has been stopped for that long, is counted apart from a connection that ends. The report names the proxy that lacked a line for longest.

--- a/crates/craneknot-cli/src/main.rs
+++ b/crates/craneknot-cli/src/main.rs
@@ -17,7 +17,7 @@
 use craneknot_node::shell::NoStart;
 use craneknot_reactor::{SignalFlags, SteadyClock};
 use craneknot_rehearsal::conduct::{Kept, Programs};
-use craneknot_rehearsal::soak::{Day, SoakSettings};
+use craneknot_rehearsal::soak::{Day, Load, SoakSettings};
 use craneknot_rehearsal::Script;
 use craneknot_settings::{load, schema_text, AgentSettings, CoordinatorSettings, Problems};
 use serde::Serialize;
@@ -134,6 +134,12 @@
         /// with another, all proxies at the first, its planned restart.
         #[arg(long)]
         incident: bool,
+        /// Threads that spin beside it until each seed is over.
+        #[arg(long, default_value_t = 0, value_parser = clap::value_parser!(u16).range(0..=64))]
+        busy: u16,
+        /// Gives each coordinator a quarter of a core over a drawn span.
+        #[arg(long)]
+        throttle: bool,
         /// The program to soak, another build of this one; left out: this one.
         #[arg(long)]
         program: Option<PathBuf>,
@@ -312,13 +318,25 @@
                 Err(Failed::Rule)
             }
         }
-        Command::Soak { seed, seeds, nodes, seconds, incident, program, fault_library, folder } => {
+        Command::Soak {
+            seed,
+            seeds,
+            nodes,
+            seconds,
+            incident,
+            busy,
+            throttle,
+            program,
+            fault_library,
+            folder,
+        } => {
             let kept = tempfile::tempdir().map_err(system)?;
             let settings = SoakSettings {
                 seed,
                 day: if incident { Day::Incident } else { Day::Random },
                 nodes: usize::from(nodes),
                 length: Duration::from_secs(seconds),
+                load: Load { busy: usize::from(busy), throttled: throttle },
                 program: program.map_or_else(std::env::current_exe, Ok).map_err(system)?,
                 fault_library,
                 folder: folder.unwrap_or_else(|| kept.path().to_owned()),
--- a/crates/craneknot-cli/src/soak.rs
+++ b/crates/craneknot-cli/src/soak.rs
@@ -31,7 +31,7 @@
     let descriptors = report.sizes.iter().map(|(_, descriptors)| *descriptors).max().unwrap_or_default();
     format!(
         "seed {}: {} ({} faults, {} starts, {} answered in time, {} of them asked after SIGTERM, {} late, {} never, \
-         {} turned away, {} in flight at a kill, slowest {} ms, without a line {:.1} s at most ({:.1} s told), machine late {:.1} s, most {memory} KiB and {descriptors} \
+         {} turned away, {} in flight at a kill, slowest {} ms, without a line {:.1} s at most ({:.1} s told; {}), machine late {:.1} s, most {memory} KiB and {descriptors} \
          descriptors)",
         report.seed,
         if report.broken.is_empty() { "passed" } else { "FAILED" },
@@ -44,8 +44,9 @@
         report.rejected,
         report.excused,
         report.slowest_millis,
-        report.uncovered_longest.as_secs_f64(),
+        report.uncovered_longest.lasted.as_secs_f64(),
         report.uncovered_told as f64 / 1e3,
+        report.uncovered_longest.what,
         report.machine_late.as_secs_f64(),
     )
 }
@@ -57,8 +58,10 @@
     let library = settings.fault_library.as_ref();
     let library = library.map_or(String::new(), |path| format!(" --fault-library {}", path.display()));
     let day = if settings.day == Day::Incident { " --incident" } else { "" };
+    let busy = if settings.load.busy > 0 { format!(" --busy {}", settings.load.busy) } else { String::new() };
+    let throttle = if settings.load.throttled { " --throttle" } else { "" };
     println!(
-        "  again: craneknot soak{day} --seed {} --nodes {} --seconds {}{library}",
+        "  again: craneknot soak{day} --seed {} --nodes {} --seconds {}{busy}{throttle}{library}",
         settings.seed,
         settings.nodes,
         settings.length.as_secs()
--- a/crates/craneknot-cli/tests/soak.rs
+++ b/crates/craneknot-cli/tests/soak.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use craneknot_rehearsal::soak::{run, schedule, Day, SoakSettings};
+use craneknot_rehearsal::soak::{run, schedule, Day, Load, SoakSettings};
 
 mod helpers;
 use helpers::fault_library;
@@ -27,6 +27,7 @@
         day,
         nodes: 10,
         length,
+        load: Load::default(),
         program: Path::new(env!("CARGO_BIN_EXE_craneknot")).to_owned(),
         fault_library: Some(fault_library()),
         folder: folder.path().to_owned(),
--- a/crates/craneknot-rehearsal/src/soak/clients.rs
+++ b/crates/craneknot-rehearsal/src/soak/clients.rs
@@ -1,7 +1,7 @@
 //! Clients of a node: some ask for signs of life again and again, on connections that they keep or open anew, in one piece
 //! or in halves; collectors report; crowds come and say nothing.
 
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Write};
 use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -88,6 +88,9 @@
         let answer = match self.reader.read_line(&mut line) {
             Ok(count) if count > 0 && line.contains("hb_ok") => Answer::Answered,
             Ok(count) if count > 0 && line.contains("reject") => Answer::Rejected,
+            Err(cause) if matches!(cause.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                Answer::GivenUp
+            }
             _ => Answer::Lost,
         };
         Reply { answer, at: Instant::now() }
--- a/crates/craneknot-rehearsal/src/soak/fleet.rs
+++ b/crates/craneknot-rehearsal/src/soak/fleet.rs
@@ -263,6 +263,11 @@
         }
     }
 
+    /// The phases of several servers change in one step of the list.
+    pub fn set_phases(&mut self, servers: &[usize], phase: Phase) {
+        servers.iter().for_each(|server| self.set_phase(*server, phase));
+    }
+
     /// A zone is lost: its servers are gone, and its proxies leave. Who they were.
     pub fn lose_zone(&mut self, zone: usize) -> Vec<u16> {
         self.lost_zone = Some(zone);
--- /dev/null
+++ b/crates/craneknot-rehearsal/src/soak/schedule/incident.rs
@@ -0,0 +1,77 @@
+//! The incident's own faults: a release in place without end, one coordinator killed, a zone lost with a second while the
+//! third is absent too, all proxies at the first, and its planned restart.
+
+use std::ops::Range;
+
+use rand::Rng;
+use rand_pcg::Pcg32;
+
+use super::{restart, Fault, ListChange, Neighbour, NetworkFault, Planned, TOGETHER_MOST};
+
+const RELEASE_STEP: Range<u64> = 610..640; // ms; between two steps of the release
+const MOVED_AFTER: u64 = 400; // ms; after the loss, all proxies are at the first coordinator
+const MOVED_BEFORE: u64 = 550; // ms; before its planned restart, they move on
+const BACK_AFTER_KILL: u64 = 500; // ms
+const ABSENT_BEFORE: u64 = 500; // ms; at most, the third is absent before the zone is lost
+
+/// Draws them, in their order. The first node is one whose wall clock can be stepped. What `added` draws changes nothing
+/// that `rng` draws.
+pub(super) fn draw(
+    rng: &mut Pcg32,
+    added: &mut Pcg32,
+    nodes: usize,
+    servers: usize,
+    span: Range<u64>,
+) -> Vec<Planned> {
+    let (begin, end) = (span.start, span.end);
+    let first = 1;
+    let second = (first + 1 + rng.random_range(0..nodes.max(3) - 2)) % nodes.max(1);
+    let at = |hundredths: u64| begin + (end - begin) * hundredths / 100;
+    let (killed, lost, back, restarted) = (at(35), at(60), at(80), at(85));
+    let lose_zone = Fault::LoseZone { zone: rng.random_range(0..2), millis: back - lost };
+    let mut planned = vec![
+        Planned { at: killed, node: first, fault: Fault::Kill { back_after: BACK_AFTER_KILL } },
+        Planned { at: lost, node: second, fault: lose_zone },
+        Planned { at: lost + MOVED_AFTER, node: first, fault: Fault::MoveAll },
+        Planned { at: restarted, node: first, fault: Fault::Terminate { again: None, crowd: 0 } },
+    ];
+    if rng.random_bool(0.5) {
+        let seconds = if rng.random_bool(0.5) { 3_600 } else { -3_600 };
+        planned.push(Planned { at: killed - 200, node: first, fault: Fault::StepClock { seconds } });
+    }
+    planned.extend(release(added, servers, span));
+    if let Some(third) = (0..nodes).find(|node| *node != first && *node != second) {
+        planned.push(absence(added, third, lost, back));
+    }
+    if added.random_bool(0.5) {
+        planned.push(Planned { at: restarted - MOVED_BEFORE, node: second, fault: Fault::MoveAll });
+    }
+    planned
+}
+
+/// Servers restart in place in turn, some steps bring several, some none.
+fn release(rng: &mut Pcg32, servers: usize, span: Range<u64>) -> Vec<Planned> {
+    let (mut at, mut first, mut planned) = (span.start, 0, Vec::new());
+    while at < span.end {
+        let count = rng.random_range(0..TOGETHER_MOST);
+        if count > 0 && rng.random_bool(0.5) {
+            let fault = Fault::List(ListChange::Restart(restart(rng, first, count)));
+            planned.push(Planned { at, node: 0, fault });
+            first = (first + count) % servers;
+        }
+        at += rng.random_range(RELEASE_STEP);
+    }
+    planned
+}
+
+/// A node is absent while a zone is lost: killed, stopped, or its network is silent.
+fn absence(rng: &mut Pcg32, node: usize, lost: u64, back: u64) -> Planned {
+    let at = lost - rng.random_range(0..ABSENT_BEFORE);
+    let millis = back - at;
+    let fault = match rng.random_range(0..3) {
+        0 => Fault::Kill { back_after: millis },
+        1 => Fault::Pause { millis },
+        _ => Fault::Network { of: Neighbour::Both, fault: NetworkFault::Stall, millis },
+    };
+    Planned { at, node, fault }
+}
--- a/crates/craneknot-rehearsal/tests/answers.rs
+++ b/crates/craneknot-rehearsal/tests/answers.rs
@@ -88,6 +88,17 @@
     assert_eq!(judged(request(sent), &later, Answer::Answered, millis(900)), late);
 }
 
+#[test]
+fn a_client_that_gives_up_before_its_answer_is_due_tells_nothing() {
+    let sent = Instant::now();
+    let life = Life { paused: vec![Span::open(sent)], ..running() };
+    let excused = Counts { excused: 1, ..Counts::default() };
+    assert_eq!(judged(request(sent), &life, Answer::GivenUp, millis(6_000)), excused);
+    let never = Counts { never: 1, broken: 1, ..Counts::default() };
+    assert_eq!(judged(request(sent), &running(), Answer::GivenUp, millis(6_000)), never);
+    assert_eq!(judged(request(sent), &life, Answer::Lost, millis(6_000)), never);
+}
+
 #[test]
 fn pauses_that_overlap_are_counted_once() {
     let sent = Instant::now();
