--- a/crates/craneknot-rehearsal/src/soak/coverage.rs
+++ b/crates/craneknot-rehearsal/src/soak/coverage.rs
@@ -72,32 +72,49 @@
 
 /// Judges all nodes.
 pub struct CoverageJudge {
+    begun: Instant,
     lateness: MachineLateness,
     since: BTreeMap<Subject, Since>,
-    longest: Duration,
+    /// By node: when it was last looked at, if its process had to serve then.
+    looked: BTreeMap<usize, Instant>,
+    longest: Lack,
+}
+
+/// How long a proxy was without a line, and which.
+#[derive(Clone, Debug, Default)]
+pub struct Lack {
+    pub lasted: Duration,
+    pub what: String,
 }
 
 impl CoverageJudge {
     /// Judges by the clock, and by how late the machine has been.
     pub fn new(lateness: MachineLateness) -> Self {
-        CoverageJudge { lateness, since: BTreeMap::new(), longest: Duration::ZERO }
+        CoverageJudge {
+            begun: Instant::now(),
+            lateness,
+            since: BTreeMap::new(),
+            looked: BTreeMap::new(),
+            longest: Lack::default(),
+        }
     }
 
     /// The longest that a proxy of an undisturbed node was without a line, less what the machine was late by.
-    pub fn longest(&self) -> Duration {
-        self.longest
+    pub fn longest(&self) -> &Lack {
+        &self.longest
     }
 
-    /// Looks at what a node's proxies hold; gives what has been wrong for too long.
-    pub fn look(&mut self, node: usize, life: &Life, fleet: &Fleet) -> Vec<Broken> {
-        let now = Instant::now();
+    /// Looks at what a node's proxies hold at a moment; gives what has been wrong for too long by then.
+    pub fn look(&mut self, node: usize, life: &Life, fleet: &Fleet, now: Instant) -> Vec<Broken> {
         let serves = life.terminated.is_none() && life.killed.is_none();
         let ready = life.ready_at.filter(|_| serves).map(|at| at + FIRST_SECOND);
         let Some(from) = ready.max(life.disturbed_until.filter(|_| ready.is_some())) else {
             self.since.retain(|subject, _| subject.node != node);
+            self.looked.remove(&node);
             return Vec::new();
         };
-        let wrong = wrong_lines(node, now, fleet);
+        let looked = self.looked.insert(node, now);
+        let wrong = wrong_lines(node, now, looked, fleet);
         self.since.retain(|subject, _| subject.node != node || wrong.contains_key(subject));
         let mut broken = Vec::new();
         for (subject, (at, detail)) in wrong {
@@ -112,8 +129,12 @@
                 Wrong::NoLine => BARE,
                 Wrong::LineTo(_) => DRAIN_GRACE,
             };
-            if subject.wrong == Wrong::NoLine {
-                self.longest = self.longest.max(lasted);
+            if subject.wrong == Wrong::NoLine && lasted > self.longest.lasted {
+                let Subject { proxy, class, .. } = subject;
+                let at = self.begun.elapsed();
+                let what =
+                    format!("node {node}, process {}, proxy {proxy}, {class}, {at:.1?} in", life.epoch);
+                self.longest = Lack { lasted, what };
             }
             if lasted > limit + PLATFORM_SLACK {
                 let Subject { proxy, class, wrong, .. } = subject;
@@ -128,8 +149,14 @@
     }
 }
 
-/// What is wrong now with the lines of a node's proxies: since when at the earliest, and what they hold.
-fn wrong_lines(node: usize, now: Instant, fleet: &Fleet) -> BTreeMap<Subject, (Instant, String)> {
+/// What is wrong now with the lines of a node's proxies: since when at the earliest, by the look before, and what they
+/// hold.
+fn wrong_lines(
+    node: usize,
+    now: Instant,
+    looked: Option<Instant>,
+    fleet: &Fleet,
+) -> BTreeMap<Subject, (Instant, String)> {
     let holdings = &fleet.holdings[node];
     let told = &fleet.told[node];
     let mut wrong = BTreeMap::new();
@@ -141,7 +168,8 @@
                 wrong.insert(subject, (since, format!("holds {lines:?}")));
             };
             if is_lacking(told, &lines, class, now) {
-                add(Wrong::NoLine, *joined);
+                let was_covered = looked.is_some_and(|before| *joined <= before);
+                add(Wrong::NoLine, if was_covered { now } else { *joined });
             }
             for (server, known) in &fleet.known_lost[node] {
                 if lines.contains(server) {
