Decisions: a controller's state in eight small modules, field terms for two types

Change: moved, not changed, into `state/`; `Wish` is `Candidate` (a binding that may move), `Standing` is `GroupLoads`.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -272,63 +272,72 @@
         // that names lost servers.
         let nowhere: Vec<bool> = weights.iter().map(|row| row.iter().all(|weight| *weight <= 0.0)).collect();
         let open = |place: usize, group: usize| nowhere[place] || weights[place][group] > 0.0;
-        let mut wishes = self.wishes(&open);
-        if !due && wishes.iter().all(|wish| wish.from.is_some()) {
+        let mut candidates = self.candidates(&open);
+        if !due && candidates.iter().all(|candidate| candidate.from.is_some()) {
             return;
         }
-        let loads = self.loads(&weights[0], &wishes);
-        let mut standing = Standing::new(&weights[0], loads, weights.len(), &self.groups, &open);
-        wishes.retain(|wish| due || wish.from.is_none());
-        let load = |wish: &Wish| wish.from.map_or(f64::INFINITY, |from| standing.load(from));
-        wishes.sort_by_cached_key(|wish| Reverse((load(wish).to_bits(), wish.demand.to_bits())));
-        for wish in &wishes {
-            let away =
-                |zone: Option<ZoneId>| if zone.is_none_or(|zone| zone == wish.zone) { 1.0 } else { AWAY };
+        let loads = self.loads(&weights[0], &candidates);
+        let mut group_loads = GroupLoads::new(&weights[0], loads, weights.len(), &self.groups, &open);
+        candidates.retain(|candidate| due || candidate.from.is_none());
+        let load =
+            |candidate: &Candidate| candidate.from.map_or(f64::INFINITY, |from| group_loads.load(from));
+        candidates
+            .sort_by_cached_key(|candidate| Reverse((load(candidate).to_bits(), candidate.demand.to_bits())));
+        for candidate in &candidates {
+            let away = |zone: Option<ZoneId>| {
+                if zone.is_none_or(|zone| zone == candidate.zone) {
+                    1.0
+                } else {
+                    AWAY
+                }
+            };
             // A proxy's other groups: traffic spread over many servers lets connections fall idle.
-            let bindings = self.proxies.get(&wish.proxy).map_or(&[][..], |proxy| &proxy.bindings);
-            let others = bindings.iter().enumerate().filter(|(class, _)| *class != wish.class);
+            let bindings = self.proxies.get(&candidate.proxy).map_or(&[][..], |proxy| &proxy.bindings);
+            let others = bindings.iter().enumerate().filter(|(class, _)| *class != candidate.class);
             let others: Vec<usize> = others.filter_map(|(_, binding)| binding.group).collect();
             let factor = |zone: Option<ZoneId>, group: usize| {
                 away(zone) * if others.is_empty() || others.contains(&group) { 1.0 } else { APART }
             };
             let cost = |(zone, group): (Option<ZoneId>, usize)| {
-                let added = wish.demand / standing.weights[group].max(1e-6);
-                (group, (standing.load(group) + added) * factor(zone, group))
+                let added = candidate.demand / group_loads.weights[group].max(1e-6);
+                (group, (group_loads.load(group) + added) * factor(zone, group))
             };
-            let known = others.iter().filter(|group| Some(**group) != wish.from && open(wish.place, **group));
+            let known = others
+                .iter()
+                .filter(|group| Some(**group) != candidate.from && open(candidate.place, **group));
             let known = known.map(|group| (self.groups[*group].zone, *group));
-            let least = standing.least(wish.place, wish.from).chain(known).map(cost);
+            let least = group_loads.least(candidate.place, candidate.from).chain(known).map(cost);
             let Some((to, new)) = least.min_by(|a, b| a.1.total_cmp(&b.1)) else { continue };
-            let old = |from: usize| standing.load(from) * factor(self.groups[from].zone, from);
-            if wish.from.is_some_and(|from| old(from) <= MOVE_GAIN * new) {
+            let old = |from: usize| group_loads.load(from) * factor(self.groups[from].zone, from);
+            if candidate.from.is_some_and(|from| old(from) <= MOVE_GAIN * new) {
                 continue;
             }
-            standing.add(to, wish.demand);
-            wish.from.into_iter().for_each(|from| standing.add(from, -wish.demand));
-            if let Some(proxy) = self.proxies.get_mut(&wish.proxy) {
-                proxy.bindings[wish.class].group = Some(to);
+            group_loads.add(to, candidate.demand);
+            candidate.from.into_iter().for_each(|from| group_loads.add(from, -candidate.demand));
+            if let Some(proxy) = self.proxies.get_mut(&candidate.proxy) {
+                proxy.bindings[candidate.class].group = Some(to);
             }
         }
     }
 
-    fn wishes(&self, open: &dyn Fn(usize, usize) -> bool) -> Vec<Wish> {
+    fn candidates(&self, open: &dyn Fn(usize, usize) -> bool) -> Vec<Candidate> {
         let all = self
             .proxies
             .iter()
             .flat_map(|(id, proxy)| (0..proxy.bindings.len()).map(move |k| (id, proxy, k)));
-        let wish = |(id, proxy, class): (&ProxyId, &Proxy, usize)| {
+        let candidate = |(id, proxy, class): (&ProxyId, &Proxy, usize)| {
             let Binding { place, group, .. } = proxy.bindings[class];
             let (from, demand) = (group.filter(|group| open(place, *group)), self.demand(proxy, class));
-            Wish { proxy: *id, zone: proxy.zone, class, demand, place, from }
+            Candidate { proxy: *id, zone: proxy.zone, class, demand, place, from }
         };
-        all.map(wish).collect()
+        all.map(candidate).collect()
     }
 
     /// The groups' loads. Proxies of other controllers are taken to load them evenly.
-    fn loads(&self, weights: &[f64], wishes: &[Wish]) -> Vec<f64> {
+    fn loads(&self, weights: &[f64], candidates: &[Candidate]) -> Vec<f64> {
         let mut loads = vec![0.0; weights.len()];
-        for wish in wishes {
-            wish.from.into_iter().for_each(|from| loads[from] += wish.demand);
+        for candidate in candidates {
+            candidate.from.into_iter().for_each(|from| loads[from] += candidate.demand);
         }
         let own: f64 = loads.iter().sum();
         let sum = weights.iter().sum::<f64>().max(1e-9);
--- /dev/null
+++ b/src/state/channel.rs
@@ -0,0 +1,87 @@
+//! What waits in the channel to the proxies, as far as can be told.
+
+use std::collections::VecDeque;
+
+use crate::interface::*;
+
+/// What waits in the channel, as far as can be told.
+#[derive(Clone, Debug)]
+pub struct Channel {
+    pub queued: f64,
+    pub sent_at: Nanos,
+    at: Nanos,
+    /// Lines sent since the last mark, and the marks not answered by all yet.
+    unmarked: f64,
+    marks: VecDeque<Marked>,
+    last_mark: u16,
+}
+
+/// What was sent up to a mark: its lines, its messages, and how many of these are still to be answered.
+#[derive(Clone, Copy, Debug)]
+struct Marked {
+    mark: u16,
+    at: Nanos,
+    lines: f64,
+    messages: f64,
+    waiting: f64,
+}
+
+impl Channel {
+    pub fn new(now: Nanos) -> Self {
+        let (marks, last_mark) = (VecDeque::new(), 0);
+        Channel { queued: 0.0, sent_at: Nanos(0), at: now, unmarked: 0.0, marks, last_mark }
+    }
+
+    /// Keeps what is sent; once it is enough, gives the number to mark it with, which costs a line a message.
+    pub fn send(&mut self, now: Nanos, lines: f64, messages: f64, enough: f64) -> Option<u16> {
+        (self.sent_at, self.queued, self.unmarked) = (now, self.queued + lines, self.unmarked + lines);
+        if self.unmarked < enough {
+            return None;
+        }
+        self.queued += messages;
+        self.last_mark = self.last_mark.wrapping_add(1);
+        let lines = std::mem::take(&mut self.unmarked) + messages;
+        self.marks.push_back(Marked { mark: self.last_mark, at: now, lines, messages, waiting: messages });
+        Some(self.last_mark)
+    }
+
+    /// A message of a mark is applied, and so is all that was sent before that mark.
+    pub fn applied(&mut self, mark: u16) {
+        let Some(place) = self.marks.iter().position(|marked| marked.mark == mark) else { return };
+        self.marks.drain(..place);
+        self.marks[0].waiting -= 1.0;
+        if self.marks[0].waiting <= 0.0 {
+            self.marks.pop_front();
+        }
+    }
+
+    /// Lines that are not known to be applied; those marked longer ago than `lost` no longer count.
+    pub fn unapplied(&mut self, now: Nanos, lost: Nanos) -> f64 {
+        self.marks.retain(|marked| now - marked.at < lost);
+        self.marks.iter().map(|marked| marked.lines * marked.waiting / marked.messages).sum()
+    }
+
+    pub fn drain(&mut self, now: Nanos, lines_per_second: f64) {
+        self.queued = (self.queued - (now - self.at).secs() * lines_per_second).max(0.0);
+        self.at = now;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_sent_waits_for_marks_where_the_channel_runs_slowly() {
+        let secs = Nanos::from_secs;
+        let mut channel = Channel::new(secs(0.0));
+        let mark = channel.send(secs(0.0), 600.0, 4.0, 500.0).expect("enough to be marked");
+        assert_eq!(channel.send(secs(0.1), 90.0, 4.0, 500.0), None, "too little for a mark");
+        channel.drain(secs(1.0), 1e6);
+        assert_eq!(channel.queued, 0.0, "by the told pace nothing waits");
+        assert_eq!(channel.unapplied(secs(1.0), secs(10.0)), 604.0);
+        channel.applied(mark);
+        assert_eq!(channel.unapplied(secs(1.0), secs(10.0)), 453.0, "three messages of four");
+        assert_eq!(channel.unapplied(secs(11.0), secs(10.0)), 0.0, "answers so late are lost");
+    }
+}
--- /dev/null
+++ b/src/state/group.rs
@@ -0,0 +1,94 @@
+//! A group of servers as a controller knows it, and the states of its load.
+
+use std::collections::BTreeSet;
+
+use crate::interface::*;
+use crate::state::decay::Seen;
+use crate::state::server::State;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Load {
+    Calm,
+    Shedding,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Strain {
+    Over,
+    Light,
+    Idle,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Limit {
+    Cut,
+    Grow,
+    Lift,
+}
+
+pub struct Group {
+    pub members: BTreeSet<ServerId>,
+    /// The zone of its servers, where all are of one.
+    pub zone: Option<ZoneId>,
+    pub load: Load,
+    /// Operations a second it takes in at most.
+    pub limit: f64,
+    pub changed: Nanos,
+    /// What proxies met of late at its members in no doubt, their mean busy share, and their listed weight.
+    pub seen: Seen,
+    /// The unanswered share at the better half of them.
+    pub better: f64,
+    pub busy: Option<f64>,
+    /// Operations that its members hold, of all controllers' proxies.
+    pub held: f64,
+    /// Share of what arrives that comes from proxies which joined a while ago.
+    pub settled: f64,
+    pub weight: f64,
+    /// Listed weight of all members listed ready.
+    pub listed: f64,
+    /// What proxies met at its cold members, if there are any.
+    pub cold: Option<Seen>,
+    /// By class: what comes to each proxy bound here, per second.
+    pub arrivals: Vec<Vec<f64>>,
+}
+
+impl Group {
+    pub fn new(zone: Option<ZoneId>) -> Self {
+        Group {
+            members: BTreeSet::new(),
+            zone,
+            load: Load::Calm,
+            limit: f64::INFINITY,
+            changed: Nanos(0),
+            seen: Seen::default(),
+            better: 0.0,
+            busy: None,
+            held: 0.0,
+            settled: 0.0,
+            weight: 0.0,
+            listed: 0.0,
+            cold: None,
+            arrivals: Vec::new(),
+        }
+    }
+}
+
+/// What a controller believes of a group, for whoever looks on.
+#[derive(Clone, Debug)]
+pub struct GroupView {
+    pub zone: Option<ZoneId>,
+    pub load: Load,
+    pub limit: f64,
+    /// Operations a second that arrive for it, and that its members handle.
+    pub arrives: f64,
+    pub handled: f64,
+    /// Mean wait, unanswered share, and busy share of its members in no doubt.
+    pub wait: f64,
+    pub unanswered: f64,
+    pub busy: Option<f64>,
+    /// Its members' weight: of those in no doubt, and of all that are listed ready.
+    pub weight: f64,
+    pub listed: f64,
+    /// Its members' names, states, and weights against the listed ones.
+    pub members: Vec<(ServerId, State, f64)>,
+}
--- /dev/null
+++ b/src/state/holdings.rs
@@ -0,0 +1,75 @@
+//! What proxies hold, as far as a controller believes: brought up to date with each order that is sent or refused.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::interface::*;
+use crate::state::{Controller, Transition};
+
+impl Controller {
+    /// The proxies that hold each table.
+    pub(crate) fn users(&self) -> BTreeMap<TableId, BTreeSet<ProxyId>> {
+        let mut users: BTreeMap<TableId, BTreeSet<ProxyId>> = BTreeMap::new();
+        for (id, proxy) in &self.proxies {
+            for table in proxy.bindings.iter().filter_map(|binding| binding.sent) {
+                users.entry(table).or_default().insert(*id);
+            }
+        }
+        users
+    }
+
+    /// Takes back what an order that was refused was held to have left at the proxies.
+    pub(crate) fn note_refused(&mut self, order: &Order) {
+        match order {
+            Order::Line { table, server, .. } => self.tables.entry(*table).or_default().unset_line(server),
+            Order::Level { table, classes, .. } => {
+                let levels = &mut self.tables.entry(*table).or_default().levels;
+                levels.retain(|class, _| !classes.has(ClassId(*class as u8)));
+            }
+            Order::Bind { proxy, classes, table } => {
+                let bindings = self.proxies.get_mut(proxy).into_iter().flat_map(|proxy| &mut proxy.bindings);
+                let named = bindings.enumerate().filter(|(class, _)| classes.has(ClassId(*class as u8)));
+                for (_, binding) in named.filter(|(_, binding)| binding.sent == Some(*table)) {
+                    binding.sent = None;
+                }
+            }
+            Order::Probe { .. } | Order::Mark { .. } | Order::WatchList | Order::Wake { .. } => {}
+        }
+    }
+
+    /// Keeps what an order leaves at the proxies, and tells its lines and the proxies it reaches.
+    pub(crate) fn note_sent(
+        &mut self,
+        order: &Order,
+        users: &mut BTreeMap<TableId, BTreeSet<ProxyId>>,
+    ) -> (usize, BTreeSet<ProxyId>) {
+        match order {
+            Order::Line { table, server, weight } => {
+                let held = self.tables.entry(*table).or_default();
+                let was_empty = held.lines.is_empty();
+                held.set_line(server, *weight);
+                match (was_empty, held.lines.is_empty()) {
+                    (true, false) => self.note_transition(Transition::TableFilled { table: *table }),
+                    (false, true) => self.note_transition(Transition::TableEmptied { table: *table }),
+                    (true, true) | (false, false) => {}
+                }
+                (1, users.get(table).cloned().unwrap_or_default())
+            }
+            Order::Level { table, classes, level, tries } => {
+                let class = classes.0.trailing_zeros() as usize;
+                self.tables.entry(*table).or_default().levels.insert(class, (*level, *tries));
+                (1, users.get(table).cloned().unwrap_or_default())
+            }
+            Order::Bind { proxy, classes, table } => {
+                let bindings = self.proxies.get_mut(proxy).into_iter().flat_map(|proxy| &mut proxy.bindings);
+                let bound = bindings.enumerate().filter(|(class, _)| classes.has(ClassId(*class as u8)));
+                bound.for_each(|(_, binding)| binding.sent = Some(*table));
+                users.entry(*table).or_default().insert(*proxy);
+                let sent = self.tables.entry(*table).or_default();
+                (1 + sent.lines.len() + sent.levels.len(), BTreeSet::from([*proxy]))
+            }
+            Order::Probe { .. } | Order::Mark { .. } | Order::WatchList | Order::Wake { .. } => {
+                (0, BTreeSet::new())
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/state/mod.rs
@@ -0,0 +1,179 @@
+//! What a controller keeps: plain types and sums, without any decision, table or tuned value.
+
+mod binding;
+mod channel;
+mod decay;
+mod group;
+mod holdings;
+mod placement;
+mod server;
+mod table;
+
+use std::collections::BTreeMap;
+
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
+
+use crate::interface::*;
+
+pub use binding::{Binding, Candidate, GroupLoads, Proxy};
+pub use channel::Channel;
+pub use decay::{Decay, Met, Seen};
+pub use group::{Group, GroupView, Limit, Load, Strain};
+pub use placement::{ClassRow, Placement};
+pub use server::{Effect, Server, Sign, State};
+pub use table::{Refusal, Subject, Table};
+
+const TRANSITIONS_KEPT: usize = 1_024; // between two looks: a fleet of that many servers may change at once
+
+/// A change of state that an operator wants to see.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Transition {
+    Server {
+        server: ServerId,
+        from: State,
+        to: State,
+        sign: Sign,
+    },
+    /// `limit`: operations a second that the group takes in at most.
+    Group {
+        group: usize,
+        from: Load,
+        to: Load,
+        limit: f64,
+    },
+    /// A table has lost its last line.
+    TableEmptied {
+        table: TableId,
+    },
+    /// A table without lines has got one.
+    TableFilled {
+        table: TableId,
+    },
+}
+
+/// One instance of the decisions in `policy.rs`, and all it knows.
+pub struct Controller {
+    pub(crate) settings: Settings,
+    pub(crate) rng: Pcg32,
+    pub(crate) born: Nanos,
+    pub(crate) now: Nanos,
+    pub(crate) classes: Vec<ClassRow>,
+    /// The shortest latency goal and the longest, s.
+    pub(crate) goals: (f64, f64),
+    pub(crate) servers: BTreeMap<ServerId, Server>,
+    pub(crate) proxies: BTreeMap<ProxyId, Proxy>,
+    pub(crate) groups: Vec<Group>,
+    /// Distinct placements, the open one first; a table is a group's servers under one of them.
+    pub(crate) placements: Vec<Placement>,
+    pub(crate) tables: BTreeMap<TableId, Table>,
+    pub(crate) steps_left: u32,
+    pub(crate) next_step: Nanos,
+    pub(crate) next_pace: Nanos,
+    pub(crate) next_wake: Nanos,
+    /// When to ask for the list, if it must be asked for.
+    pub(crate) ask_at: Option<Nanos>,
+    pub(crate) ask_wait: Nanos,
+    /// Operations a second that a unit of listed weight could do, at its best lately.
+    pub(crate) best_yield: Decay,
+    /// The most listed weight that was ever ready.
+    pub(crate) most_listed: f64,
+    /// Operations a second that all joined proxies usually get.
+    pub(crate) usual: f64,
+    pub(crate) channel: Channel,
+    /// What was refused of late.
+    pub(crate) refused: BTreeMap<Subject, Refusal>,
+    /// What has changed since that was last asked for.
+    transitions: Vec<Transition>,
+}
+
+impl Controller {
+    pub fn new(settings: Settings, seed: u64, now: Nanos) -> Self {
+        let row = |class: &ClassSettings| ClassRow {
+            importance: class.importance,
+            placement: Placement { zones: class.only_zones.clone(), kinds: class.only_kinds.clone() },
+            home_only: class.home_only,
+        };
+        let goals = settings.classes.iter().map(|class| class.latency_goal.secs());
+        Controller {
+            rng: Pcg32::seed_from_u64(seed),
+            born: now,
+            now,
+            classes: settings.classes.iter().map(row).collect(),
+            goals: (goals.clone().fold(f64::INFINITY, f64::min), goals.fold(0.0, f64::max)),
+            servers: BTreeMap::new(),
+            proxies: BTreeMap::new(),
+            groups: Vec::new(),
+            placements: vec![Placement::default()],
+            tables: BTreeMap::new(),
+            steps_left: 0,
+            next_step: now,
+            next_pace: now,
+            next_wake: now,
+            ask_at: settings.list_on_request.then_some(now),
+            ask_wait: Nanos(0),
+            best_yield: Decay::default(),
+            most_listed: 0.0,
+            usual: 0.0,
+            channel: Channel::new(now),
+            refused: BTreeMap::new(),
+            transitions: Vec::new(),
+            settings,
+        }
+    }
+
+    /// Keeps a change for whoever looks on; beyond what is kept nobody has looked for long.
+    pub(crate) fn note_transition(&mut self, transition: Transition) {
+        if self.transitions.len() < TRANSITIONS_KEPT {
+            self.transitions.push(transition);
+        }
+    }
+
+    /// What has changed since the last call.
+    pub fn take_transitions(&mut self) -> Vec<Transition> {
+        std::mem::take(&mut self.transitions)
+    }
+
+    /// What is believed of load and health, to be held against what passes.
+    pub fn beliefs(&self) -> Vec<GroupView> {
+        let view = |group: &Group| GroupView {
+            zone: group.zone,
+            load: group.load,
+            limit: group.limit,
+            arrives: group.arrivals.iter().flatten().sum(),
+            handled: group.seen.handled,
+            wait: group.seen.wait(),
+            unanswered: group.seen.share(),
+            busy: group.busy,
+            weight: group.weight,
+            listed: group.listed,
+            members: {
+                let all = group.members.iter().map(|id| (id, &self.servers[id]));
+                let ready = all.filter(|(_, server)| server.ready());
+                ready.map(|(id, server)| (id.clone(), server.state, server.pace)).collect()
+            },
+        };
+        self.groups.iter().map(view).collect()
+    }
+
+    /// Servers that are remembered, those lately gone included.
+    pub fn servers_known(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Operations a second that a unit of listed weight could do, at its best lately.
+    pub fn best_yield(&self) -> f64 {
+        self.best_yield.read(self.now)
+    }
+
+    /// Where a class may run for proxies of a zone, by its place among the placements met so far.
+    pub(crate) fn place_of(&mut self, class: usize, zone: ZoneId) -> usize {
+        let row = &self.classes[class];
+        let zones = if row.home_only { vec![zone] } else { row.placement.zones.clone() };
+        let placement = Placement { zones, kinds: row.placement.kinds.clone() };
+        self.placements.iter().position(|known| *known == placement).unwrap_or_else(|| {
+            self.placements.push(placement);
+            self.placements.len() - 1
+        })
+    }
+}
