Levels: a class that no proxy of a group has gets no level there

The level stands in the table before the first proxy of that class is bound to it, and levels go out last, only once the channel has rested half a second: until then that proxy refuses the class whole.

Change: where no proxy of the group has the class, no level is set.

The test failed before: a level for the class closed to one zone stood in the other zone's table.

--- a/src/levels.rs
+++ b/src/levels.rs
@@ -133,6 +133,10 @@
         let sums: Vec<f64> = group.arrivals.iter().map(|arrivals| arrivals.iter().sum()).collect();
         let mut levels = BTreeMap::new();
         for (class, row) in self.classes.iter().enumerate() {
+            // No proxy of the group has this class: a level would only meet who is bound next.
+            if group.arrivals[class].is_empty() {
+                continue;
+            }
             let sum_of = |fits: fn(&f64, &f64) -> bool| -> f64 {
                 let fitting = self.classes.iter().zip(&sums);
                 fitting
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -104,6 +104,16 @@
     assert!(young < 0.7 * grown, "{young}, later {grown}");
 }
 
+#[test]
+fn no_class_is_limited_in_a_group_where_no_proxy_has_it() {
+    let world = calm_world(LevelUnit::Rate);
+    let unused = world.levels.iter().filter(|((table, class), _)| {
+        let held = world.bound.iter().filter(|((_, bound), _)| bound == class);
+        !held.map(|(_, bound)| bound).any(|bound| bound == table)
+    });
+    assert_eq!(unused.count(), 0, "{:?}, {:?}", world.levels, world.bound);
+}
+
 #[test]
 fn a_controller_lets_no_cold_server_in_before_it_knows_more() {
     let mut world = World::new(settings(LevelUnit::Share), 7, 10);
