Log: a bounded queue and a thread of its own; the event loop waits for no reader

Where its reader was gone, or the device had no room, the process ended with exit code 101; so did a start that failed.

Cause: the log was written from the event loop. A failed write made the library print to standard error, which panics where that fails too.

Change: `node`, `run` and `agent` queue their lines (4,096 lines and 1 MiB at most) for a thread that writes them. What does not fit, or the sink refuses, is dropped and counted: `log_lines_dropped` stands in "status of input" and in the coordinator's `/status`, and a line tells it once lines are taken again. (In "status of clients" the field made the line longer than the 250 bytes that no_line_of_the_log_is_longer_than_is_kept allows.) EAGAIN is tried again after 20 ms, EINTR at once; after any other error the next line is tried, on a line of its own. The end leaves a sink that has taken nothing for 50 ms, and takes 250 ms at most. Panics go the same way, so that a panicking process ends. No other command panics any more where its output or error can't be written.

Not tracing-appender: by its source, its guard waits up to 1.1 s for a stalled sink and then prints, a failed write counts as written, a line that would block is lost in part, and a thread that can't be had panics.

--- a/crates/craneknot-cli/src/main.rs
+++ b/crates/craneknot-cli/src/main.rs
@@ -1,6 +1,8 @@
 //! The `craneknot` program.
 
+mod log_writer;
 mod model;
+mod output;
 mod soak;
 mod solve;
 mod status;
@@ -24,6 +26,8 @@
 use tracing::error;
 use tracing_subscriber::EnvFilter;
 
+use crate::output::{error_line, print_line};
+
 const SIGHUP: i32 = 1;
 const SIGINT: i32 = 2;
 const SIGTERM: i32 = 15;
@@ -179,17 +183,33 @@
     },
 }
 
+impl Command {
+    /// Whether others wait for the process: it must not wait for its standard error.
+    fn serves(&self) -> bool {
+        matches!(self, Command::Run { .. } | Command::Node { .. } | Command::Agent { .. })
+    }
+}
+
 fn main() -> ExitCode {
     let cli = Cli::parse();
+    // Dropped after all else, so that the last lines are written.
+    let _log = cli.command.serves().then(output::start_log_thread);
+    run(cli)
+}
+
+fn run(cli: Cli) -> ExitCode {
     let Ok(filter) = EnvFilter::try_new(&cli.level) else {
-        eprintln!(
+        error_line!(
             "craneknot: --level {:?} is not a level such as `info` or `warn,craneknot_agent=debug`",
             cli.level
         );
         return ExitCode::from(2);
     };
-    let log =
-        tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_target(false);
+    let log = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(output::log())
+        .log_internal_errors(false)
+        .with_target(false);
     match cli.log {
         LogForm::Json => log.json().init(),
         LogForm::Text => log.with_ansi(false).init(),
@@ -201,7 +221,7 @@
 }
 
 fn wrong(problems: Problems) -> Failed {
-    eprintln!("{problems}");
+    error_line!("{problems}");
     Failed::Settings
 }
 
@@ -242,6 +262,7 @@
             let clock = Arc::new(SteadyClock::new());
             let mut shell = Shell::new(read, folder_of(&settings), clock).map_err(system)?;
             shell.reload_from(&settings);
+            shell.tell_dropped_lines(output::dropped_lines());
             shell.end_on(signals);
             match shell.run() {
                 Ended::Asked => Ok(()),
@@ -250,7 +271,7 @@
         }
         Command::Node { config } => {
             let Some(file) = config.or_else(|| std::env::var_os("NODE_CONFIG").map(PathBuf::from)) else {
-                eprintln!("craneknot: name the configuration, or set NODE_CONFIG to its path");
+                error_line!("craneknot: name the configuration, or set NODE_CONFIG to its path");
                 return Err(Failed::Settings);
             };
             let clock = Arc::new(SteadyClock::new());
@@ -258,11 +279,12 @@
             let mut shell =
                 craneknot_node::shell::Shell::new(&file, clock, &ends).map_err(|cause| match cause {
                     NoStart::Config(what) => {
-                        eprintln!("craneknot: {what}");
+                        error_line!("craneknot: {what}");
                         Failed::Settings
                     }
                     NoStart::System(cause) => system(cause),
                 })?;
+            shell.tell_dropped_lines(output::dropped_lines());
             match shell.run() {
                 craneknot_node::shell::Ended::Asked => Ok(()),
                 craneknot_node::shell::Ended::Failed(cause) => Err(system(cause)),
@@ -284,11 +306,11 @@
                 Kind::Script => load::<Script>(&file).map(drop),
             }
             .map_err(wrong)?;
-            println!("{}: in order", file.display());
+            print_line!("{}: in order", file.display());
             Ok(())
         }
         Command::Schema { kind } => {
-            println!(
+            print_line!(
                 "{}",
                 match kind {
                     Kind::Coordinator => schema_text::<CoordinatorSettings>(),
@@ -304,7 +326,7 @@
             let programs = Programs { first: upgrade_from.as_deref().unwrap_or(&program), next: &program };
             let kept = Kept { folder: folder.as_deref(), recording: record.as_deref() };
             let result = craneknot_rehearsal::rehearse(&read, programs, kept).map_err(system)?;
-            print!("{}", result.lines());
+            output::write_output(format_args!("{}", result.lines()));
             keep(report.as_deref(), &result)?;
             if result.passed() {
                 Ok(())
@@ -331,10 +353,10 @@
             let mut failed = false;
             for address in coordinators {
                 match status::ask(address, "/status") {
-                    Ok(status) if json => println!("{status}"),
-                    Ok(status) => print!("{}", status::text(address, &status)),
+                    Ok(status) if json => print_line!("{status}"),
+                    Ok(status) => output::write_output(format_args!("{}", status::text(address, &status))),
                     Err(cause) => {
-                        eprintln!("{address}: {cause}");
+                        error_line!("{address}: {cause}");
                         failed = true;
                     }
                 }
@@ -349,7 +371,7 @@
             let program = std::env::current_exe().map_err(system)?;
             let asked = craneknot_rehearsal::measure::Asked { agents, servers, seconds, sync };
             let figures = craneknot_rehearsal::measure::measure(&program, asked).map_err(system)?;
-            println!("{}", pretty(&figures));
+            print_line!("{}", pretty(&figures));
             keep(report.as_deref(), &figures)
         }
     }
--- a/crates/craneknot-cli/src/model.rs
+++ b/crates/craneknot-cli/src/model.rs
@@ -14,6 +14,7 @@
 use craneknot_rehearsal::Script;
 use tracing::error;
 
+use crate::output::{self, error_line, print_line};
 use crate::{keep, pretty, script_of, system, Failed};
 
 /// How many runs, and what stands beside.
@@ -142,14 +143,14 @@
 /// A coordinator's ledger.
 pub fn ledger_of(file: &Path) -> Result<Told, Failed> {
     ledger::read(file).map_err(|fault| {
-        eprintln!("{}: {fault}", file.display());
+        error_line!("{}: {fault}", file.display());
         Failed::Settings
     })
 }
 
 fn recording_of(file: &Path) -> Result<Recording, Failed> {
     Recording::read(file).map_err(|fault| {
-        eprintln!("{}: {fault}", file.display());
+        error_line!("{}: {fault}", file.display());
         Failed::Settings
     })
 }
@@ -158,7 +159,7 @@
 fn build_of(program: Option<PathBuf>, scripts: &[&Script]) -> Result<Build, Failed> {
     let Some(program) = program else { return Ok(Build::Own) };
     if let Some(script) = scripts.iter().find(|script| script.shared.is_some()) {
-        eprintln!("script {:?}: /shared: a hosted build knows no shared fleet; leave it out", script.name);
+        error_line!("script {:?}: /shared: a hosted build knows no shared fleet; leave it out", script.name);
         return Err(Failed::Settings);
     }
     Ok(Build::Hosted(program))
@@ -166,28 +167,28 @@
 
 fn told(single: &Single) {
     let broken = single.broken.as_ref().map_or(String::new(), |first| format!("; a rule broke: {first}"));
-    eprintln!("seed {}: service {:.4}{broken}", single.seed, single.service);
+    error_line!("seed {}: service {:.4}{broken}", single.seed, single.service);
 }
 
 /// Prints what came out, keeps it, and fails where a rule broke.
 fn finish(outcome: &Outcome, out: Option<&Path>) -> Result<(), Failed> {
     for arm in &outcome.arms {
-        println!("{}: service {}", arm.name, arm.service);
-        println!("  worst 10 s {}, p99 {} ms", arm.worst_window, arm.p99_ms);
+        print_line!("{}: service {}", arm.name, arm.service);
+        print_line!("  worst 10 s {}, p99 {} ms", arm.worst_window, arm.p99_ms);
         for cost in arm.singles.iter().filter_map(|single| single.cost).take(1) {
             let ((half, most), (age, oldest)) = (cost.turn_us, cost.age_s);
-            println!(
+            print_line!(
                 "  a turn {half:.0} us (99 of 100: {most:.0}), what it learns {age:.2} s old ({oldest:.2})"
             );
         }
         for (name, estimate) in &arm.beside {
             let fell: usize = arm.singles.iter().filter_map(|single| single.beside_fell.get(name)).sum();
             let note = if fell > 0 { format!(", {fell} cold servers pushed over") } else { String::new() };
-            println!("  {name}: {estimate}{note}");
+            print_line!("  {name}: {estimate}{note}");
         }
     }
     for difference in &outcome.differences {
-        println!("{} less {}: service {}", difference.arm, difference.less, difference.service);
+        print_line!("{} less {}: service {}", difference.arm, difference.less, difference.service);
     }
     if let Some(forecast) = &outcome.forecast {
         let measured = match (forecast.measured, forecast.inside) {
@@ -195,14 +196,14 @@
             (Some(value), Some(false)) => format!("; measured {value:.4}, outside"),
             (Some(_) | None, _) => String::new(),
         };
-        println!("forecast of one run: {}{measured}", forecast.next);
+        print_line!("forecast of one run: {}{measured}", forecast.next);
     }
     keep(out, outcome)?;
     match outcome.broken().next() {
         None => Ok(()),
         Some((arm, single)) => {
             let first = single.broken.as_deref().unwrap_or_default();
-            eprintln!("{arm}, seed {}: a rule broke: {first}", single.seed);
+            error_line!("{arm}, seed {}: a rule broke: {first}", single.seed);
             Err(Failed::Rule)
         }
     }
@@ -217,11 +218,11 @@
     match serde_json::from_slice::<Outcome>(&text) {
         Ok(outcome) if outcome.format == experiment::FORMAT => Ok(Input::Outcome(name, Box::new(outcome))),
         Ok(outcome) => {
-            eprintln!("{name}: its format is {:?}; {:?} is wanted", outcome.format, experiment::FORMAT);
+            error_line!("{name}: its format is {:?}; {:?} is wanted", outcome.format, experiment::FORMAT);
             Err(Failed::Settings)
         }
         Err(cause) => {
-            eprintln!("{name}: neither a recording nor an outcome of an experiment: {cause}");
+            error_line!("{name}: neither a recording nor an outcome of an experiment: {cause}");
             Err(Failed::Settings)
         }
     }
@@ -247,7 +248,7 @@
                 let played = play_whole(&read, Ask::default());
                 let recording = Recording::of("model", &read, played.begin, &played.records, &played.report);
                 recording.write(&path).map_err(system)?;
-                print!("{}", played.report.lines());
+                output::write_output(format_args!("{}", played.report.lines()));
             }
             let outcome = match &recording {
                 Some(recording) => experiment::replay(recording, &read, runs.into(), told),
@@ -266,13 +267,13 @@
         Act::Sweep { script, axes, runs, out } => {
             let read = script_of(Some(&script), None)?;
             let outcome = experiment::sweep(&read, &axes, runs.into(), |arm, single| {
-                eprint!("{arm}, ");
+                output::write_error(format_args!("{arm}, "));
                 told(single);
             });
             match outcome {
                 Ok(outcome) => finish(&outcome, out.as_deref()),
                 Err(cause) => {
-                    eprintln!("{}: {cause}", script.display());
+                    error_line!("{}: {cause}", script.display());
                     Err(Failed::Settings)
                 }
             }
@@ -280,27 +281,27 @@
         Act::Fit { recording, out } => {
             let read = recording_of(&recording)?;
             let fitted = fit::fit(&read, ROUND_TRIP).map_err(|cause| {
-                eprintln!("{}: {cause}", recording.display());
+                error_line!("{}: {cause}", recording.display());
                 Failed::Settings
             })?;
-            println!("{}", pretty(&fitted));
+            print_line!("{}", pretty(&fitted));
             keep(out.as_deref(), &fitted.script)
         }
         Act::Feed { ledgers, script, seed, out } => {
             let script = script_of(Some(&script), None)?;
             let told = ledgers.iter().map(|file| ledger_of(file)).collect::<Result<Vec<Told>, Failed>>()?;
             let fed = feed::recording(&told, &script, seed).map_err(|cause| {
-                eprintln!("{cause}");
+                error_line!("{cause}");
                 Failed::Settings
             })?;
             if fed.torn > 0 {
-                eprintln!("{} ledgers end in a part that was cut short: left out", fed.torn);
+                error_line!("{} ledgers end in a part that was cut short: left out", fed.torn);
             }
             if fed.missing > 0 {
-                eprintln!("{} lines are missing: the disk did not take them", fed.missing);
+                error_line!("{} lines are missing: the disk did not take them", fed.missing);
             }
             let length = fed.recording.head.script.length;
-            println!("{} operations in {length}, {} tries without an answer", fed.arrived, fed.unanswered);
+            print_line!("{} operations in {length}, {} tries without an answer", fed.arrived, fed.unanswered);
             fed.recording.write(&out).map_err(system)
         }
         Act::Plot { files, out } => {
@@ -315,14 +316,14 @@
             let base = script_of(script.as_deref(), seed)?;
             let found = hunt::hunt(&base, days, |day, report| {
                 if !report.passed() {
-                    eprintln!("day {day}: a rule broke, seed {}", report.seed);
+                    error_line!("day {day}: a rule broke, seed {}", report.seed);
                 }
             });
-            print!("{}", found.report.lines());
-            println!("{:.3} behind the bound; {} days played", found.badness.behind, found.played);
+            output::write_output(format_args!("{}", found.report.lines()));
+            print_line!("{:.3} behind the bound; {} days played", found.badness.behind, found.played);
             match out {
                 Some(path) => keep(Some(&path), &found.script)?,
-                None => println!("{}", pretty(&found.script)),
+                None => print_line!("{}", pretty(&found.script)),
             }
             if found.report.passed() {
                 Ok(())
--- a/crates/craneknot-cli/src/soak.rs
+++ b/crates/craneknot-cli/src/soak.rs
@@ -2,6 +2,7 @@
 
 use craneknot_rehearsal::soak::{run, Day, SoakReport, SoakSettings};
 
+use crate::output::print_line;
 use crate::{system, Failed};
 
 /// Plays so many seeds from the first on.
@@ -12,13 +13,13 @@
         std::fs::create_dir_all(&folder).map_err(system)?;
         let one = SoakSettings { seed, folder, ..settings.clone() };
         let report = run(&one).map_err(system)?;
-        println!("{}", line(&report));
+        print_line!("{}", line(&report));
         if !report.broken.is_empty() {
             failed += 1;
             tell(&report, &one);
         }
     }
-    println!("{seeds} seeds, {failed} failed");
+    print_line!("{seeds} seeds, {failed} failed");
     if failed == 0 {
         Ok(())
     } else {
@@ -49,12 +50,12 @@
 
 /// What was broken, what was played, and how to play it again.
 fn tell(report: &SoakReport, settings: &SoakSettings) {
-    report.broken.iter().for_each(|broken| println!("  broken: {broken}"));
-    report.schedule.iter().for_each(|planned| println!("  played: {planned}"));
+    report.broken.iter().for_each(|broken| print_line!("  broken: {broken}"));
+    report.schedule.iter().for_each(|planned| print_line!("  played: {planned}"));
     let library = settings.fault_library.as_ref();
     let library = library.map_or(String::new(), |path| format!(" --fault-library {}", path.display()));
     let day = if settings.day == Day::Incident { " --incident" } else { "" };
-    println!(
+    print_line!(
         "  again: craneknot soak{day} --seed {} --nodes {} --seconds {}{library}",
         settings.seed,
         settings.nodes,
--- a/crates/craneknot-cli/src/solve.rs
+++ b/crates/craneknot-cli/src/solve.rs
@@ -13,6 +13,7 @@
 use craneknot_solver::explain::{explain, Explanation};
 use craneknot_solver::steer::{self, Steer};
 
+use crate::output::{self, error_line, print_line};
 use crate::{pretty, status, system, Failed};
 
 /// What is to be solved, and how.
@@ -156,7 +157,7 @@
         (Some(file), _) => {
             let told = crate::model::ledger_of(file)?;
             if told.torn {
-                eprintln!("{}: its last part was cut short and is left out", file.display());
+                error_line!("{}: its last part was cut short and is left out", file.display());
             }
             let solver = SolverSettings {
                 margin: asked.margin,
@@ -166,7 +167,7 @@
             };
             let problems = solver.check("", &told.head.zones);
             if let Some(problem) = problems.first() {
-                eprintln!("--crossing-of: {} ({})", problem.what, problem.mend);
+                error_line!("--crossing-of: {} ({})", problem.what, problem.mend);
                 return Err(Failed::Settings);
             }
             play(&told, &solver, asked.at.map(Nanos::from_secs))
@@ -175,23 +176,23 @@
             let status = status::ask(address, "/status?weights").map_err(system)?;
             let weights = status.get("weights").filter(|weights| !weights.is_null());
             let Some(weights) = weights else {
-                eprintln!("{address}: it goes by listed weights: its settings have no /solver");
+                error_line!("{address}: it goes by listed weights: its settings have no /solver");
                 return Err(Failed::Settings);
             };
             serde_json::from_value(weights.clone()).map_err(|cause| system(std::io::Error::other(cause)))?
         }
         (None, None) => {
-            eprintln!("craneknot solve: name a ledger, or --coordinator ADDRESS");
+            error_line!("craneknot solve: name a ledger, or --coordinator ADDRESS");
             return Err(Failed::Settings);
         }
     };
     if asked.json {
-        println!("{}", pretty(&explanation));
+        print_line!("{}", pretty(&explanation));
     } else if asked.explain {
-        print!("{}", explanation.text());
+        output::write_output(format_args!("{}", explanation.text()));
     } else {
         for of in &explanation.servers {
-            println!("{} {:.4}", of.server, of.weight);
+            print_line!("{} {:.4}", of.server, of.weight);
         }
     }
     Ok(())
--- a/crates/craneknot-cli/src/status.rs
+++ b/crates/craneknot-cli/src/status.rs
@@ -51,6 +51,7 @@
         "  decided to swapped, ms (half, 99 of 100, longest): {}",
         figure("decided_to_swapped_ms")
     );
+    let _ = writeln!(text, "  log lines dropped {}", figure("log_lines_dropped"));
     let shared = at(status, "shared");
     if shared.is_object() {
         let _ = writeln!(
--- a/crates/craneknot-cli/tests/helpers/mod.rs
+++ b/crates/craneknot-cli/tests/helpers/mod.rs
@@ -102,3 +102,24 @@
     value["known"]["members"] = (0..6).map(server).collect();
     value
 }
+
+/// Settings of `craneknot run`, which tells its address in `ready.json`.
+pub fn coordinator_settings() -> Value {
+    json!({
+        "name": "tested", "listen": "127.0.0.1:0", "ready_file": "ready.json", "seed": 1,
+        "fleet": {
+            "zones": ["north"], "coordinators": 1, "proxies": 4, "levels": "rate",
+            "classes": [
+                {"name": "read", "latency_goal": "1s", "hard_stop": "3s", "importance": 1, "repeats": "safe"}
+            ]
+        },
+        "rules": {
+            "drain_grace": "2s", "cold_share": 0.2, "warm_after": "10s", "fall_multiple": 3, "fall_window": "2s",
+            "bare_limit": "2s"
+        },
+        "channel": {"lines_per_second": 10000, "lines_limit": 20000, "lines_per_message": 3},
+        "roster": {"file": "servers.json"},
+        "report_period": "100ms",
+        "probes": {"enabled": false, "time_out": "300ms"}
+    })
+}
--- a/crates/craneknot-cli/tests/system_calls.rs
+++ b/crates/craneknot-cli/tests/system_calls.rs
@@ -34,6 +34,7 @@
         "open=EINTR#2",
         "epoll_wait=ENOMEM#2",
         "socket=EMFILE#2;epoll_ctl=ENOSPC#1",
+        "pthread_create=EAGAIN#3",
     ] {
         let folder = tempfile::tempdir().unwrap();
         let node = start(folder.path(), &configuration(relay.local_addr().unwrap()), faults, 0);
@@ -67,6 +68,22 @@
     }
 }
 
+#[test]
+fn log_lines_stay_whole_whatever_writes_of_them_fail_for_a_moment() {
+    let relay = listener();
+    let faults = "write=EINTR@0.2;write=EAGAIN@0.1;write=SHORT@0.5";
+    for seed in 1..=3 {
+        let folder = tempfile::tempdir().unwrap();
+        let mut node = start(folder.path(), &configuration(relay.local_addr().unwrap()), faults, seed);
+        drop(node.answered_client());
+        node.signal(Signal::TERM);
+        node.signal(Signal::INT);
+        assert_eq!(node.child.wait().unwrap().code(), Some(0), "seed {seed}");
+        let told = node.log.lock().unwrap().clone();
+        assert!(told.iter().all(|line| serde_json::from_str::<Value>(line).is_ok()), "{seed}: {told:?}");
+    }
+}
+
 /// Orders reach the relay, each proxy's in order, though calls to it fail in every way for a moment.
 #[test]
 fn orders_go_out_whatever_system_calls_fail_for_a_moment() {
--- a/crates/craneknot-coordinator/src/shell.rs
+++ b/crates/craneknot-coordinator/src/shell.rs
@@ -15,7 +15,9 @@
 use craneknot_http::{
     request, response, response_chunks, Limits as HttpLimits, RequestReader, ResponseReader,
 };
-use craneknot_reactor::{Clock, ConnId, FolderWatch, Happened, Limits, ListenerId, Reactor, SignalFlags};
+use craneknot_reactor::{
+    Clock, ConnId, Counter, FolderWatch, Happened, Limits, ListenerId, Reactor, SignalFlags,
+};
 use craneknot_settings::{load, CoordinatorSettings, SharedSettings};
 use craneknot_store::{replace, RealDisk, Store, StoreError};
 use craneknot_xds::discovery::{DiscoveryRequest, Kind};
@@ -94,6 +96,7 @@
     ledger: Option<LedgerFile>,
     /// Read again when asked to.
     file: Option<PathBuf>,
+    log_lines_dropped: Counter,
 }
 
 /// What a shared fleet needs: the store, and a socket for datagrams.
@@ -220,6 +223,7 @@
             read_roster: true,
             shared,
             file: None,
+            log_lines_dropped: Counter::default(),
         })
     }
 
@@ -228,6 +232,11 @@
         self.reactor.heed(signals);
     }
 
+    /// Tells this count in the status: of log lines that were not written.
+    pub fn tell_dropped_lines(&mut self, dropped: Counter) {
+        self.log_lines_dropped = dropped;
+    }
+
     /// Reads this file again on SIGHUP: members of a shared fleet may change in service, all else with a new start.
     pub fn reload_from(&mut self, file: &Path) {
         self.file = Some(file.to_owned());
@@ -503,6 +512,7 @@
             self.load_report(conn, now, message.body());
         } else if path == "/status" && method == Method::GET {
             let mut status = serde_json::to_value(self.desk.status(now)).unwrap_or_default();
+            status["log_lines_dropped"] = self.log_lines_dropped.get().into();
             if let Some(shared) = &self.shared {
                 let health = shared.store.health();
                 status["store"] = serde_json::json!({
--- a/crates/craneknot-fault-shim/src/lib.rs
+++ b/crates/craneknot-fault-shim/src/lib.rs
@@ -8,14 +8,14 @@
 //! | `CRANEKNOT_WALL_OFFSET_S` | seconds added to the wall clock, a whole number |
 //! | `CRANEKNOT_WALL_OFFSET_FILE` | a file with that number, read at every look at the clock, so that a test can step it |
 //!
-//! Calls on sockets are struck on IPv4 sockets alone. The monotonic clock is left as it is.
+//! Calls on sockets are struck on IPv4 sockets alone, and `write` on standard error alone. The monotonic clock is left as it is.
 
 mod next;
 mod rules;
 
 use std::ffi::{c_char, c_int, c_void};
 
-use libc::{iovec, mode_t, sockaddr, socklen_t, ssize_t, timespec};
+use libc::{iovec, mode_t, pthread_attr_t, pthread_t, sockaddr, socklen_t, ssize_t, timespec};
 
 use next::next;
 use rules::{Call, Outcome};
@@ -180,6 +180,41 @@
     call(fd)
 }
 
+/// # Safety
+/// As write(2).
+#[no_mangle]
+pub unsafe extern "C" fn write(fd: c_int, buffer: *const c_void, length: usize) -> ssize_t {
+    let call: extern "C" fn(c_int, *const c_void, usize) -> ssize_t = next!(b"write\0");
+    if fd != libc::STDERR_FILENO {
+        return call(fd, buffer, length);
+    }
+    match rules::strike(Call::Write) {
+        Outcome::Pass => call(fd, buffer, length),
+        Outcome::Short => call(fd, buffer, length.min(1)),
+        Outcome::Fail(code) => fail(code) as ssize_t,
+    }
+}
+
+/// What a new thread runs.
+type ThreadStart = extern "C" fn(*mut c_void) -> *mut c_void;
+
+/// # Safety
+/// As pthread_create(3).
+#[no_mangle]
+pub unsafe extern "C" fn pthread_create(
+    thread: *mut pthread_t,
+    attributes: *const pthread_attr_t,
+    start: ThreadStart,
+    argument: *mut c_void,
+) -> c_int {
+    if let Outcome::Fail(code) = rules::strike(Call::PthreadCreate) {
+        return code;
+    }
+    let call: extern "C" fn(*mut pthread_t, *const pthread_attr_t, ThreadStart, *mut c_void) -> c_int =
+        next!(b"pthread_create\0");
+    call(thread, attributes, start, argument)
+}
+
 /// # Safety
 /// As clock_gettime(2).
 #[no_mangle]
--- a/crates/craneknot-fault-shim/src/rules.rs
+++ b/crates/craneknot-fault-shim/src/rules.rs
@@ -18,6 +18,8 @@
     EpollWait,
     Open,
     Fsync,
+    Write,
+    PthreadCreate,
 }
 
 /// What becomes of a call.
@@ -41,6 +43,8 @@
     ("epoll_wait", Call::EpollWait),
     ("open", Call::Open),
     ("fsync", Call::Fsync),
+    ("write", Call::Write),
+    ("pthread_create", Call::PthreadCreate),
 ];
 
 const ERRORS: &[(&str, c_int)] = &[
--- a/crates/craneknot-node/src/log_event.rs
+++ b/crates/craneknot-node/src/log_event.rs
@@ -196,8 +196,20 @@
     );
 }
 
+/// Figures of the process, beside those of the coordinator.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ProcessFigures {
+    /// Connections that stand, dialled ones included.
+    pub connections: usize,
+    /// System calls that failed for a moment and were made again.
+    pub system_calls_retried: u64,
+    /// Log lines that were not written, since standard error did not take them.
+    pub log_lines_dropped: u64,
+}
+
 /// The status lines: what may be broken first, then what is under way, then who is there.
-pub fn write_status(status: &Status, connections: usize, system_calls_retried: u64) {
+pub fn write_status(status: &Status, process: ProcessFigures) {
+    let ProcessFigures { connections, system_calls_retried, log_lines_dropped } = process;
     let Violations { closed_unanswered, orders_forbidden, orders_overtaken, .. } = status.violations;
     info!(
         uncovered = status.coverage.uncovered,
@@ -231,6 +243,7 @@
         reports_malformed = status.reports_malformed,
         news_malformed = status.news_malformed,
         event_streams = status.event_streams,
+        log_lines_dropped,
         "status of input"
     );
 }
--- a/crates/craneknot-node/src/shell.rs
+++ b/crates/craneknot-node/src/shell.rs
@@ -15,7 +15,7 @@
 use craneknot_platform::lines;
 use craneknot_reactor::system_errors::{is_momentary_at_start, is_own_failure};
 use craneknot_reactor::{
-    Clock, CloseCause, ConnId, Happened, Limits, ListenerId, Reactor, SendError, SignalFlags,
+    Clock, CloseCause, ConnId, Counter, Happened, Limits, ListenerId, Reactor, SendError, SignalFlags,
 };
 use tracing::{debug, error, info, warn};
 
@@ -23,7 +23,7 @@
 use crate::coordinator::{Coordinator, Todo};
 use crate::descriptors::Descriptors;
 use crate::link::{Act, LinkId};
-use crate::log_event::{cut, write_status, EventLog, LogEvent};
+use crate::log_event::{cut, write_status, EventLog, LogEvent, ProcessFigures};
 use crate::pending::{CloseReason, Violations};
 
 const INPUT: usize = 256 * 1024; // bytes read ahead of a peer that has joined, or was dialled
@@ -104,6 +104,7 @@
     turn_at: Option<Nanos>,
     shutdown: Shutdown,
     log: EventLog,
+    log_lines_dropped: Counter,
 }
 
 /// Why a configuration can't be taken.
@@ -200,6 +201,7 @@
             turn_at: None,
             shutdown: Shutdown::No,
             log: EventLog::default(),
+            log_lines_dropped: Counter::default(),
         })
     }
 
@@ -208,6 +210,11 @@
         self.address
     }
 
+    /// Tells this count in the status lines: of log lines that were not written.
+    pub fn tell_dropped_lines(&mut self, dropped: Counter) {
+        self.log_lines_dropped = dropped;
+    }
+
     /// Runs until a signal ends it.
     pub fn run(&mut self) -> Ended {
         loop {
@@ -270,8 +277,7 @@
             }
             Happened::Timer(Due::Turn) => self.turn_at = None,
             Happened::Timer(Due::Status) => {
-                let (connections, retried) = (self.reactor.connections(), self.reactor.system_failures());
-                write_status(&self.coordinator.status(), connections, retried);
+                write_status(&self.coordinator.status(), self.process_figures());
                 self.log.begin_anew();
                 self.tell_beliefs();
                 self.reactor.set_timer(self.reactor.now() + STATUS_EVERY, Due::Status);
@@ -368,6 +374,14 @@
         }
     }
 
+    fn process_figures(&self) -> ProcessFigures {
+        ProcessFigures {
+            connections: self.reactor.connections(),
+            system_calls_retried: self.reactor.system_failures(),
+            log_lines_dropped: self.log_lines_dropped.get(),
+        }
+    }
+
     /// What the decisions believe, to be held against what passes.
     fn tell_beliefs(&self) {
         if !tracing::enabled!(tracing::Level::DEBUG) {
--- a/crates/craneknot-node/tests/observability.rs
+++ b/crates/craneknot-node/tests/observability.rs
@@ -9,7 +9,7 @@
 use craneknot_node::clients::ClientId;
 use craneknot_node::coordinator::Status;
 use craneknot_node::coverage::{Coverage, CoverageFigures, Lapse, WaitingFor};
-use craneknot_node::log_event::{write_status, EventLog, LogEvent};
+use craneknot_node::log_event::{write_status, EventLog, LogEvent, ProcessFigures};
 use craneknot_node::order_queue::Outcome;
 use craneknot_node::pending::Violations;
 use craneknot_node::takeover::Takeover;
@@ -144,7 +144,9 @@
     for is_json in [false, true] {
         let mut log = EventLog::default();
         let lines = logged(is_json, || {
-            write_status(&status, 1_024, many);
+            let process =
+                ProcessFigures { connections: 1_024, system_calls_retried: many, log_lines_dropped: many };
+            write_status(&status, process);
             all_events().iter().for_each(|event| assert!(log.write(event)));
         });
         assert_eq!(lines.len(), 4 + all_events().len(), "one line an event");
--- /dev/null
+++ b/crates/craneknot-reactor/src/counter.rs
@@ -0,0 +1,18 @@
+//! A count shared between threads.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+
+/// A count that one thread raises and others read; its clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct Counter(Arc<AtomicU64>);
+
+impl Counter {
+    pub fn add(&self, count: u64) {
+        self.0.fetch_add(count, Ordering::Relaxed);
+    }
+
+    pub fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
--- a/crates/craneknot-reactor/src/lib.rs
+++ b/crates/craneknot-reactor/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod clock;
 mod conn;
+mod counter;
 mod reactor;
 mod signals;
 pub mod system_errors;
@@ -11,6 +12,7 @@
 mod watch;
 
 pub use clock::{Clock, DrivenClock, SteadyClock};
+pub use counter::Counter;
 pub use reactor::{reserve, CloseCause, ConnId, Happened, Limits, ListenerId, Reactor, SendError};
 pub use signals::SignalFlags;
 pub use timers::{TimerId, Timers};
