Reload: a pipe in place of a file that is read again holds up no client

What callers saw: after SIGHUP with a pipe where the configuration, the settings or the list of servers should be, nobody was answered until somebody wrote to it.

Cause: opening or reading a pipe waits for its writer, and the event loop read the file that way.

Change: files that are read while clients wait must be regular ones, of a bounded size; they are opened without blocking, and anything else is refused with the old one standing. A start reads as before. A regular file on a stalled file system still holds the loop up.

--- a/crates/craneknot-coordinator/src/shell.rs
+++ b/crates/craneknot-coordinator/src/shell.rs
@@ -16,9 +16,10 @@
     request, response, response_chunks, Limits as HttpLimits, RequestReader, ResponseReader,
 };
 use craneknot_reactor::{
-    Clock, ConnId, Counter, FolderWatch, Happened, Limits, ListenerId, Reactor, SignalFlags,
+    read_regular_file, Clock, ConnId, Counter, FolderWatch, Happened, Limits, ListenerId, Reactor,
+    SignalFlags,
 };
-use craneknot_settings::{load, CoordinatorSettings, SharedSettings};
+use craneknot_settings::{parse, CoordinatorSettings, SharedSettings};
 use craneknot_store::{replace, RealDisk, Store, StoreError};
 use craneknot_xds::discovery::{DiscoveryRequest, Kind};
 use craneknot_xds::load::{self, LoadStatsRequest, LoadStatsResponse, Seconds};
@@ -44,6 +45,7 @@
 const DATAGRAMS_A_TURN: usize = 256;
 const ROSTER: usize = 1; // the number under which the roster's folder is watched
 const HANG_UP: i32 = 1; // SIGHUP
+const SETTINGS_MOST: u64 = 8 * 1024 * 1024; // bytes of settings that are read again, as at the start
 const PIPELINE: usize = 16; // requests taken ahead of their answers: three kinds, twice over, and some room
 
 /// What ends the program.
@@ -244,7 +246,11 @@
 
     fn reload(&mut self) {
         let Some(file) = &self.file else { return };
-        let fresh: CoordinatorSettings = match load(file) {
+        let text = match read_regular_file(file, SETTINGS_MOST) {
+            Ok(text) => text,
+            Err(cause) => return error!(%cause, "the settings cannot be read; the old ones stand"),
+        };
+        let fresh: CoordinatorSettings = match parse(file, &text) {
             Ok(fresh) => fresh,
             Err(problems) => return error!(%problems, "the settings are not in order; the old ones stand"),
         };
--- a/crates/craneknot-coordinator/src/source.rs
+++ b/crates/craneknot-coordinator/src/source.rs
@@ -1,9 +1,10 @@
 //! Where lists of servers come from.
 
-use std::fs;
-use std::io::{self, Read};
+use std::io;
 use std::path::PathBuf;
 
+use craneknot_reactor::read_regular_file;
+
 const LARGEST: u64 = 16 * 1024 * 1024; // bytes of a list of servers
 
 /// Gives the newest list that a source has, as the roster's text. What it is worth is judged elsewhere.
@@ -14,7 +15,7 @@
     fn read(&mut self) -> io::Result<Vec<u8>>;
 }
 
-/// A file, replaced by a rename.
+/// A regular file, replaced by a rename.
 pub struct FileRoster {
     path: PathBuf,
     name: String,
@@ -33,8 +34,6 @@
     }
 
     fn read(&mut self) -> io::Result<Vec<u8>> {
-        let mut text = Vec::new();
-        fs::File::open(&self.path)?.take(LARGEST).read_to_end(&mut text)?;
-        Ok(text)
+        read_regular_file(&self.path, LARGEST)
     }
 }
--- a/crates/craneknot-node/src/shell.rs
+++ b/crates/craneknot-node/src/shell.rs
@@ -15,7 +15,8 @@
 use craneknot_platform::lines;
 use craneknot_reactor::system_errors::{is_momentary_at_start, is_own_failure};
 use craneknot_reactor::{
-    Clock, CloseCause, ConnId, Counter, Happened, Limits, ListenerId, Reactor, SendError, SignalFlags,
+    read_regular_file, Clock, CloseCause, ConnId, Counter, Happened, Limits, ListenerId, Reactor, SendError,
+    SignalFlags,
 };
 use tracing::{debug, error, info, warn};
 
@@ -40,6 +41,8 @@
 const RELOAD_RETRY: Nanos = Nanos::from_millis(200); // ms; until a configuration that can't be read is read again
 const RELOAD_TRIES: u32 = 5; // it may be half written
 
+const CONFIG_MOST: u64 = 16 * 1024 * 1024; // bytes of a configuration that is read again
+
 const UNREAD: &str = "it does not read its answers";
 
 const SIGHUP: i32 = 1;
@@ -124,8 +127,9 @@
     }
 }
 
-fn read_config(file: &Path) -> Result<Config, ConfigError> {
-    let text = fs::read(file).map_err(|cause| {
+/// Reads the configuration by this way of reading its file.
+fn read_config(file: &Path, read: impl Fn(&Path) -> io::Result<Vec<u8>>) -> Result<Config, ConfigError> {
+    let text = read(file).map_err(|cause| {
         let told = format!("{}: {cause}", file.display());
         if is_momentary_at_start(&cause) {
             ConfigError::Momentary(told)
@@ -167,7 +171,7 @@
         let flags = SignalFlags::register(&heeded).map_err(NoStart::System)?;
         let until = Instant::now() + START_MOST;
         let is_unread = |cause: &ConfigError| matches!(cause, ConfigError::Momentary(_));
-        let config = patiently(until, is_unread, || read_config(file))
+        let config = patiently(until, is_unread, || read_config(file, |file| fs::read(file)))
             .map_err(|cause| NoStart::Config(cause.into_text()))?;
         let Descriptors { connections, accepts, .. } = Descriptors::divide(config.sockets);
         let limits = Limits { input: INPUT, output: OUTPUT, connections, accepts };
@@ -359,7 +363,8 @@
         if self.shutdown != Shutdown::No {
             return;
         }
-        match read_config(&self.file) {
+        // Clients wait meanwhile: whoever is slow to write the file must not hold them up.
+        match read_config(&self.file, |file| read_regular_file(file, CONFIG_MOST)) {
             Ok(config) => {
                 info!(relay = %config.relay, discovery = %config.discovery, "a new configuration");
                 self.coordinator.reconfigure(self.reactor.now(), &config);
--- a/crates/craneknot-reactor/src/lib.rs
+++ b/crates/craneknot-reactor/src/lib.rs
@@ -5,6 +5,7 @@
 mod clock;
 mod conn;
 mod counter;
+mod files;
 mod reactor;
 mod signals;
 pub mod system_errors;
@@ -13,6 +14,7 @@
 
 pub use clock::{Clock, DrivenClock, SteadyClock};
 pub use counter::Counter;
+pub use files::read_regular_file;
 pub use reactor::{reserve, CloseCause, ConnId, Happened, Limits, ListenerId, Reactor, SendError};
 pub use signals::SignalFlags;
 pub use timers::{TimerId, Timers};
