Clock: a wall clock centuries ahead at the start leaves room for timers

What callers saw: with a wall clock 634 years ahead, beyond what nanoseconds since 1970 can count, a client whose heartbeats were answered was soon left without an answer.

Cause: the present stood at the greatest moment that can be counted, so every timer and every time limit was due at once.

Change: a start believes no date later than 292 years after 1970.

Measured: a_wall_clock_centuries_off_makes_no_timer_due_at_once failed on the code before, at a heartbeat, and passes.

--- a/crates/craneknot-cli/tests/system_calls.rs
+++ b/crates/craneknot-cli/tests/system_calls.rs
@@ -154,3 +154,28 @@
         assert!(is_answered(&mut client), "{offset}");
     }
 }
+
+/// Moments are counted in nanoseconds since 1970 and end in 2554: a clock beyond that must leave room for timers.
+#[test]
+fn a_wall_clock_centuries_off_makes_no_timer_due_at_once() {
+    let relay = listener();
+    for offset in ["-4000000000", "20000000000"] {
+        let (folder, library) = (tempfile::tempdir().unwrap(), fault_library());
+        let variables = [("LD_PRELOAD", library.to_str().unwrap()), ("CRANEKNOT_WALL_OFFSET_S", offset)];
+        let mut node =
+            Node::start_with(folder.path(), &configuration(relay.local_addr().unwrap()), &variables);
+        let mut client = node.answered_client();
+        for _ in 0..100 {
+            client.write_all(HEARTBEAT).unwrap();
+            assert!(is_answered(&mut client), "{offset}");
+        }
+        node.signal(Signal::TERM);
+        node.signal(Signal::INT);
+        assert_eq!(node.child.wait().unwrap().code(), Some(0), "{offset}");
+        let count = |text: &str| node.log.lock().unwrap().iter().filter(|line| line.contains(text)).count();
+        while count("ended with") == 0 {
+            std::thread::yield_now();
+        }
+        assert!(count("status of clients") <= 1, "{offset}: one each five seconds");
+    }
+}
--- a/crates/craneknot-reactor/src/clock.rs
+++ b/crates/craneknot-reactor/src/clock.rs
@@ -5,6 +5,9 @@
 
 use craneknot::interface::Nanos;
 
+/// The latest date that a start believes, some 292 years after 1970: moments beyond it are left for timers.
+const DATE_MOST: Duration = Duration::from_nanos(u64::MAX / 2);
+
 pub trait Clock: Send + Sync {
     fn now(&self) -> Nanos;
 
@@ -23,7 +26,7 @@
 impl SteadyClock {
     pub fn new() -> Self {
         let date = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        SteadyClock { start: Instant::now(), date }
+        SteadyClock { start: Instant::now(), date: date.min(DATE_MOST) }
     }
 }
 
