--- a/crates/craneknot-coordinator/src/shell.rs
+++ b/crates/craneknot-coordinator/src/shell.rs
@@ -15,8 +15,11 @@
 use craneknot_http::{
     request, response, response_chunks, Limits as HttpLimits, RequestReader, ResponseReader,
 };
-use craneknot_reactor::{Clock, ConnId, FolderWatch, Happened, Limits, ListenerId, Reactor, SignalFlags};
-use craneknot_settings::{load, CoordinatorSettings, SharedSettings};
+use craneknot_reactor::{
+    read_regular_file, Clock, ConnId, Counter, FolderWatch, Happened, Limits, ListenerId, Reactor,
+    SignalFlags,
+};
+use craneknot_settings::{parse, CoordinatorSettings, SharedSettings};
 use craneknot_store::{replace, RealDisk, Store, StoreError};
 use craneknot_xds::discovery::{DiscoveryRequest, Kind};
 use craneknot_xds::load::{self, LoadStatsRequest, LoadStatsResponse, Seconds};
@@ -42,6 +45,7 @@
 const DATAGRAMS_A_TURN: usize = 256;
 const ROSTER: usize = 1; // the number under which the roster's folder is watched
 const HANG_UP: i32 = 1; // SIGHUP
+const SETTINGS_MOST: u64 = 8 * 1024 * 1024; // bytes of settings that are read again, as at the start
 const PIPELINE: usize = 16; // requests taken ahead of their answers: three kinds, twice over, and some room
 
 /// What ends the program.
@@ -94,6 +98,7 @@
     ledger: Option<LedgerFile>,
     /// Read again when asked to.
     file: Option<PathBuf>,
+    log_lines_dropped: Counter,
 }
 
 /// What a shared fleet needs: the store, and a socket for datagrams.
@@ -220,6 +225,7 @@
             read_roster: true,
             shared,
             file: None,
+            log_lines_dropped: Counter::default(),
         })
     }
 
@@ -228,6 +234,11 @@
         self.reactor.heed(signals);
     }
 
+    /// Tells this count in the status: of log lines that were not written.
+    pub fn tell_dropped_lines(&mut self, dropped: Counter) {
+        self.log_lines_dropped = dropped;
+    }
+
     /// Reads this file again on SIGHUP: members of a shared fleet may change in service, all else with a new start.
     pub fn reload_from(&mut self, file: &Path) {
         self.file = Some(file.to_owned());
@@ -235,7 +246,11 @@
 
     fn reload(&mut self) {
         let Some(file) = &self.file else { return };
-        let fresh: CoordinatorSettings = match load(file) {
+        let text = match read_regular_file(file, SETTINGS_MOST) {
+            Ok(text) => text,
+            Err(cause) => return error!(%cause, "the settings cannot be read; the old ones stand"),
+        };
+        let fresh: CoordinatorSettings = match parse(file, &text) {
             Ok(fresh) => fresh,
             Err(problems) => return error!(%problems, "the settings are not in order; the old ones stand"),
         };
@@ -503,6 +518,7 @@
             self.load_report(conn, now, message.body());
         } else if path == "/status" && method == Method::GET {
             let mut status = serde_json::to_value(self.desk.status(now)).unwrap_or_default();
+            status["log_lines_dropped"] = self.log_lines_dropped.get().into();
             if let Some(shared) = &self.shared {
                 let health = shared.store.health();
                 status["store"] = serde_json::json!({
--- a/crates/craneknot-node/src/shell.rs
+++ b/crates/craneknot-node/src/shell.rs
@@ -15,7 +15,8 @@
 use craneknot_platform::lines;
 use craneknot_reactor::system_errors::{is_momentary_at_start, is_own_failure};
 use craneknot_reactor::{
-    Clock, CloseCause, ConnId, Happened, Limits, ListenerId, Reactor, SendError, SignalFlags,
+    read_regular_file, Clock, CloseCause, ConnId, Counter, Happened, Limits, ListenerId, Reactor, SendError,
+    SignalFlags,
 };
 use tracing::{debug, error, info, warn};
 
@@ -23,7 +24,7 @@
 use crate::coordinator::{Coordinator, Todo};
 use crate::descriptors::Descriptors;
 use crate::link::{Act, LinkId};
-use crate::log_event::{cut, write_status, EventLog, LogEvent};
+use crate::log_event::{cut, write_status, EventLog, LogEvent, ProcessFigures};
 use crate::pending::{CloseReason, Violations};
 
 const INPUT: usize = 256 * 1024; // bytes read ahead of a peer that has joined, or was dialled
@@ -40,6 +41,8 @@
 const RELOAD_RETRY: Nanos = Nanos::from_millis(200); // ms; until a configuration that can't be read is read again
 const RELOAD_TRIES: u32 = 5; // it may be half written
 
+const CONFIG_MOST: u64 = 16 * 1024 * 1024; // bytes of a configuration that is read again
+
 const UNREAD: &str = "it does not read its answers";
 
 const SIGHUP: i32 = 1;
@@ -104,6 +107,7 @@
     turn_at: Option<Nanos>,
     shutdown: Shutdown,
     log: EventLog,
+    log_lines_dropped: Counter,
 }
 
 /// Why a configuration can't be taken.
@@ -123,8 +127,9 @@
     }
 }
 
-fn read_config(file: &Path) -> Result<Config, ConfigError> {
-    let text = fs::read(file).map_err(|cause| {
+/// Reads the configuration by this way of reading its file.
+fn read_config(file: &Path, read: impl Fn(&Path) -> io::Result<Vec<u8>>) -> Result<Config, ConfigError> {
+    let text = read(file).map_err(|cause| {
         let told = format!("{}: {cause}", file.display());
         if is_momentary_at_start(&cause) {
             ConfigError::Momentary(told)
@@ -166,7 +171,7 @@
         let flags = SignalFlags::register(&heeded).map_err(NoStart::System)?;
         let until = Instant::now() + START_MOST;
         let is_unread = |cause: &ConfigError| matches!(cause, ConfigError::Momentary(_));
-        let config = patiently(until, is_unread, || read_config(file))
+        let config = patiently(until, is_unread, || read_config(file, |file| fs::read(file)))
             .map_err(|cause| NoStart::Config(cause.into_text()))?;
         let Descriptors { connections, accepts, .. } = Descriptors::divide(config.sockets);
         let limits = Limits { input: INPUT, output: OUTPUT, connections, accepts };
@@ -200,6 +205,7 @@
             turn_at: None,
             shutdown: Shutdown::No,
             log: EventLog::default(),
+            log_lines_dropped: Counter::default(),
         })
     }
 
@@ -208,6 +214,11 @@
         self.address
     }
 
+    /// Tells this count in the status lines: of log lines that were not written.
+    pub fn tell_dropped_lines(&mut self, dropped: Counter) {
+        self.log_lines_dropped = dropped;
+    }
+
     /// Runs until a signal ends it.
     pub fn run(&mut self) -> Ended {
         loop {
@@ -270,8 +281,7 @@
             }
             Happened::Timer(Due::Turn) => self.turn_at = None,
             Happened::Timer(Due::Status) => {
-                let (connections, retried) = (self.reactor.connections(), self.reactor.system_failures());
-                write_status(&self.coordinator.status(), connections, retried);
+                write_status(&self.coordinator.status(), self.process_figures());
                 self.log.begin_anew();
                 self.tell_beliefs();
                 self.reactor.set_timer(self.reactor.now() + STATUS_EVERY, Due::Status);
@@ -353,7 +363,8 @@
         if self.shutdown != Shutdown::No {
             return;
         }
-        match read_config(&self.file) {
+        // Clients wait meanwhile: whoever is slow to write the file must not hold them up.
+        match read_config(&self.file, |file| read_regular_file(file, CONFIG_MOST)) {
             Ok(config) => {
                 info!(relay = %config.relay, discovery = %config.discovery, "a new configuration");
                 self.coordinator.reconfigure(self.reactor.now(), &config);
@@ -368,6 +379,14 @@
         }
     }
 
+    fn process_figures(&self) -> ProcessFigures {
+        ProcessFigures {
+            connections: self.reactor.connections(),
+            system_calls_retried: self.reactor.system_failures(),
+            log_lines_dropped: self.log_lines_dropped.get(),
+        }
+    }
+
     /// What the decisions believe, to be held against what passes.
     fn tell_beliefs(&self) {
         if !tracing::enabled!(tracing::Level::DEBUG) {
