Node: tests on a model of the platform, judged by what proxies hold

Callers saw proxies without a line in trials whose logs told of none: what was judged so far was what the node believes.

The model is written from the protocol alone (relay, event streams with lag, channel, transit, list with watch, proxies that keep their tables when a stream ends, collectors).

--- /dev/null
+++ b/crates/craneknot-node/tests/helpers/collectors.rs
@@ -0,0 +1,40 @@
+//! The model's collectors: what proxies and servers report, passed on to a coordinator. Servers have room.
+
+use bytes::BytesMut;
+use craneknot_node::clients::ClientId;
+use craneknot_node::coordinator::Coordinator;
+use serde_json::json;
+
+use super::ms;
+use super::platform::{Platform, CLASSES, REPORTS_EVERY};
+
+const RATE: usize = 10; // operations a second that come to each proxy, of each class
+
+impl Platform {
+    /// What the zones' collectors pass on.
+    pub(super) fn report(&mut self, place: usize, coordinator: &mut Coordinator) {
+        if self.now < self.places[place].reports_at {
+            return;
+        }
+        self.places[place].reports_at = self.now + REPORTS_EVERY;
+        let mut lines = String::new();
+        for number in &self.places[place].joined {
+            for class in CLASSES {
+                let line = json!({"type": "client_stats", "node": number, "route": class, "total": RATE,
+                                  "errors": 0, "interval": REPORTS_EVERY});
+                lines.push_str(&format!("{line}\n"));
+            }
+        }
+        let serving = || self.servers.iter().filter(|(_, server)| server.phase == "SERVING");
+        let tries =
+            self.proxies.iter().filter(|proxy| proxy.joined_to.is_some()).count() * CLASSES.len() * RATE;
+        let each = tries / serving().count().max(1);
+        for (id, server) in serving() {
+            let line = json!({"type": "upstream_stats", "locality": server.zone, "endpoint": id, "total": each,
+                              "errors": 0, "rtt": 40.0, "interval": REPORTS_EVERY,
+                              "metrics": {"inflight": 3, "util": 0.5}});
+            lines.push_str(&format!("{line}\n"));
+        }
+        coordinator.client_input(ms(self.now), ClientId(1), &mut BytesMut::from(lines.as_str()));
+    }
+}
--- a/crates/craneknot-node/tests/helpers/mod.rs
+++ b/crates/craneknot-node/tests/helpers/mod.rs
@@ -40,4 +40,8 @@
     EncodedOrder { order: Order::Mark { mark: 0 }, text, proxy, subject }
 }
 
+pub mod collectors;
+pub mod judge;
 pub mod peers;
+pub mod platform;
+pub mod relay;
--- /dev/null
+++ b/crates/craneknot-node/tests/helpers/relay.rs
@@ -0,0 +1,155 @@
+//! The model's relay: orders by their text, and the messages that take them to proxies.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::Rng;
+
+use super::platform::{Followed, Platform, Proxy, CLASSES};
+
+const TRANSIT: (u64, u64) = (100, 452); // ms; a message's way from the channel to its proxy
+const LINES_PER_MS: f64 = 14.8; // of a coordinator's channel
+const ENVELOPE: f64 = 3.0; // lines; what a message costs beside its own
+
+/// A table as a proxy reads it.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    pub lines: BTreeMap<String, f64>,
+    /// By class.
+    pub levels: BTreeMap<String, f64>,
+}
+
+/// A change that a message brings to a proxy.
+#[derive(Clone, Debug)]
+pub enum Change {
+    Line(u16, String, f64),
+    Clear(u16),
+    Bind(u16, String, Table),
+    Level(u16, String, f64),
+    Mark(u16),
+}
+
+impl Platform {
+    /// Carries out a call's orders up to the first that can't be used; how many. Each proxy concerned is sent one
+    /// message.
+    pub(super) fn carry_out(&mut self, place: usize, orders: &[String]) -> usize {
+        let mut messages: BTreeMap<u16, Vec<Change>> = BTreeMap::new();
+        let mut taken = 0;
+        for order in orders {
+            let fields: Vec<&str> = order.split(',').collect();
+            if !self.carry_out_one(place, &fields, &mut messages) {
+                break;
+            }
+            taken += 1;
+        }
+        for (number, changes) in messages {
+            let lines: usize = changes
+                .iter()
+                .map(|change| match change {
+                    Change::Bind(_, _, table) => 1 + table.lines.len() + table.levels.len(),
+                    Change::Line(..) | Change::Clear(_) | Change::Level(..) | Change::Mark(_) => 1,
+                })
+                .sum();
+            let slot = &mut self.places[place];
+            let cost = (ENVELOPE + lines as f64) / LINES_PER_MS;
+            slot.channel_free = slot.channel_free.max(self.now as f64) + cost;
+            let due = slot.channel_free as u64 + self.rng.random_range(TRANSIT.0..TRANSIT.1);
+            let inbox = &mut self.proxies[usize::from(number)].inbox;
+            let due = inbox.back().map_or(due, |(last, _)| due.max(*last));
+            inbox.push_back((due, changes));
+        }
+        taken
+    }
+
+    fn carry_out_one(
+        &mut self,
+        place: usize,
+        fields: &[&str],
+        messages: &mut BTreeMap<u16, Vec<Change>>,
+    ) -> bool {
+        let (slot, proxies) = (&mut self.places[place], &mut self.proxies);
+        let mut to_users = |table: u16, proxies: &[Proxy], joined: &BTreeSet<u16>, change: Change| {
+            let users = joined.iter().filter(|id| {
+                let mut bound = proxies[usize::from(**id)].bound.values();
+                bound.any(|number| *number == table)
+            });
+            users.for_each(|id| messages.entry(*id).or_default().push(change.clone()));
+        };
+        match fields {
+            ["share", table, server, weight] => {
+                if !self.servers.contains_key(*server) {
+                    return false;
+                }
+                let (table, weight): (u16, f64) = (table.parse().unwrap(), weight.parse().unwrap());
+                let lines = &mut slot.tables.entry(table).or_default().lines;
+                lines.insert((*server).to_owned(), weight);
+                lines.retain(|_, weight| *weight > 0.0);
+                let change = Change::Line(table, (*server).to_owned(), weight);
+                to_users(table, proxies, &slot.joined, change);
+            }
+            ["clear", table] => {
+                let table: u16 = table.parse().unwrap();
+                slot.tables.insert(table, Table::default());
+                to_users(table, proxies, &slot.joined, Change::Clear(table));
+            }
+            ["admit", table, classes, level, _] => {
+                let (table, level): (u16, f64) = (table.parse().unwrap(), level.parse().unwrap());
+                for class in classes.split('+') {
+                    slot.tables.entry(table).or_default().levels.insert(class.to_owned(), level);
+                    let change = Change::Level(table, class.to_owned(), level);
+                    to_users(table, proxies, &slot.joined, change);
+                }
+            }
+            ["bind", proxy, table, classes] => {
+                let (number, table): (u16, u16) = (proxy.parse().unwrap(), table.parse().unwrap());
+                if !slot.joined.contains(&number) {
+                    return false;
+                }
+                let whole = slot.tables.get(&table).cloned().unwrap_or_default();
+                for class in classes.split('+') {
+                    proxies[usize::from(number)].bound.insert(class.to_owned(), table);
+                    let change = Change::Bind(table, class.to_owned(), whole.clone());
+                    messages.entry(number).or_default().push(change);
+                }
+            }
+            ["mark", mark, _] => {
+                let mark = mark.parse().unwrap();
+                messages.values_mut().for_each(|changes| changes.push(Change::Mark(mark)));
+            }
+            other => panic!("no order: {other:?}"),
+        }
+        true
+    }
+
+    /// The proxies apply what has reached them.
+    pub(super) fn apply(&mut self) {
+        let mut acknowledged = Vec::new();
+        for (number, proxy) in self.proxies.iter_mut().enumerate() {
+            while proxy.inbox.front().is_some_and(|(due, _)| *due <= self.now) {
+                for change in proxy.inbox.pop_front().unwrap().1 {
+                    match change {
+                        Change::Line(table, server, weight) => {
+                            let lines = &mut proxy.tables.entry(table).or_default().lines;
+                            lines.insert(server, weight);
+                            lines.retain(|_, weight| *weight > 0.0);
+                        }
+                        Change::Clear(table) => drop(proxy.tables.insert(table, Table::default())),
+                        Change::Bind(table, class, whole) => {
+                            proxy.tables.insert(table, whole);
+                            let class = CLASSES.iter().find(|known| **known == class).unwrap();
+                            proxy.followed.insert(class, Followed::Bound(table));
+                        }
+                        Change::Level(table, class, level) => {
+                            proxy.tables.entry(table).or_default().levels.insert(class, level);
+                        }
+                        Change::Mark(mark) => {
+                            acknowledged.extend(proxy.joined_to.map(|at| (at, number, mark)))
+                        }
+                    }
+                }
+            }
+        }
+        for (place, number, mark) in acknowledged {
+            self.tell(place, &format!("event: done\ndata: node={number}&nonce={mark}&latency=300.0\n\n"));
+        }
+    }
+}
