Node: what either event stream brings first is told at once, and once

Callers saw: a proxy that left and came again while the leading stream lagged by over half a second, and then broke, was believed to stand with its old binding; one that joined while the leader was silent was told after 1.5 s, which added up with a dial, its backoff and a second look to nearly all of the time a proxy may be without a line.

Cause: one stream led, and the other's news was only kept; at a change of leader, who had joined more than half a second before the leader's last word was taken to be known (event_streams.rs, choose_lead: `*at >= since`).

Change: joinings and leavings are counted by proxy and by stream (presence.rs); whichever stream is ahead is believed at once, the other's repetition is known by its count. When a stream ends, what none of the others has told is in doubt until they have had half a second; what can't be told apart is told as joined anew. Acknowledgements are told once, whichever stream brings them.

--- a/crates/craneknot-node/src/event_streams.rs
+++ b/crates/craneknot-node/src/event_streams.rs
@@ -1,10 +1,7 @@
-//! Which stream of the relay's news counts. Two are held: one leads, and what it tells is passed on; the other
-//! only keeps the books, so that it can take over at once when the first breaks or falls silent.
-//!
-//! A binding ends with the proxy's stream. Whoever may have left and come again unseen between two leaders is
-//! therefore told as joined anew.
+//! The event streams of the relay: two are held, and what either brings first is passed on, once. So nothing waits for a
+//! stream that is late or silent, and nothing is lost with one that breaks.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use craneknot::interface::{Nanos, ProxyId};
@@ -13,19 +10,20 @@
 use http::{header, Method};
 
 use crate::link::{backoff, Act, LinkId, Links};
+use crate::presence::{Account, Presence};
 
 const HELD: usize = 2; // streams: with one, news is missed whenever it breaks
 const SILENT: Nanos = Nanos::from_millis(2_500); // ms; a sign of life comes every second
-const QUIET: Nanos = Nanos::from_millis(1_500); // ms; a leader this long without its sign, while another has had one
+const QUIET: Nanos = Nanos::from_millis(1_500); // ms; a stream this long without a sign of life may miss what happens
 const OPEN_MOST: Nanos = Nanos::from_millis(1_500); // ms; to be connected and hear the first byte
 const SETTLED: Nanos = Nanos::from_millis(500); // ms; what stands has been told by then, on a new stream
-const OVERLAP: Nanos = Nanos::from_millis(500); // ms; before a leader's last word, news may have been on its way
-const RIPE: Nanos = Nanos::from_millis(1_000); // ms; a stream open for so long can lead without a word twice
-const KEPT: Nanos = Nanos::from_millis(4_000); // ms; acknowledgements: a leader's silence and the overlap before
+const OVERLAP: Nanos = Nanos::from_millis(500); // ms; before a stream's last word, news may have been on its way
+const RIPE: Nanos = Nanos::from_millis(1_000); // ms; a stream open for so long has told what stands twice over
+const KEPT: Nanos = Nanos::from_millis(4_000); // ms; acknowledgements: a stream's silence and the overlap before
 const BACKOFF: Nanos = Nanos::from_millis(50); // ms; first wait before dialling again, doubled each time
 const BACKOFF_MOST: Nanos = Nanos::from_millis(800); // ms; the longest
 
-/// One stream, and the proxies that it knows as joined.
+/// One stream, and what it has told.
 struct EventStream {
     link: LinkId,
     address: SocketAddr,
@@ -34,10 +32,7 @@
     open: Option<Nanos>,
     heard: Nanos,
     decoder: Decoder,
-    /// By proxy: how it joined, and when that was told.
-    joined: BTreeMap<ProxyId, (News, Nanos)>,
-    /// The acknowledgements of late, and when they came.
-    applied: VecDeque<(Nanos, News)>,
+    account: Account,
 }
 
 impl EventStream {
@@ -45,50 +40,49 @@
         self.open.is_some() && now - self.heard < SILENT
     }
 
-    /// It has told what stands well before the leader it may follow spoke last.
+    /// It has told what stands, and speaks on.
     fn ripe(&self, now: Nanos) -> bool {
         self.speaks(now) && self.open.is_some_and(|open| now - open >= RIPE)
     }
-}
 
-/// Drops what is older than is kept.
-fn forget_old(kept: &mut VecDeque<(Nanos, News)>, now: Nanos) {
-    while kept.front().is_some_and(|(at, _)| now - *at >= KEPT) {
-        kept.pop_front();
+    fn is_quiet(&self, now: Nanos) -> bool {
+        now - self.heard >= QUIET
+    }
+
+    /// When it has told what stands; nothing: that is over, or has not begun.
+    fn settles_at(&self) -> Option<Nanos> {
+        self.open.filter(|_| !self.account.is_settled()).map(|open| open + SETTLED)
     }
 }
 
+/// All streams, and what they have told together.
 pub struct EventStreams {
     address: SocketAddr,
     streams: Vec<EventStream>,
-    lead: Option<LinkId>,
-    /// Proxies told as joined.
-    told: BTreeSet<ProxyId>,
-    /// Acknowledgements told of late: the next leader has heard some of them too.
-    told_applied: VecDeque<(Nanos, News)>,
-    /// Since then the leader has told what stands; who was not named by the end has left.
-    settling: Option<Nanos>,
-    /// The last word of the leader before.
-    last_word: Nanos,
+    presence: Presence,
+    /// The acknowledgements told of late, and when: other streams bring them too.
+    applied: BTreeMap<(ProxyId, u16), Nanos>,
+    /// When the streams that remain have had time to tell what one that has ended told last.
+    doubt_ends: Option<Nanos>,
     dial_at: Nanos,
     failures: u32,
 }
 
 impl EventStreams {
+    /// Streams of the relay at this address.
     pub fn new(address: SocketAddr, now: Nanos) -> Self {
         EventStreams {
             address,
             streams: Vec::new(),
-            lead: None,
-            told: BTreeSet::new(),
-            told_applied: VecDeque::new(),
-            settling: None,
-            last_word: Nanos(0),
+            presence: Presence::default(),
+            applied: BTreeMap::new(),
+            doubt_ends: None,
             dial_at: now,
             failures: 0,
         }
     }
 
+    /// Whether a link is one of the streams.
     pub fn has(&self, link: LinkId) -> bool {
         self.streams.iter().any(|stream| stream.link == link)
     }
@@ -100,43 +94,53 @@
         }
     }
 
+    /// Ends and dials streams where that is due.
     pub fn turn(&mut self, now: Nanos, links: &mut Links, acts: &mut Vec<Act>, out: &mut Vec<News>) {
-        self.end_settling(now, out);
-        // Streams that never opened, or fell silent; the last one that led is kept while nothing else speaks,
-        // since what is cut off may come back.
-        let (lead, speaking) = (self.lead, self.streams.iter().any(|stream| stream.speaks(now)));
+        self.settle(now, out);
+        self.end_late(now, acts, out);
+        self.confirm(now, out);
+        self.end_doubt(now, out);
+        if self.wants_more(now) && now >= self.dial_at {
+            self.dial(now, links, acts);
+        }
+    }
+
+    /// Ends streams that never opened, or fell silent. The last one heard is kept while nothing else speaks, since what
+    /// is cut off may come back.
+    fn end_late(&mut self, now: Nanos, acts: &mut Vec<Act>, out: &mut Vec<News>) {
+        let speaking = self.streams.iter().any(|stream| stream.speaks(now));
+        let open = self.streams.iter().filter(|stream| stream.open.is_some());
+        let last = open.max_by_key(|stream| stream.heard).map(|stream| stream.link);
         let address = self.address;
         let moved =
             self.streams.iter().filter(|stream| stream.address == address && stream.ripe(now)).count();
         let late = |stream: &EventStream| match stream.open {
             None => now - stream.dialled >= OPEN_MOST,
             Some(_) if stream.address != address && moved >= HELD => true,
-            Some(_) => !stream.speaks(now) && (speaking || Some(stream.link) != lead),
+            Some(_) => !stream.speaks(now) && (speaking || Some(stream.link) != last),
         };
-        for link in
-            self.streams.iter().filter(|stream| late(stream)).map(|stream| stream.link).collect::<Vec<_>>()
-        {
+        let late = self.streams.iter().filter(|stream| late(stream)).map(|stream| stream.link);
+        for link in late.collect::<Vec<_>>() {
             acts.push(Act::Drop { link });
             self.lost(now, link, out);
         }
-        self.choose_lead(now, out);
-        if self.wants_more(now) && now >= self.dial_at {
-            let link = links.name();
-            let headers = [(header::ACCEPT, "text/event-stream")];
-            let request = request(&Method::GET, news::PATH, &address.to_string(), &headers, b"");
-            acts.push(Act::Dial { link, address, request });
-            self.streams.push(EventStream {
-                link,
-                address,
-                dialled: now,
-                open: None,
-                heard: now,
-                decoder: Decoder::default(),
-                joined: BTreeMap::new(),
-                applied: VecDeque::new(),
-            });
-            self.dial_at = now + self.wait();
-        }
+    }
+
+    fn dial(&mut self, now: Nanos, links: &mut Links, acts: &mut Vec<Act>) {
+        let (link, address) = (links.name(), self.address);
+        let headers = [(header::ACCEPT, "text/event-stream")];
+        let request = request(&Method::GET, news::PATH, &address.to_string(), &headers, b"");
+        acts.push(Act::Dial { link, address, request });
+        self.streams.push(EventStream {
+            link,
+            address,
+            dialled: now,
+            open: None,
+            heard: now,
+            decoder: Decoder::default(),
+            account: self.presence.open_account(),
+        });
+        self.dial_at = now + self.wait();
     }
 
     /// Whether too few streams of the present address speak, or may still open.
@@ -156,104 +160,95 @@
 
     /// Bytes have come on a stream, with this news in them.
     pub fn heard(&mut self, now: Nanos, link: LinkId, news: Vec<News>, out: &mut Vec<News>) {
-        let Some(stream) = self.streams.iter_mut().find(|stream| stream.link == link) else { return };
+        self.settle(now, out);
+        let Some(place) = self.streams.iter().position(|stream| stream.link == link) else { return };
+        let mut stream = self.streams.remove(place);
         stream.open.get_or_insert(now);
         stream.heard = now;
         self.failures = 0;
-        for news in &news {
-            match news {
-                News::Joined { proxy, .. } => drop(stream.joined.insert(*proxy, (news.clone(), now))),
-                News::Left { proxy } => drop(stream.joined.remove(proxy)),
-                News::Applied { .. } => stream.applied.push_back((now, news.clone())),
-            }
-        }
-        forget_old(&mut stream.applied, now);
-        if self.lead == Some(link) {
-            self.last_word = now;
-            for news in news {
-                self.tell(now, news, out);
-            }
+        for news in news {
+            self.take(now, &mut stream.account, news, out);
         }
-        self.choose_lead(now, out);
+        self.streams.insert(place, stream);
+        self.confirm(now, out);
+        self.applied.retain(|_, at| now - *at < KEPT);
     }
 
-    fn tell(&mut self, now: Nanos, news: News, out: &mut Vec<News>) {
-        match &news {
-            // Who joins while it counts as joined has left in between: what was bound and ordered is gone.
-            News::Joined { proxy, .. } => {
-                if !self.told.insert(*proxy) {
-                    out.push(News::Left { proxy: *proxy });
-                }
-            }
-            News::Left { proxy } => {
-                if !self.told.remove(proxy) {
-                    return;
-                }
-            }
-            News::Applied { proxy, .. } => {
-                if !self.told.contains(proxy) {
-                    return;
-                }
-                self.told_applied.push_back((now, news.clone()));
-                forget_old(&mut self.told_applied, now);
+    /// Takes news of a stream that is not among the others for the moment.
+    fn take(&mut self, now: Nanos, account: &mut Account, news: News, out: &mut Vec<News>) {
+        let is_followed = self.is_followed(now, news.proxy());
+        match news {
+            News::Joined { .. } => self.presence.take_joined(now, account, &news, is_followed, out),
+            News::Left { proxy } => self.presence.take_left(account, proxy, is_followed, out),
+            News::Applied { proxy, mark } => {
+                let is_new = self.applied.insert((proxy, mark), now).is_none();
+                out.extend((is_new && self.presence.is_joined(proxy)).then_some(news));
             }
         }
-        out.push(news);
+    }
+
+    /// Whether a stream that is not quiet has told all that is known of a proxy, and would tell of its leaving.
+    fn is_followed(&self, now: Nanos, proxy: ProxyId) -> bool {
+        let mut open = self.streams.iter().filter(|stream| stream.open.is_some() && !stream.is_quiet(now));
+        open.any(|stream| self.presence.is_followed(&stream.account, proxy))
     }
 
     /// A stream has ended.
     pub fn lost(&mut self, now: Nanos, link: LinkId, out: &mut Vec<News>) {
-        self.streams.retain(|stream| stream.link != link);
+        let Some(place) = self.streams.iter().position(|stream| stream.link == link) else { return };
+        self.streams.remove(place);
         self.dial_at = self.dial_at.max(now + self.wait());
         self.failures += 1;
-        if self.lead == Some(link) {
-            // Who stands is asked of the next leader; without one there is nothing to wait for.
-            (self.lead, self.settling) = (None, None);
-            self.choose_lead(now, out);
-        }
+        let mut remaining: Vec<&mut Account> =
+            self.streams.iter_mut().map(|stream| &mut stream.account).collect();
+        self.presence.doubt(&mut remaining);
+        self.doubt_ends = Some(now + SETTLED);
+        self.confirm(now, out);
     }
 
-    /// Lets another stream lead where none does, or the leader is silent and another speaks.
-    fn choose_lead(&mut self, now: Nanos, out: &mut Vec<News>) {
-        // Who joins while the leader is quiet is bound late, and keeps lines of servers that are gone: another that
-        // speaks has what the leader has not.
-        let quiet = |stream: &EventStream| now - stream.heard >= QUIET;
-        let leads = self.streams.iter().find(|stream| Some(stream.link) == self.lead && stream.speaks(now));
-        if leads.is_some_and(|leader| !quiet(leader)) {
-            return;
-        }
-        let speaking = self.streams.iter().filter(|stream| stream.speaks(now));
-        let speaking = speaking.filter(|stream| leads.is_none() || !quiet(stream));
-        // The one that has been open longest has settled first.
-        let Some(next) = speaking.min_by_key(|stream| stream.open) else { return };
-        self.lead = Some(next.link);
-        self.settling = next.open;
-        let since = self.last_word - OVERLAP;
-        let anew =
-            |(proxy, (_, at)): &(&ProxyId, &(News, Nanos))| *at >= since || !self.told.contains(*proxy);
-        let joined = next.joined.iter().filter(anew).map(|(_, (news, _))| news.clone());
-        // An acknowledgement that the leader before did not bring would be waited for, and hold the channel.
-        let applied = next.applied.iter().filter(|(at, _)| *at >= since).map(|(_, news)| news);
-        let applied = applied.filter(|news| !self.told_applied.iter().any(|(_, told)| told == *news));
-        let news: Vec<News> = joined.chain(applied.cloned()).collect();
-        self.last_word = self.last_word.max(next.heard);
-        for news in news {
-            self.tell(now, news, out);
+    /// Whether a proxy came and went before a stream began is told by one that was open before: it has done so by some
+    /// time after, or it is gone or quiet, and whoever may have done so is told as joined anew.
+    fn confirm(&mut self, now: Nanos, out: &mut Vec<News>) {
+        for place in 0..self.streams.len() {
+            let mut stream = self.streams.remove(place);
+            if let Some(since) = stream.account.assumed_since().filter(|_| !stream.is_quiet(now)) {
+                let others = self.streams.iter().filter(|other| other.open.is_some_and(|open| open <= since));
+                let spoke_last = others.max_by_key(|other| other.heard);
+                match spoke_last.filter(|other| !other.is_quiet(now)) {
+                    Some(other) => stream.account.confirm(other.heard - OVERLAP, &other.account),
+                    None => self.presence.join_assumed_anew(&mut stream.account, out),
+                }
+            }
+            self.streams.insert(place, stream);
         }
-        self.end_settling(now, out);
     }
 
-    /// Once the leader has told what stands, those it has not named have left.
-    fn end_settling(&mut self, now: Nanos, out: &mut Vec<News>) {
-        if self.settling.is_none_or(|since| now - since < SETTLED) {
-            return;
+    /// Streams that have opened for long enough have told what stands.
+    fn settle(&mut self, now: Nanos, out: &mut Vec<News>) {
+        for stream in &mut self.streams {
+            if stream.settles_at().is_some_and(|at| at <= now) {
+                self.presence.settle(&mut stream.account, out);
+            }
         }
-        let Some(stream) = self.streams.iter().find(|stream| Some(stream.link) == self.lead) else { return };
-        self.settling = None;
-        let gone: Vec<ProxyId> =
-            self.told.iter().filter(|proxy| !stream.joined.contains_key(*proxy)).copied().collect();
-        for proxy in gone {
-            self.tell(now, News::Left { proxy }, out);
+    }
+
+    /// After a stream has ended the others have had time to tell what it told last.
+    fn end_doubt(&mut self, now: Nanos, out: &mut Vec<News>) {
+        let Some(at) = self.doubt_ends.filter(|at| *at <= now) else { return };
+        self.doubt_ends = None;
+        for place in 0..self.streams.len() {
+            let mut stream = self.streams.remove(place);
+            // One that has been silent since may have it on its way.
+            if stream.heard + SETTLED > at {
+                let others = &self.streams;
+                let is_followed = |presence: &Presence, proxy| {
+                    others
+                        .iter()
+                        .any(|other| !other.is_quiet(now) && presence.is_followed(&other.account, proxy))
+                };
+                self.presence.end_doubt(&mut stream.account, is_followed, out);
+            }
+            self.streams.insert(place, stream);
         }
     }
 
@@ -264,24 +259,29 @@
 
     /// Proxies told as joined.
     pub fn told(&self) -> usize {
-        self.told.len()
+        self.presence.joined()
     }
 
     /// Whether a proxy is told as joined.
     pub fn is_told(&self, proxy: ProxyId) -> bool {
-        self.told.contains(&proxy)
+        self.presence.is_joined(proxy)
+    }
+
+    /// When the next stream will be quiet that others may wait for.
+    fn quiet_at(&self, now: Nanos) -> Option<Nanos> {
+        let is_awaited = self.streams.iter().any(|stream| stream.account.assumed_since().is_some());
+        let quiet = self.streams.iter().map(|stream| stream.heard + QUIET).filter(|at| *at > now);
+        quiet.min().filter(|_| is_awaited)
     }
 
-    /// When the next turn is due though nothing comes in. A leader that is silent, and kept, sets no time.
+    /// When the next turn is due though nothing comes in. A stream that is silent, and kept, sets no time.
     pub fn next_at(&self, now: Nanos) -> Option<Nanos> {
-        let settled = self.settling.map(|since| since + SETTLED);
+        let settled = self.streams.iter().filter_map(EventStream::settles_at);
         let streams = self.streams.iter().filter_map(|stream| match stream.open {
             None => Some(stream.dialled + OPEN_MOST),
             Some(_) => stream.speaks(now).then_some(stream.heard + SILENT),
         });
-        let leader = self.streams.iter().find(|stream| Some(stream.link) == self.lead);
-        let quiet = leader.map(|leader| leader.heard + QUIET).filter(|at| *at > now);
         let dial = self.wants_more(now).then_some(self.dial_at);
-        settled.into_iter().chain(streams).chain(quiet).chain(dial).min()
+        settled.chain(streams).chain(self.quiet_at(now)).chain(self.doubt_ends).chain(dial).min()
     }
 }
--- a/crates/craneknot-node/src/lib.rs
+++ b/crates/craneknot-node/src/lib.rs
@@ -2,8 +2,8 @@
 //! (`craneknot::Controller`) what occurs and carries out their orders; [`shell`] puts it on sockets.
 //!
 //! What is decided here is the program's own, each in a file of its own with the clock passed in: who may speak
-//! at the coordinator's address ([`clients`]), what is owed to whom ([`pending`]), which stream of news counts
-//! ([`event_streams`]), when a call in doubt is made again ([`order_queue`]), how the list is followed ([`watch`]), how old
+//! at the coordinator's address ([`clients`]), what is owed to whom ([`pending`]), what the streams of news tell
+//! together ([`event_streams`], [`presence`]), when a call in doubt is made again ([`order_queue`]), how the list is followed ([`watch`]), how old
 //! a server is ([`server_age`]), whether each proxy has a server to go to ([`coverage`]), what is logged ([`log_event`]), what descriptors are for ([`descriptors`]), which probes are in flight ([`probes`]).
 
 pub mod clients;
@@ -15,6 +15,7 @@
 pub mod log_event;
 pub mod order_queue;
 pub mod pending;
+pub mod presence;
 pub mod probes;
 pub mod server_age;
 pub mod shell;
--- a/crates/craneknot-node/tests/takeover_days.rs
+++ b/crates/craneknot-node/tests/takeover_days.rs
@@ -194,6 +194,27 @@
     }
 }
 
+/// Proxies that leave and join again while an event stream lags, which breaks before it has brought that.
+#[test]
+fn proxies_that_come_again_within_a_lag_are_bound_anew() {
+    for (lag, silent) in [(0, 0), (300, 0), (900, 0), (1_800, 0), (0, 1_400), (0, 2_400)] {
+        let mut day = Day::new(1);
+        day.run_to(8_000);
+        let at = day.platform.now;
+        let troubles = &mut day.platform.places[0].troubles;
+        troubles.first_stream_lag = lag;
+        troubles.first_stream_silent = at + silent;
+        day.run_to(8_100);
+        (0..30).for_each(|proxy| day.platform.join(proxy * 3, 0));
+        let delay = lag.max(silent);
+        day.run_to(8_100 + delay - 50.min(delay));
+        day.platform.end_first_stream(0);
+        day.platform.places[0].troubles = Default::default();
+        day.run_to(14_000);
+        day.check(1, RULES);
+    }
+}
+
 /// Hundreds join and leave at once, news of which is held up; those who stay get their orders.
 #[test]
 fn orders_for_proxies_that_have_left_do_not_hold_up_the_others() {
