Node: hundreds of proxies that have left do not hold up the orders of others

Callers saw: where many proxies leave at once and news of it is late, each costs a call of up to 50 ms before the next order's turn comes: lines to lost servers stay for seconds.

Cause: the relay stops at the first order it can't use, and each refusal put aside one proxy's orders only (order_queue.rs, refused).

Change: from the second refusal in a row on, the orders of the proxies that follow are put behind all others, twice as many with each refusal; a proxy of which an order is taken is trusted again. The order of each proxy's orders is kept.

Not mended: those who stay wait for the refusals of the others among those put back.

--- a/crates/craneknot-node/src/order_queue.rs
+++ b/crates/craneknot-node/src/order_queue.rs
@@ -3,7 +3,7 @@
 //! A call that is broken off, or whose answer can't be read, was carried out or was not. All orders set what they
 //! name, so that carrying one out twice leaves the same; the call is made again from its first order.
 
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use std::net::SocketAddr;
 
 use craneknot::interface::{Nanos, Order, ProxyId};
@@ -19,6 +19,8 @@
 const BACKOFF_MOST: Nanos = Nanos::from_millis(320); // ms; the longest: proxies wait for their lines
 const THROTTLED: Nanos = Nanos::from_millis(100); // ms; it said that it is busy
 const SECOND_LOOK: Nanos = Nanos::from_millis(700); // ms; news that a proxy has left comes within, mostly
+const SUSPECT_FROM: u32 = 2; // refusals in a row, each of another proxy: one or two leave in the usual coming and going
+const SUSPECT_DOUBLINGS: u32 = 12; // more proxies than there are
 const FOLD_FROM: usize = 4_096; // orders in line, some two calls: a relay that is there takes them before
 const ORDER_COST: usize = 8; // bytes that one order's signs grow by when escaped, at most, and its end
 
@@ -62,6 +64,8 @@
     void: bool,
     /// The relay could not use it once.
     second: bool,
+    /// Its proxy may have left, as many before it had: it goes out behind all others.
+    suspect: bool,
 }
 
 /// The orders of a proxy that the relay does not know: it may have left, news of which is on its way, or the
@@ -75,6 +79,10 @@
     relay: Callee,
     queue: VecDeque<Queued>,
     held: BTreeMap<ProxyId, Held>,
+    /// Proxies whose orders go out behind all others.
+    suspects: BTreeSet<ProxyId>,
+    /// Calls in a row that ended with an order for a proxy that the relay does not know.
+    refused_in_row: u32,
     /// The queue's length at which it is folded next.
     fold_at: usize,
     state: State,
@@ -118,6 +126,8 @@
             relay: Callee::new(address),
             queue: VecDeque::new(),
             held: BTreeMap::new(),
+            suspects: BTreeSet::new(),
+            refused_in_row: 0,
             fold_at: FOLD_FROM,
             state: State::Resting { from: now },
             failures: 0,
@@ -135,7 +145,8 @@
         for order in orders {
             self.offered += 1;
             let held = order.proxy.and_then(|proxy| self.held.get_mut(&proxy));
-            let queued = Queued { order, number: self.offered, void: false, second: false };
+            let suspect = order.proxy.is_some_and(|proxy| self.suspects.contains(&proxy));
+            let queued = Queued { order, number: self.offered, void: false, second: false, suspect };
             held.map_or(&mut self.queue, |held| &mut held.orders).push_back(queued);
         }
         if self.queue.len() >= self.fold_at {
@@ -197,6 +208,7 @@
         let held = self.held.remove(&proxy);
         self.settle(held.into_iter().flat_map(|held| held.orders), Outcome::Void);
         self.acknowledged.forget(proxy);
+        self.suspects.remove(&proxy);
         let sent = self.in_flight();
         for queued in self.queue.iter_mut().filter(|queued| queued.order.proxy == Some(proxy)) {
             queued.void = true;
@@ -241,6 +253,7 @@
         if from > now || self.queue.is_empty() {
             return;
         }
+        self.move_suspects_back();
         let (mut orders, mut bytes) = (0, 0);
         for queued in &self.queue {
             bytes += queued.order.text.len() + ORDER_COST;
@@ -301,6 +314,7 @@
             Ok(Answer::Taken(taken)) => {
                 self.failures = 0;
                 self.acknowledge(taken);
+                self.refused_in_row = if taken < orders { self.refused_in_row } else { 0 };
                 // The relay can't use the next one, unless it is void by now.
                 let refused = taken < orders && self.queue.front().is_some_and(|next| !next.void);
                 let given_up = if refused { self.refused(now) } else { None };
@@ -332,6 +346,9 @@
     fn acknowledge(&mut self, count: usize) {
         let taken: Vec<Queued> = self.queue.drain(..count).collect();
         for queued in taken {
+            if queued.order.proxy.is_some_and(|proxy| self.suspects.remove(&proxy)) {
+                self.trust(queued.order.proxy);
+            }
             let in_turn = self.acknowledged.take(queued.order.proxy, queued.number);
             self.overtaken += u64::from(!in_turn);
             // It may have been carried out for the proxy's stream before.
@@ -364,9 +381,48 @@
             .partition(|queued: &Queued| queued.order.proxy == Some(proxy));
         self.queue = others;
         self.held.insert(proxy, Held { until: now + SECOND_LOOK, orders: own });
+        self.suspects.remove(&proxy);
+        self.refused_in_row += 1;
+        self.suspect_more();
         None
     }
 
+    /// Where one proxy after the other has left, each would cost a call: more and more of those that follow are put
+    /// behind all others, twice as many with each refusal, so that these are held up by a few calls only.
+    fn suspect_more(&mut self) {
+        let Some(doublings) = self.refused_in_row.checked_sub(SUSPECT_FROM) else { return };
+        let most = 2usize << doublings.min(SUSPECT_DOUBLINGS);
+        let trusted = self.queue.iter().filter(|queued| !queued.suspect);
+        let mut next = BTreeSet::new();
+        for proxy in trusted.filter_map(|queued| queued.order.proxy) {
+            if next.len() >= most {
+                break;
+            }
+            next.insert(proxy);
+        }
+        for queued in &mut self.queue {
+            queued.suspect |= queued.order.proxy.is_some_and(|proxy| next.contains(&proxy));
+        }
+        self.suspects.extend(next);
+    }
+
+    /// The relay knows this proxy.
+    fn trust(&mut self, proxy: Option<ProxyId>) {
+        let own = self.queue.iter_mut().filter(|queued| queued.order.proxy == proxy);
+        own.for_each(|queued| queued.suspect = false);
+    }
+
+    /// Puts suspects behind all others, in their order; nothing is in flight.
+    fn move_suspects_back(&mut self) {
+        if self.suspects.is_empty() {
+            return;
+        }
+        let (suspects, others): (VecDeque<Queued>, VecDeque<Queued>) =
+            std::mem::take(&mut self.queue).into_iter().partition(|queued| queued.suspect);
+        self.queue = others;
+        self.queue.extend(suspects);
+    }
+
     /// Whether nothing waits or is in flight.
     pub fn is_idle(&self) -> bool {
         self.waiting() == 0
