Node: each status line tells the longest lack since the start, and who was bare

Readers keep a log's beginning and end, and the lines in between told the figure without who, when or why.

The lines that were there keep their fields.

Measured: the new tests have nothing to compile against without the change; with it nine tests of observability and twelve of the coordinator pass, and the new lines stay under 250 bytes as text and as JSON with the longest values.

--- a/crates/craneknot-node/src/coordinator.rs
+++ b/crates/craneknot-node/src/coordinator.rs
@@ -15,7 +15,7 @@
 use http::{Response, StatusCode};
 
 use crate::clients::{ClientAction, ClientId, Clients};
-use crate::coverage::{Coverage, CoverageFigures};
+use crate::coverage::{Coverage, CoverageFigures, Worst};
 use crate::descriptors::Descriptors;
 use crate::event_streams::EventStreams;
 use crate::link::{Act, LinkId, Links};
@@ -59,6 +59,18 @@
     pub violations: Violations,
     /// Proxies without a line to pick.
     pub coverage: CoverageFigures,
+    /// The longest lack of a line since the start.
+    pub worst: Option<NamedWorst>,
+    /// The longest time that a proxy was bare since the start.
+    pub worst_bare: Option<NamedWorst>,
+}
+
+/// The longest lack, with what an operator calls its class, and the time since the start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NamedWorst {
+    pub worst: Worst,
+    pub class: String,
+    pub since_start: Nanos,
 }
 
 pub struct Coordinator {
@@ -77,6 +89,7 @@
     watch: Watch,
     probes: Probes,
     coverage: Coverage,
+    born: Nanos,
     events: Vec<Event>,
     stepped: Nanos,
     wake_at: Option<Nanos>,
@@ -111,6 +124,7 @@
             order_queue: OrderQueue::new(config.relay, now),
             watch: Watch::new(config.discovery, revision),
             probes: Probes::new(descriptors.probes),
+            born: now,
             events: Vec::new(),
             stepped: Nanos(0),
             wake_at: Some(now),
@@ -575,6 +589,13 @@
             news_malformed: self.news_malformed,
             violations: self.pending.violations(),
             coverage: self.coverage.figures(),
+            worst: self.coverage.worst().map(|worst| self.named(worst)),
+            worst_bare: self.coverage.worst_bare().map(|worst| self.named(worst)),
         }
     }
+
+    fn named(&self, worst: &Worst) -> NamedWorst {
+        let class = self.class_names(ClassSet::of(worst.lapse.class));
+        NamedWorst { worst: worst.clone(), class, since_start: worst.at - self.born }
+    }
 }
--- a/crates/craneknot-node/src/coverage.rs
+++ b/crates/craneknot-node/src/coverage.rs
@@ -4,6 +4,10 @@
 //! A proxy lacks a line from its joining until the relay has taken a binding to a table that has a line to a server which
 //! is listed ready and which the class may use; and again from the moment at which that ceases to hold. While no such
 //! server is listed that is warm, nobody lacks anything. What is on its way from the relay to the proxy is not seen here.
+//!
+//! A proxy is bare where it has no such line though a server that it may use is listed ready, cold or warm. That breaks no
+//! rule while all of them are cold, but all that comes to the proxy is refused; and as soon as one of them is warm it has
+//! lacked a line for as long as it was bare.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -42,6 +46,15 @@
     pub lasted: Nanos,
 }
 
+/// The longest lack since the start of the process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Worst {
+    /// When it was that long.
+    pub at: Nanos,
+    /// Who, and what it waited for.
+    pub lapse: Lapse,
+}
+
 /// What an operator wants to know of it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct CoverageFigures {
@@ -51,6 +64,8 @@
     pub longest: Nanos,
     /// How often one lacked a line for longer than the settings allow.
     pub over_limit: u64,
+    /// Proxies and classes that are bare now.
+    pub bare: usize,
 }
 
 /// One class of one proxy.
@@ -63,6 +78,8 @@
     is_refused: bool,
     /// Since when it has had no line; nothing: it has one, or needs none.
     since: Option<Nanos>,
+    /// Since when it has been bare.
+    bare_since: Option<Nanos>,
     is_over_limit: bool,
 }
 
@@ -82,8 +99,9 @@
     /// Lines ordered and not settled, by table.
     ordered_lines: BTreeMap<TableId, usize>,
     look_at: Nanos,
-    longest: Nanos,
     over_limit: u64,
+    worst: Option<Worst>,
+    worst_bare: Option<Worst>,
 }
 
 impl Coverage {
@@ -97,14 +115,15 @@
             tables: BTreeMap::new(),
             ordered_lines: BTreeMap::new(),
             look_at: Nanos(0),
-            longest: Nanos(0),
             over_limit: 0,
+            worst: None,
+            worst_bare: None,
         }
     }
 
     /// A proxy has joined: none of its bindings stands.
     pub fn joined(&mut self, now: Nanos, proxy: ProxyId, zone: ZoneId) {
-        let held = Held { since: Some(now), ..Held::default() };
+        let held = Held { since: Some(now), bare_since: Some(now), ..Held::default() };
         self.proxies.insert(proxy, Joined { zone, held: vec![held; self.classes.len()] });
     }
 
@@ -116,7 +135,10 @@
     /// The relay takes no orders from anybody for now: what lacks a line begins anew.
     pub fn begin_anew(&mut self, now: Nanos) {
         let held = self.proxies.values_mut().flat_map(|joined| &mut joined.held);
-        held.for_each(|held| held.since = held.since.map(|_| now));
+        held.for_each(|held| {
+            held.since = held.since.map(|_| now);
+            held.bare_since = held.bare_since.map(|_| now);
+        });
     }
 
     fn bindings(&mut self, proxy: ProxyId, classes: ClassSet) -> impl Iterator<Item = &mut Held> {
@@ -188,46 +210,99 @@
         self.look_at = now + LOOK_EVERY;
         let usable = Usable::new(now, self.warm_after, &self.classes, listed);
         let mut lapsed: Vec<(ProxyId, usize)> = Vec::new();
-        let mut known: BTreeMap<(usize, ZoneId, Option<TableId>), bool> = BTreeMap::new();
+        let mut known: BTreeMap<(usize, ZoneId, Option<TableId>), Lack> = BTreeMap::new();
         for (proxy, joined) in &mut self.proxies {
             for (class, held) in joined.held.iter_mut().enumerate() {
                 let lines = held.table.and_then(|table| self.tables.get(&table));
-                let lacks = *known
+                let lack = *known
                     .entry((class, joined.zone, held.table))
-                    .or_insert_with(|| usable.is_lacking(class, joined.zone, lines));
-                held.since = lacks.then(|| held.since.unwrap_or(now));
-                let lasted = held.since.map_or(Nanos(0), |since| now - since);
-                self.longest = self.longest.max(lasted);
-                if lasted > self.limit && !held.is_over_limit {
+                    .or_insert_with(|| usable.lack(class, joined.zone, lines));
+                held.since = (lack == Lack::OfWarm).then(|| held.since.unwrap_or(now));
+                held.bare_since = (lack != Lack::Nothing).then(|| held.bare_since.unwrap_or(now));
+                let is_over_limit = held.since.is_some_and(|since| now - since > self.limit);
+                if is_over_limit && !held.is_over_limit {
                     lapsed.push((*proxy, class));
                 }
-                held.is_over_limit = lasted > self.limit;
+                held.is_over_limit = is_over_limit;
             }
         }
         self.over_limit += lapsed.len() as u64;
-        lapsed.into_iter().filter_map(|(proxy, class)| self.lapse(now, proxy, class)).collect()
+        self.note_worst(now);
+        let lapse = |(proxy, class)| self.lapse(now, proxy, class, |held| held.since);
+        lapsed.into_iter().filter_map(lapse).collect()
+    }
+
+    /// Keeps the longest lack, and the longest time that one was bare.
+    fn note_worst(&mut self, now: Nanos) {
+        let lapse = self.longest_now(now, |held| held.since);
+        self.worst = longer(now, self.worst.take(), lapse);
+        let lapse = self.longest_now(now, |held| held.bare_since);
+        self.worst_bare = longer(now, self.worst_bare.take(), lapse);
     }
 
-    fn lapse(&self, now: Nanos, proxy: ProxyId, class: usize) -> Option<Lapse> {
+    fn longest_now(&self, now: Nanos, since: fn(&Held) -> Option<Nanos>) -> Option<Lapse> {
+        let held = self.proxies.iter().flat_map(|(proxy, joined)| {
+            joined.held.iter().enumerate().map(move |(class, held)| (*proxy, class, held))
+        });
+        let lacking = held.filter_map(|(proxy, class, held)| Some((since(held)?, proxy, class)));
+        let (_, proxy, class) = lacking.min()?;
+        self.lapse(now, proxy, class, since)
+    }
+
+    fn lapse(
+        &self,
+        now: Nanos,
+        proxy: ProxyId,
+        class: usize,
+        since: impl Fn(&Held) -> Option<Nanos>,
+    ) -> Option<Lapse> {
         let held = self.proxies.get(&proxy)?.held.get(class)?;
         Some(Lapse {
             proxy,
             class: ClassId(class as u8),
             table: held.table,
             waiting_for: self.waiting_for(held),
-            lasted: now - held.since?,
+            lasted: now - since(held)?,
         })
     }
 
     /// The figures as of the last look.
     pub fn figures(&self) -> CoverageFigures {
-        let held = self.proxies.values().flat_map(|joined| &joined.held);
+        let held = || self.proxies.values().flat_map(|joined| &joined.held);
         CoverageFigures {
-            uncovered: held.filter(|held| held.since.is_some()).count(),
-            longest: self.longest,
+            uncovered: held().filter(|held| held.since.is_some()).count(),
+            longest: self.worst.as_ref().map_or(Nanos(0), |worst| worst.lapse.lasted),
             over_limit: self.over_limit,
+            bare: held().filter(|held| held.bare_since.is_some()).count(),
         }
     }
+
+    /// The longest lack since the start.
+    pub fn worst(&self) -> Option<&Worst> {
+        self.worst.as_ref()
+    }
+
+    /// The longest time that one was bare since the start.
+    pub fn worst_bare(&self) -> Option<&Worst> {
+        self.worst_bare.as_ref()
+    }
+}
+
+/// The longer of the worst until now and a lapse of this moment.
+fn longer(now: Nanos, worst: Option<Worst>, lapse: Option<Lapse>) -> Option<Worst> {
+    let longest = worst.as_ref().map_or(Nanos(0), |worst| worst.lapse.lasted);
+    let lapse = lapse.filter(|lapse| lapse.lasted > longest);
+    lapse.map(|lapse| Worst { at: now, lapse }).or(worst)
+}
+
+/// What a proxy lacks for a class.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Lack {
+    Nothing,
+    /// A line, though a server that is warm or may be is listed ready.
+    OfWarm,
+    /// A line, though a server is listed ready; all of them are cold.
+    OfCold,
 }
 
 /// The servers that are listed ready.
@@ -262,13 +337,21 @@
             && (!settings.home_only || entry.zone == zone)
     }
 
-    /// Whether a proxy of a zone with these lines lacks one, though there is a server for it.
-    fn is_lacking(&self, class: usize, zone: ZoneId, lines: Option<&BTreeSet<ServerId>>) -> bool {
+    /// What a proxy of a zone with these lines lacks.
+    fn lack(&self, class: usize, zone: ZoneId, lines: Option<&BTreeSet<ServerId>>) -> Lack {
         let has = |server: &ServerId| {
             self.servers.get(server).is_some_and(|entry| self.is_open(class, zone, entry))
         };
-        let is_covered = lines.is_some_and(|lines| lines.iter().any(has));
-        let is_due = |entry: &&Listing| self.is_warm(entry) && self.is_open(class, zone, entry);
-        !is_covered && self.servers.values().any(is_due)
+        if lines.is_some_and(|lines| lines.iter().any(has)) {
+            return Lack::Nothing;
+        }
+        let open = || self.servers.values().filter(|entry| self.is_open(class, zone, entry));
+        if open().any(|entry| self.is_warm(entry)) {
+            Lack::OfWarm
+        } else if open().next().is_some() {
+            Lack::OfCold
+        } else {
+            Lack::Nothing
+        }
     }
 }
--- a/crates/craneknot-node/src/log_event.rs
+++ b/crates/craneknot-node/src/log_event.rs
@@ -8,7 +8,7 @@
 use tracing::{info, warn};
 
 use crate::clients::ClientId;
-use crate::coordinator::Status;
+use crate::coordinator::{NamedWorst, Status};
 use crate::coverage::Lapse;
 use crate::pending::Violations;
 use crate::takeover::Takeover;
@@ -209,6 +209,8 @@
         orders_waiting = status.orders_waiting,
         "status"
     );
+    write_worst("status of the longest lack", status.worst.as_ref(), status.coverage.uncovered);
+    write_worst("status of the longest bare", status.worst_bare.as_ref(), status.coverage.bare);
     info!(
         orders = status.orders,
         orders_rejected = status.orders_rejected,
@@ -235,6 +237,21 @@
     );
 }
 
+/// The longest since the start, in each status line anew: readers keep a log's beginning and end only. `now`: how many
+/// proxies and classes are without a line now.
+fn write_worst(kind: &str, worst: Option<&NamedWorst>, now: usize) {
+    let lapse = worst.map(|worst| &worst.worst.lapse);
+    info!(
+        now,
+        longest_ms = lapse.map_or(0, |lapse| millis(lapse.lasted)),
+        after_s = worst.map(|worst| millis(worst.since_start) / 1_000),
+        proxy = lapse.map(|lapse| lapse.proxy.0),
+        class = worst.map(|worst| cut_name(&worst.class)),
+        waiting_for = lapse.map(|lapse| format!("{:?}", lapse.waiting_for)),
+        "{kind}"
+    );
+}
+
 /// Writes events, up to so many of a kind between two status lines.
 #[derive(Debug, Default)]
 pub struct EventLog {
--- a/crates/craneknot-node/tests/observability.rs
+++ b/crates/craneknot-node/tests/observability.rs
@@ -7,8 +7,8 @@
 use craneknot::interface::*;
 use craneknot::{Load, Sign, State, Transition};
 use craneknot_node::clients::ClientId;
-use craneknot_node::coordinator::Status;
-use craneknot_node::coverage::{Coverage, CoverageFigures, Lapse, WaitingFor};
+use craneknot_node::coordinator::{NamedWorst, Status};
+use craneknot_node::coverage::{Coverage, CoverageFigures, Lapse, WaitingFor, Worst};
 use craneknot_node::log_event::{write_status, EventLog, LogEvent};
 use craneknot_node::order_queue::Outcome;
 use craneknot_node::pending::Violations;
@@ -115,6 +115,18 @@
 #[test]
 fn no_line_of_the_log_is_longer_than_is_kept() {
     let many = 100_000_000;
+    let lapse = Lapse {
+        proxy: ProxyId(u16::MAX),
+        class: ClassId(31),
+        table: Some(TableId(u16::MAX)),
+        waiting_for: WaitingFor::BindingRefused,
+        lasted: Nanos::from_millis(100_000_000),
+    };
+    let worst = NamedWorst {
+        worst: Worst { at: Nanos(u64::MAX), lapse },
+        class: "\u{1}\"\\é".repeat(200),
+        since_start: Nanos::from_millis(10_000_000_000),
+    };
     let status = Status {
         proxies: 65_535,
         servers: 65_535,
@@ -139,7 +151,10 @@
             uncovered: 7_200,
             longest: Nanos::from_millis(600_000),
             over_limit: 100_000,
+            bare: 7_200,
         },
+        worst: Some(worst.clone()),
+        worst_bare: Some(worst),
     };
     for is_json in [false, true] {
         let mut log = EventLog::default();
@@ -147,7 +162,7 @@
             write_status(&status, 1_024, many);
             all_events().iter().for_each(|event| assert!(log.write(event)));
         });
-        assert_eq!(lines.len(), 4 + all_events().len(), "one line an event");
+        assert_eq!(lines.len(), 6 + all_events().len(), "one line an event");
         for line in lines {
             assert!(line.len() <= LINE_MOST, "{} bytes: {line}", line.len());
         }
@@ -270,6 +285,69 @@
     assert_eq!(coverage.figures().longest, ms(BARE + 100));
 }
 
+/// While all servers are cold nobody lacks a line by the rule, and a proxy without one refuses all the same.
+#[test]
+fn a_proxy_without_a_line_among_cold_servers_is_bare() {
+    let mut coverage = coverage_since(1_000);
+    let list = [listing("a-1", 0, Some(500)), listing("b-1", 1, Some(500))];
+    coverage.look(ms(2_000), list.iter());
+    coverage.look(ms(6_000), list.iter());
+    let figures = coverage.figures();
+    assert_eq!((figures.uncovered, figures.over_limit, figures.bare), (0, 0, 2));
+    let worst = coverage.worst_bare().unwrap();
+    assert_eq!((worst.at, worst.lapse.lasted), (ms(6_000), ms(5_000)), "since its joining");
+    assert_eq!(coverage.worst(), None);
+    for order in [line("b-1", 1.0), BIND] {
+        coverage.ordered(&order);
+        coverage.settled(&order, Outcome::Taken);
+    }
+    coverage.look(ms(6_100), list.iter());
+    assert_eq!(
+        coverage.figures().bare,
+        1,
+        "a line to a cold server is a line; the second class may not use it"
+    );
+    let gone: [Listing; 0] = [];
+    coverage.look(ms(6_200), gone.iter());
+    assert_eq!(coverage.figures().bare, 0, "there is none to go to");
+    coverage.look(ms(6_300), list.iter());
+    coverage.begin_anew(ms(6_350));
+    coverage.look(ms(6_400), list.iter());
+    assert_eq!(coverage.figures().bare, 1);
+    assert_eq!(coverage.worst_bare().unwrap().lapse.lasted, ms(5_100), "the longest stays");
+}
+
+/// Readers keep a log's beginning and end: what was worst must stand in each status line, with who and when.
+#[test]
+fn the_longest_lack_since_the_start_is_told_again_and_again() {
+    let list = [listing("a-1", 0, None)];
+    let mut coverage = coverage_since(1_000);
+    coverage.look(ms(2_500), list.iter());
+    let worst = coverage.worst().cloned().unwrap();
+    assert_eq!((worst.at, worst.lapse.lasted, worst.lapse.proxy), (ms(2_500), ms(1_500), ProxyId(1)));
+    assert_eq!(worst.lapse.waiting_for, WaitingFor::Binding);
+    for order in [line("a-1", 1.0), BIND] {
+        coverage.ordered(&order);
+        coverage.settled(&order, Outcome::Taken);
+    }
+    coverage.look(ms(3_000), list.iter());
+    coverage.joined(ms(3_000), ProxyId(2), ZoneId(0));
+    coverage.look(ms(4_000), list.iter());
+    assert_eq!(coverage.worst(), Some(&worst), "a shorter one does not take its place");
+    assert_eq!(coverage.figures().longest, ms(1_500));
+    let named = NamedWorst { worst, class: "lookup".into(), since_start: ms(2_500) };
+    let status = Status { worst: Some(named), ..Status::default() };
+    for _ in 0..2 {
+        let lines = logged(false, || write_status(&status, 0, 0));
+        let told = lines.iter().find(|line| line.contains("status of the longest lack")).unwrap();
+        for field in
+            ["longest_ms=1500", "after_s=2", "proxy=1", "class=\"lookup\"", "waiting_for=\"Binding\""]
+        {
+            assert!(told.contains(field), "{field}: {told}");
+        }
+    }
+}
+
 /// One whose age is not known may be warm: there is a server for it.
 #[test]
 fn a_server_of_unknown_age_is_one_to_go_to() {
