--- a/crates/craneknot-cli/tests/log_sink.rs
+++ b/crates/craneknot-cli/tests/log_sink.rs
@@ -12,6 +12,7 @@
 use std::sync::mpsc::{channel, Receiver};
 use std::time::{Duration, Instant};
 
+use craneknot_coordinator::ask::{ask, Within};
 use craneknot_reactor::reserve;
 use rustix::process::Signal;
 use serde_json::{json, Value};
@@ -243,12 +244,11 @@
     stream.read_exact(&mut answer).is_ok() && &answer == b"HTTP/1.1 404"
 }
 
-/// Starts it with these settings, asks it something, and ends it; its exit code.
-fn serve(serve: &str, settings: &Value, error: Stdio) -> Option<i32> {
-    let folder = tempfile::tempdir().unwrap();
-    let (file, ready) = (folder.path().join("settings.json"), folder.path().join("ready.json"));
+/// Starts it with these settings, and waits until it tells its address.
+fn serving(serve: &str, folder: &Path, settings: &Value, error: Stdio) -> Node {
+    let (file, ready) = (folder.join("settings.json"), folder.join("ready.json"));
     std::fs::write(&file, settings.to_string()).unwrap();
-    std::fs::write(folder.path().join("servers.json"), "{\"version\": 1, \"servers\": []}").unwrap();
+    std::fs::write(folder.join("servers.json"), "{\"version\": 1, \"servers\": []}").unwrap();
     let child = craneknot(&[serve], &file, error);
     let mut node = Node { child, address: SocketAddr::from(([127, 0, 0, 1], 0)), log: Default::default() };
     let until = Instant::now() + PATIENCE;
@@ -258,6 +258,13 @@
     }
     let ready: Value = serde_json::from_slice(&std::fs::read(ready).unwrap()).unwrap();
     node.address = ready["address"].as_str().unwrap().parse().unwrap();
+    node
+}
+
+/// Starts it, asks it something, and ends it; its exit code.
+fn serve(serve: &str, settings: &Value, error: Stdio) -> Option<i32> {
+    let folder = tempfile::tempdir().unwrap();
+    let mut node = serving(serve, folder.path(), settings, error);
     assert!(is_served(node.address), "{serve}");
     node.signal(Signal::TERM);
     end_within(&mut node.child, PATIENCE)
@@ -282,6 +289,22 @@
     }
 }
 
+#[test]
+fn a_coordinators_status_tells_how_many_log_lines_were_dropped() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut node = serving("run", folder.path(), &coordinator_settings(), full_device().into());
+    let within = Within { connect: PATIENCE, read: PATIENCE };
+    let until = Instant::now() + PATIENCE;
+    while ask(node.address, "/status", within).unwrap()["log_lines_dropped"].as_u64().unwrap() == 0 {
+        assert!(Instant::now() < until, "the first line is dropped");
+    }
+    let mut command = Command::new(env!("CARGO_BIN_EXE_craneknot"));
+    let told = command.arg("status").arg(node.address.to_string()).output().unwrap();
+    assert!(String::from_utf8_lossy(&told.stdout).contains("log lines dropped"));
+    node.signal(Signal::TERM);
+    assert_eq!(end_within(&mut node.child, PATIENCE), Some(0));
+}
+
 #[test]
 fn an_output_that_is_closed_or_full_changes_no_exit_code() {
     let (gone, closed) = pipe().unwrap();
