Soak: one connection to the relay lags and breaks while proxies come again

What was missing: a network fault struck all connections to a neighbour alike, so that a coordinator's two streams of news always lagged and broke together; and no proxy ever lost its stream and came back to the same coordinator.

Change: a fault that strikes one connection alone. It is silent for 0.6 to 1.3 s, then some more bytes cross and it is reset. In the first third of that the proxies of the node leave and come again within 0.2 s.

--- a/crates/craneknot-rehearsal/src/soak/play.rs
+++ b/crates/craneknot-rehearsal/src/soak/play.rs
@@ -67,6 +67,7 @@
                 }));
             }
             Fault::MoveAll => self.move_all(number),
+            Fault::Reconnect { away } => self.reconnect(number, Duration::from_millis(away)),
             Fault::StepClock { seconds } => {
                 let _ = self.nodes[number].lock().unwrap().step_clock(seconds);
             }
@@ -224,6 +225,20 @@
         }));
     }
 
+    /// All proxies of a node leave it, and come again.
+    fn reconnect(&mut self, number: usize, away: Duration) {
+        let fleet = self.fleet.clone();
+        let mut held = self.fleet.lock().unwrap();
+        let left = held.joined(number);
+        left.iter().for_each(|proxy| held.leave(*proxy, number));
+        drop(held);
+        self.tasks.push(thread::spawn(move || {
+            thread::sleep(away);
+            let mut fleet = fleet.lock().unwrap();
+            left.iter().for_each(|proxy| fleet.join(*proxy, number));
+        }));
+    }
+
     fn move_all(&mut self, number: usize) {
         let mut fleet = self.fleet.lock().unwrap();
         for from in (0..self.nodes.len()).filter(|from| *from != number) {
--- a/crates/craneknot-rehearsal/src/soak/schedule.rs
+++ b/crates/craneknot-rehearsal/src/soak/schedule.rs
@@ -16,9 +16,12 @@
 const TOGETHER_MOST: usize = 4; // servers whose changes come in one step of the list
 const OVERLAP_EVERY: std::ops::Range<u64> = 4_000..12_000; // ms; between failures of relay and discovery together
 const RESTART_EVERY: std::ops::Range<u64> = 2_000..6_000; // ms; between restarts in one of the forms
+const LAG_EVERY: std::ops::Range<u64> = 1_500..4_000; // ms; between two connections that lag
+const LAG_LASTS: std::ops::Range<u64> = 600..1_300; // ms; a sign of life comes every second
 const THROTTLED_FOR: std::ops::Range<u64> = 3_000..10_000; // ms; how long a process has a quarter of a core
 const ADDED_STREAM: u64 = 1; // of random numbers: what is drawn from it changes nothing of the first stream's
 const THROTTLE_STREAM: u64 = 2; // the same for what load adds
+const LAG_STREAM: u64 = 3; // the same for connections that lag
 
 /// Which of a node's two neighbours a network fault strikes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,6 +45,9 @@
     Split,
     /// Bytes cross so many milliseconds later.
     Delay(u64),
+    /// One of the connections that are open falls silent alone; at the end so many bytes more cross on it, and it is
+    /// reset.
+    LagOne { place: usize, bytes: usize },
 }
 
 /// How a server restarts under its id.
@@ -96,6 +102,8 @@
     Crowd { asking: usize, silent: usize },
     /// All proxies leave their coordinators and join this one.
     MoveAll,
+    /// The proxies of this coordinator lose their streams to it and come again so many milliseconds later.
+    Reconnect { away: u64 },
     /// The wall clock of the process is stepped by so many seconds.
     StepClock { seconds: i64 },
     /// Something becomes of the list, for all nodes.
@@ -116,6 +124,7 @@
             Fault::Pause { millis }
             | Fault::Network { millis, .. }
             | Fault::Throttle { millis }
+            | Fault::Reconnect { away: millis }
             | Fault::LoseZone { millis, .. } => millis,
             Fault::List(ListChange::Restart(Restart { draining, gone, .. })) => draining + gone,
             _ => 0,
@@ -204,6 +213,7 @@
         at += rng.random_range(1..2 * pace.max(1) + 1);
     }
     planned.extend(overlaps(&mut added, nodes, end));
+    planned.extend(lags(&mut Pcg32::new(seed, LAG_STREAM), nodes, end));
     match day {
         Day::Random => planned.extend(restarts(&mut added, servers, end)),
         Day::Incident => {
@@ -247,6 +257,25 @@
     planned
 }
 
+/// One connection to the relay lags behind for less than makes it seem silent, while the node's proxies come again.
+fn lags(rng: &mut Pcg32, nodes: usize, end: u64) -> Vec<Planned> {
+    let mut planned = Vec::new();
+    let mut at = SETTLE_FIRST + rng.random_range(LAG_EVERY);
+    while at < end {
+        let node = rng.random_range(0..nodes);
+        let fault = NetworkFault::LagOne { place: rng.random_range(0..3), bytes: rng.random_range(1..40) };
+        let (millis, away) = (rng.random_range(LAG_LASTS), rng.random_range(0..200));
+        planned.push(Planned { at, node, fault: Fault::Network { of: Neighbour::Relay, fault, millis } });
+        planned.push(Planned {
+            at: at + rng.random_range(0..millis / 3),
+            node,
+            fault: Fault::Reconnect { away },
+        });
+        at += rng.random_range(LAG_EVERY);
+    }
+    planned
+}
+
 /// Servers restart in all forms, several together at times.
 fn restarts(rng: &mut Pcg32, servers: usize, end: u64) -> Vec<Planned> {
     let mut planned = Vec::new();
