Soak: a call that was given up while nothing crossed is never delivered

While a stall held the relay for 2.8 s the coordinator gave six calls up after 0.2 to 0.3 s each and made them again on new connections, as it should. At the end of the stall the proxy between them delivered all six at once, each by its own thread, so that the relay carried out calls seconds after they were given up, and in no order. On the platform a call is carried out within the time of its answer or not at all.

Change: while nothing crosses, the proxy gathers what comes and looks whether the sender is still there; what a sender that has gone had sent is dropped. A call that is still waited for is delivered.

Measured: a_call_given_up_while_nothing_crosses_is_never_delivered fails without the change and passes with it; a_call_still_waited_for_is_delivered_after_a_stall passes on both.

--- a/crates/craneknot-rehearsal/src/soak/fault_proxy.rs
+++ b/crates/craneknot-rehearsal/src/soak/fault_proxy.rs
@@ -158,7 +158,10 @@
                     return;
                 }
             };
-            if self.forward(connection, &buffer[..count], to).is_err() {
+            let mut bytes = buffer[..count].to_vec();
+            // What its sender gave up while nothing crossed is never delivered.
+            let is_wanted = self.hold(connection, from, &mut bytes);
+            if !is_wanted || self.forward(connection, &bytes, to).is_err() {
                 reset(from);
                 reset(to);
                 return;
@@ -166,19 +169,33 @@
         }
     }
 
-    fn forward(&self, connection: u64, bytes: &[u8], mut to: &TcpStream) -> io::Result<()> {
-        while self.lagging(connection).is_some_and(|lagging| lagging.is_held) && !self.is_closed() {
-            thread::sleep(LOOK_EVERY);
+    fn is_held(&self, connection: u64) -> bool {
+        let is_lagging = self.lagging(connection).is_some_and(|lagging| lagging.is_held);
+        !self.is_closed() && (is_lagging || self.fault() == Some(NetworkFault::Stall))
+    }
+
+    /// Gathers what comes while nothing crosses; whether the sender is still there at the end.
+    fn hold(&self, connection: u64, mut from: &TcpStream, bytes: &mut Vec<u8>) -> bool {
+        let mut buffer = [0; 16 * 1024];
+        while self.is_held(connection) {
+            match from.read(&mut buffer) {
+                Ok(0) => return false,
+                Ok(count) => bytes.extend_from_slice(&buffer[..count]),
+                Err(cause) if matches!(cause.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
+                }
+                Err(_) => return false,
+            }
         }
+        true
+    }
+
+    fn forward(&self, connection: u64, bytes: &[u8], mut to: &TcpStream) -> io::Result<()> {
         if let Some(lagging) = self.lagging(connection) {
             to.write_all(&bytes[..lagging.left.min(bytes.len())])?;
             // What has crossed is read before the reset, which takes what waits with it.
             thread::sleep(READ_BEFORE_RESET);
             return Err(io::ErrorKind::ConnectionReset.into());
         }
-        while self.fault() == Some(NetworkFault::Stall) && !self.is_closed() {
-            thread::sleep(LOOK_EVERY);
-        }
         match self.fault() {
             None | Some(NetworkFault::Stall | NetworkFault::LagOne { .. }) => to.write_all(bytes),
             Some(NetworkFault::Refuse) => Err(io::ErrorKind::ConnectionReset.into()),
