Soak: a fault of the network holds a lack of lines up, it does not end it

Cause: each fault that touched a node began its proxies' limits anew. Where faults come closer together than the limit is long, no lack could grow long enough to be told.

Change: the judge keeps the spans of all faults of a node. A limit that runs when a fault comes waits for as long as the fault lasts, and 1.5 s more, which is the longest that the platform's page gives for a relay that has been silent; from the fault's end on no more than a whole limit is allowed, as before. The longer of the two measures counts, so that nothing passes that was told before.

--- a/crates/craneknot-rehearsal/src/soak/coverage.rs
+++ b/crates/craneknot-rehearsal/src/soak/coverage.rs
@@ -9,10 +9,12 @@
 use std::time::{Duration, Instant};
 
 use super::fleet::{Fleet, Holdings, Server, CLASSES, ONLY_ZONE, ONLY_ZONE_CLASS, ZONES};
+use super::hold_ups::{last_end, overlap, Span};
 use super::node::{Life, BARE, DRAIN_GRACE, WARM_AFTER};
 
 const PLATFORM_SLACK: Duration = Duration::from_millis(300); // on top of the settings, by the platform's page
 const FIRST_SECOND: Duration = Duration::from_secs(1); // after a node's first answer nobody is late
+const AFTERMATH: Duration = Duration::from_millis(1_500); // limits wait for so long after the relay has been silent
 const TICK: Duration = Duration::from_millis(5); // how finely the machine's lateness is measured
 
 /// How late the machine itself has been, in all: a thread that sleeps and wakes too late adds what it overslept.
@@ -46,6 +48,21 @@
     lateness: Duration,
 }
 
+impl Since {
+    /// How long that is, less what the machine was late by.
+    fn lasted(&self, now: Instant, lateness: Duration) -> Duration {
+        let late = lateness.saturating_sub(self.lateness);
+        now.saturating_duration_since(self.at).saturating_sub(late)
+    }
+}
+
+/// The same, from its beginning and from the last fault on that touched the node.
+#[derive(Clone, Copy)]
+struct Known {
+    begun: Since,
+    undisturbed: Since,
+}
+
 /// What is wrong with a proxy's lines.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Wrong {
@@ -74,7 +91,7 @@
 pub struct CoverageJudge {
     begun: Instant,
     lateness: MachineLateness,
-    since: BTreeMap<Subject, Since>,
+    since: BTreeMap<Subject, Known>,
     /// By node: when it was last looked at, if its process had to serve then.
     looked: BTreeMap<usize, Instant>,
     longest: Lack,
@@ -107,24 +124,31 @@
     /// Looks at what a node's proxies hold at a moment; gives what has been wrong for too long by then.
     pub fn look(&mut self, node: usize, life: &Life, fleet: &Fleet, now: Instant) -> Vec<Broken> {
         let serves = life.terminated.is_none() && life.killed.is_none();
-        let ready = life.ready_at.filter(|_| serves).map(|at| at + FIRST_SECOND);
-        let Some(from) = ready.max(life.disturbed_until.filter(|_| ready.is_some())) else {
+        let Some(ready) = life.ready_at.filter(|_| serves).map(|at| at + FIRST_SECOND) else {
             self.since.retain(|subject, _| subject.node != node);
             self.looked.remove(&node);
             return Vec::new();
         };
+        let undisturbed_from = last_end(&life.disturbed, now).map_or(ready, |until| until.max(ready));
+        let disturbed: Vec<Span> = life.disturbed.iter().map(with_aftermath).collect();
         let looked = self.looked.insert(node, now);
         let wrong = wrong_lines(node, now, looked, fleet);
         self.since.retain(|subject, _| subject.node != node || wrong.contains_key(subject));
         let mut broken = Vec::new();
         for (subject, (at, detail)) in wrong {
             let total = self.lateness.total();
-            let known = self.since.entry(subject.clone()).or_insert(Since { at, lateness: total });
-            if known.at < from {
-                *known = Since { at: from, lateness: total };
+            let first = Since { at: at.max(ready), lateness: total };
+            let known =
+                self.since.entry(subject.clone()).or_insert(Known { begun: first, undisturbed: first });
+            if known.undisturbed.at < undisturbed_from {
+                known.undisturbed = Since { at: undisturbed_from, lateness: total };
             }
-            let late = total.saturating_sub(known.lateness);
-            let lasted = now.saturating_duration_since(known.at).saturating_sub(late);
+            // A fault holds up a limit that runs already, and does not begin it anew.
+            let begun = known.begun;
+            let held_up = overlap(begun.at, now, &disturbed);
+            let in_all = begun.lasted(now, total).saturating_sub(held_up);
+            let lasted = in_all.max(known.undisturbed.lasted(now, total));
+            let late = total.saturating_sub(begun.lateness);
             let limit = match subject.wrong {
                 Wrong::NoLine => BARE,
                 Wrong::LineTo(_) => DRAIN_GRACE,
@@ -181,6 +205,11 @@
     wrong
 }
 
+/// A fault of the relay holds up limits for a while after its end, by the platform's page.
+fn with_aftermath(span: &Span) -> Span {
+    Span { from: span.from, until: span.until.map(|until| until + AFTERMATH) }
+}
+
 fn lines_of(holdings: &Holdings, proxy: u16, class: &str) -> Vec<String> {
     let table = holdings.bound.get(&(proxy, class.to_owned()));
     let lines = table.and_then(|table| holdings.tables.get(table));
--- a/crates/craneknot-rehearsal/src/soak/hold_ups.rs
+++ b/crates/craneknot-rehearsal/src/soak/hold_ups.rs
@@ -45,6 +45,20 @@
     open.for_each(|span| span.until = Some(now));
 }
 
+/// How much of the time between two moments lies within some spans.
+pub fn overlap(from: Instant, until: Instant, spans: &[Span]) -> Duration {
+    let mut in_order = spans.to_vec();
+    in_order.sort_by_key(|span| span.from);
+    let (mut total, mut counted) = (Duration::ZERO, from);
+    for span in in_order {
+        let begin = span.from.max(counted);
+        let end = span.end(until).min(until);
+        total += end.saturating_duration_since(begin);
+        counted = counted.max(end);
+    }
+    total
+}
+
 /// When the answer to a request is due: once its process has been able to run for [`ANSWERED_WITHIN`] since.
 pub fn due_at(sent: Instant, spans: &[Span], now: Instant) -> Instant {
     let mut in_order = spans.to_vec();
--- a/crates/craneknot-rehearsal/src/soak/node.rs
+++ b/crates/craneknot-rehearsal/src/soak/node.rs
@@ -57,8 +57,8 @@
     pub before: BTreeMap<u64, EndedLife>,
     /// The longest that a process of this node says a proxy lacked a line, in milliseconds.
     pub told_uncovered: u64,
-    /// The last fault that touched it, or will until then.
-    pub disturbed_until: Option<Instant>,
+    /// When faults touched this node, whatever its process.
+    pub disturbed: Vec<Span>,
 }
 
 impl Life {
@@ -184,15 +184,15 @@
         let mut child = command.spawn()?;
         let epoch = {
             let mut life = self.life.lock().unwrap();
-            let now = Some(Instant::now());
-            // A network fault goes on whatever becomes of the process.
-            let disturbed_until = life.disturbed_until.max(now);
+            let now = Instant::now();
             let mut ended = std::mem::take(&mut *life);
             let mut before = std::mem::take(&mut ended.before);
-            let Life { terminated, killed, paused, crowded, told_uncovered, .. } = ended;
+            // A network fault goes on whatever becomes of the process.
+            let Life { terminated, killed, paused, crowded, told_uncovered, mut disturbed, .. } = ended;
+            disturbed.push(Span::closed(now, now));
             before.insert(ended.epoch, EndedLife { terminated, killed, paused, crowded });
             let epoch = ended.epoch + 1;
-            *life = Life { epoch, started: now, disturbed_until, before, told_uncovered, ..Life::default() };
+            *life = Life { epoch, started: Some(now), disturbed, before, told_uncovered, ..Life::default() };
             life.epoch
         };
         let log = self.setting.folder.join(format!("node-{}-{epoch}.log", self.number));
--- a/crates/craneknot-rehearsal/src/soak/play.rs
+++ b/crates/craneknot-rehearsal/src/soak/play.rs
@@ -24,9 +24,8 @@
 impl Soak {
     /// A fault touches a node from now on for so long.
     fn disturb(&self, node: usize, span: Duration) {
-        let until = Instant::now() + span;
-        let mut life = self.around[node].life.lock().unwrap();
-        life.disturbed_until = life.disturbed_until.max(Some(until));
+        let from = Instant::now();
+        self.around[node].life.lock().unwrap().disturbed.push(Span::closed(from, from + span));
     }
 
     pub(super) fn play(&mut self, planned: &Planned) {
--- a/crates/craneknot-rehearsal/tests/coverage.rs
+++ b/crates/craneknot-rehearsal/tests/coverage.rs
@@ -4,6 +4,7 @@
 
 use craneknot_rehearsal::soak::coverage::{CoverageJudge, MachineLateness};
 use craneknot_rehearsal::soak::fleet::{Fleet, Phase};
+use craneknot_rehearsal::soak::hold_ups::Span;
 use craneknot_rehearsal::soak::node::{Life, BARE};
 
 const PLATFORM_SLACK: Duration = Duration::from_millis(300);
@@ -77,3 +78,34 @@
     assert!(judge.look(0, &life, &fleet, last_allowed).is_empty());
     assert!(!judge.look(0, &life, &fleet, last_allowed + Duration::from_millis(1)).is_empty());
 }
+
+#[test]
+fn a_fault_of_the_network_does_not_begin_a_lack_anew() {
+    let (mut fleet, mut life, joined) = covered();
+    let mut judge = CoverageJudge::new(MachineLateness::default());
+    let begun = joined + HELD_FOR;
+    judge.look(0, &life, &fleet, begun - STEP);
+    fleet.holdings[0].bound.clear();
+    judge.look(0, &life, &fleet, begun);
+    let (fault, aftermath) = (Duration::from_secs(1), Duration::from_millis(1_500));
+    let struck = begun + Duration::from_millis(2_400);
+    life.disturbed.push(Span::closed(struck, struck + fault));
+    judge.look(0, &life, &fleet, struck);
+    let last_allowed = begun + BARE + PLATFORM_SLACK + fault + aftermath;
+    assert!(judge.look(0, &life, &fleet, last_allowed).is_empty());
+    assert!(!judge.look(0, &life, &fleet, last_allowed + Duration::from_millis(1)).is_empty());
+}
+
+#[test]
+fn after_a_fault_of_the_network_a_lack_lasts_no_longer_than_a_new_one_may() {
+    let (mut fleet, mut life, joined) = covered();
+    let mut judge = CoverageJudge::new(MachineLateness::default());
+    let begun = joined + HELD_FOR;
+    judge.look(0, &life, &fleet, begun - STEP);
+    fleet.holdings[0].bound.clear();
+    life.disturbed.push(Span::closed(begun, begun + Duration::from_secs(2)));
+    judge.look(0, &life, &fleet, begun);
+    let last_allowed = begun + Duration::from_secs(2) + BARE + PLATFORM_SLACK;
+    assert!(judge.look(0, &life, &fleet, last_allowed).is_empty());
+    assert!(!judge.look(0, &life, &fleet, last_allowed + Duration::from_millis(1)).is_empty());
+}
