--- a/crates/craneknot-rehearsal/src/soak/play.rs
+++ b/crates/craneknot-rehearsal/src/soak/play.rs
@@ -24,9 +24,8 @@
 impl Soak {
     /// A fault touches a node from now on for so long.
     fn disturb(&self, node: usize, span: Duration) {
-        let until = Instant::now() + span;
-        let mut life = self.around[node].life.lock().unwrap();
-        life.disturbed_until = life.disturbed_until.max(Some(until));
+        let from = Instant::now();
+        self.around[node].life.lock().unwrap().disturbed.push(Span::closed(from, from + span));
     }
 
     pub(super) fn play(&mut self, planned: &Planned) {
@@ -67,6 +66,7 @@
                 }));
             }
             Fault::MoveAll => self.move_all(number),
+            Fault::Reconnect { away } => self.reconnect(number, Duration::from_millis(away)),
             Fault::StepClock { seconds } => {
                 let _ = self.nodes[number].lock().unwrap().step_clock(seconds);
             }
@@ -224,6 +224,20 @@
         }));
     }
 
+    /// All proxies of a node leave it, and come again.
+    fn reconnect(&mut self, number: usize, away: Duration) {
+        let fleet = self.fleet.clone();
+        let mut held = self.fleet.lock().unwrap();
+        let left = held.joined(number);
+        left.iter().for_each(|proxy| held.leave(*proxy, number));
+        drop(held);
+        self.tasks.push(thread::spawn(move || {
+            thread::sleep(away);
+            let mut fleet = fleet.lock().unwrap();
+            left.iter().for_each(|proxy| fleet.join(*proxy, number));
+        }));
+    }
+
     fn move_all(&mut self, number: usize) {
         let mut fleet = self.fleet.lock().unwrap();
         for from in (0..self.nodes.len()).filter(|from| *from != number) {
