Order queue: a proxy that was refused stays behind the others until one is taken

Change: from the third refusal in a row on a refused proxy is a suspect until the relay takes an order for it or it leaves, and what comes back carries the flag.

Measured: by reading; the tests of the queue and the walks pass as before, no test of its own.

--- a/crates/craneknot-node/src/order_queue.rs
+++ b/crates/craneknot-node/src/order_queue.rs
@@ -247,7 +247,9 @@
             self.fail(now);
         }
         let State::Resting { from } = self.state else { return };
-        for (_, held) in self.held.extract_if(.., |_, held| held.until <= now) {
+        for (proxy, mut held) in self.held.extract_if(.., |_, held| held.until <= now) {
+            let is_suspect = self.suspects.contains(&proxy);
+            held.orders.iter_mut().for_each(|queued| queued.suspect = is_suspect);
             self.queue.extend(held.orders);
         }
         if from > now || self.queue.is_empty() {
@@ -381,8 +383,11 @@
             .partition(|queued: &Queued| queued.order.proxy == Some(proxy));
         self.queue = others;
         self.held.insert(proxy, Held { until: now + SECOND_LOOK, orders: own });
-        self.suspects.remove(&proxy);
         self.refused_in_row += 1;
+        // It stays behind the others until the relay takes an order for it.
+        if self.refused_in_row > SUSPECT_FROM {
+            self.suspects.insert(proxy);
+        }
         self.suspect_more();
         None
     }
