Sender: a failing server among cold ones is not left with all that comes

Cause: beside servers that leave 15% unanswered cold ones lose their lines, so that proxies which avoid the failing ones do not push them over. Where nearly all of the group is cold that leaves the failing one alone.

Change: they keep what they had where no more than four tenths of the group's listed weight are in use (the part that stays in use when servers are shut out).

The test failed before with one line left.

--- a/src/sender.rs
+++ b/src/sender.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::health::FLOOR;
 use crate::interface::*;
 use crate::policy::{LEAST, ODD_SHARE, PLACES, TURN};
 use crate::state::State::Cold;
@@ -24,7 +25,10 @@
         // failed them yet: a cold server gets less, and, beside servers that fail, nothing.
         let (open, cold) = (&self.groups[group].seen, self.groups[group].cold.unwrap_or_default());
         let answered = 1.0 - open.share().max(cold.share());
-        let guard = if open.share() < ODD_SHARE { answered.powi(2).max(LEAST) } else { 0.0 };
+        // Where little else is in use, it would get all that comes.
+        let Group { weight, listed, .. } = self.groups[group];
+        let is_guarded = open.share() >= ODD_SHARE && weight > FLOOR * listed;
+        let guard = if is_guarded { 0.0 } else { answered.powi(2).max(LEAST) };
         let lines = |guard: f64| -> BTreeMap<ServerId, f64> {
             let line = |(server, weight): (&Server, f64)| {
                 let cold = server.state == Cold;
