Tests of the judge of lines: who has left, refused lines, closed servers, the limit itself

Cause: of 22 mutations of coverage.rs, run one at a time against the tests of observability and of the coordinator, some were caught by no test: a proxy that left and was judged on, a line ordered and settled but still counted as waited for, a refused line that counted as one, and the settings' kinds and own zones left out.

Change: a test for each of them, and one for the limit to the millisecond.

That each of those mutations is caught now is not run yet.

--- a/crates/craneknot-node/tests/observability.rs
+++ b/crates/craneknot-node/tests/observability.rs
@@ -285,6 +285,64 @@
     assert_eq!(coverage.figures().longest, ms(BARE + 100));
 }
 
+/// A proxy that has left is asked for nothing.
+#[test]
+fn a_proxy_that_has_left_lacks_nothing() {
+    let list = [listing("a-1", 0, None)];
+    let mut coverage = coverage();
+    coverage.look(ms(100), list.iter());
+    coverage.left(ProxyId(1));
+    assert!(coverage.look(ms(BARE + 1_000), list.iter()).is_empty());
+    let figures = coverage.figures();
+    assert_eq!((figures.uncovered, figures.bare, figures.longest), (0, 0, ms(100)));
+}
+
+/// A line that the relay could not use is none, and is waited for as one that was not ordered.
+#[test]
+fn a_refused_line_is_no_line() {
+    let list = [listing("a-1", 0, None)];
+    let mut coverage = coverage();
+    coverage.settled(&BIND, Outcome::Taken);
+    coverage.ordered(&line("a-1", 1.0));
+    coverage.settled(&line("a-1", 1.0), Outcome::Refused);
+    let lapses = coverage.look(ms(BARE + 200), list.iter());
+    assert_eq!(lapses.len(), 2);
+    assert!(lapses.iter().all(|lapse| lapse.waiting_for == WaitingFor::Line), "{lapses:?}");
+}
+
+/// A line counts for a class where the settings let it use the server, by kind and by the proxy's own zone.
+#[test]
+fn a_line_to_a_server_that_is_closed_to_the_class_is_none() {
+    let mut settings = config().settings;
+    settings.classes[0].only_kinds = vec![KindId(1)];
+    (settings.classes[1].home_only, settings.classes[1].only_zones) = (true, Vec::new());
+    let mut coverage = Coverage::new(&settings);
+    coverage.joined(ms(0), ProxyId(1), ZoneId(1));
+    for order in [line("a-1", 1.0), line("gone", 1.0), BIND] {
+        coverage.settled(&order, Outcome::Taken);
+    }
+    let of_kind = |name: &str, kind: u16| Listing { kind: KindId(kind), ..listing(name, 1, None) };
+    // The line is to a server of another kind, in another zone; one that is open to both classes is listed.
+    let list = [listing("a-1", 0, None), of_kind("b-1", 1)];
+    let lapses = coverage.look(ms(BARE + 200), list.iter());
+    let told: Vec<_> = lapses.iter().map(|lapse| (lapse.class, lapse.waiting_for)).collect();
+    assert_eq!(told, [(ClassId(0), WaitingFor::UsableServer), (ClassId(1), WaitingFor::UsableServer)]);
+    assert!(coverage.look(ms(BARE + 400), list.iter()).is_empty(), "told once");
+    coverage.settled(&line("b-1", 1.0), Outcome::Taken);
+    coverage.look(ms(BARE + 600), list.iter());
+    assert_eq!(coverage.figures().uncovered, 0);
+}
+
+/// The limit is what the settings allow: to the millisecond it is kept.
+#[test]
+fn a_lack_of_just_the_limit_is_within_it() {
+    let list = [listing("a-1", 0, None)];
+    let mut coverage = coverage();
+    assert!(coverage.look(ms(BARE), list.iter()).is_empty());
+    assert!(coverage.look(ms(BARE + 99), list.iter()).is_empty(), "it looks every 100 ms");
+    assert_eq!(coverage.look(ms(BARE + 100), list.iter()).len(), 2);
+}
+
 /// While all servers are cold nobody lacks a line by the rule, and a proxy without one refuses all the same.
 #[test]
 fn a_proxy_without_a_line_among_cold_servers_is_bare() {
