--- a/crates/craneknot-node/tests/observability.rs
+++ b/crates/craneknot-node/tests/observability.rs
@@ -375,6 +375,17 @@
     assert_eq!(coverage.worst_bare().unwrap().lapse.lasted, ms(5_100), "the longest stays");
 }
 
+/// While the relay takes no orders from anybody nothing that lasts is the coordinator's.
+#[test]
+fn who_is_bare_while_the_relay_takes_no_calls_is_so_from_then_on() {
+    let list = [listing("a-1", 0, Some(500))];
+    let mut coverage = coverage_since(1_000);
+    coverage.look(ms(1_100), list.iter());
+    coverage.begin_anew(ms(9_000));
+    coverage.look(ms(9_050), list.iter());
+    assert_eq!(coverage.worst_bare().unwrap().lapse.lasted, ms(100));
+}
+
 /// Readers keep a log's beginning and end: what was worst must stand in each status line, with who and when.
 #[test]
 fn the_longest_lack_since_the_start_is_told_again_and_again() {
