--- a/crates/craneknot-rehearsal/src/lib.rs
+++ b/crates/craneknot-rehearsal/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod servers;
 pub mod soak;
 pub mod sums;
+pub mod workload;
 
 pub use conduct::rehearse;
 pub use report::Report;
--- /dev/null
+++ b/crates/craneknot-rehearsal/src/workload/mod.rs
@@ -0,0 +1,19 @@
+//! A model of servers, proxies and coordinators' channels that judges a control service by what its orders do.
+//!
+//! Nothing here performs I/O, reads a clock or starts a thread: [`Workload::advance`] takes the time since the
+//! start of the day, and every other method acts at the last such time. Equal seeds and equal calls give equal
+//! days. The model is written from the description of the platform alone and shares no code with the service
+//! that it judges.
+
+mod engine;
+mod orders;
+mod settings;
+mod summary;
+
+pub use engine::Workload;
+pub use orders::{Acknowledgement, ClientReport, LoadReport, Order, Refusal, UpstreamReport};
+pub use settings::{Admission, ClassSpec, Semantics, ServerSpec, WorkDistribution, WorkloadSettings};
+pub use summary::{
+    DrainBreach, Fall, LackOfLine, Outcome, QueueBreach, Reason, ServerAction, ServerChange, Summary, Tally,
+    Window,
+};
