--- a/crates/craneknot-rehearsal/src/workload/mod.rs
+++ b/crates/craneknot-rehearsal/src/workload/mod.rs
@@ -5,8 +5,18 @@
 //! days. The model is written from the description of the platform alone and shares no code with the service
 //! that it judges.
 
+mod channel;
+mod delivery;
+mod dispatch;
 mod engine;
+mod events;
+mod late_sight;
+mod operation;
 mod orders;
+mod proxy;
+mod reports;
+mod rules;
+mod server;
 mod settings;
 mod summary;
 
@@ -14,6 +24,6 @@
 pub use orders::{Acknowledgement, ClientReport, LoadReport, Order, Refusal, UpstreamReport};
 pub use settings::{Admission, ClassSpec, Semantics, ServerSpec, WorkDistribution, WorkloadSettings};
 pub use summary::{
-    DrainBreach, Fall, LackOfLine, Outcome, QueueBreach, Reason, ServerAction, ServerChange, Summary, Tally,
-    Window,
+    DrainBreach, Fall, LackOfLine, LostOperation, Outcome, QueueBreach, Reason, ServerAction, ServerChange,
+    Summary, Tally, Window,
 };
--- a/crates/craneknot-rehearsal/src/workload/settings.rs
+++ b/crates/craneknot-rehearsal/src/workload/settings.rs
@@ -167,6 +167,8 @@
     pub usual_retry: u8,
     /// A try that may be followed by another waits this multiple of the aim.
     pub try_factor: f64,
+    /// Whether a proxy answers an operation as failed at its deadline, rather than waiting for the server.
+    pub fail_at_deadline: bool,
     /// Consecutive failures of a proxy's tries after which it avoids a server; 0 for never.
     pub ejects: u32,
     /// Time for which it avoids it.
@@ -215,6 +217,7 @@
             standing_table: 10,
             usual_retry: 1,
             try_factor: 1.2,
+            fail_at_deadline: false,
             ejects: 5,
             eject_time: Duration::from_secs(4),
         }
--- a/crates/craneknot-rehearsal/src/workload/summary.rs
+++ b/crates/craneknot-rehearsal/src/workload/summary.rs
@@ -124,6 +124,21 @@
     pub by_class: Vec<Tally>,
 }
 
+/// An operation whose final answer came later than allowed, or never.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LostOperation {
+    /// The proxy to which it came.
+    pub proxy: u16,
+    /// Index of the class.
+    pub class: usize,
+    /// When it came.
+    pub arrived: Duration,
+    /// When it was answered.
+    pub answered: Option<Duration>,
+    /// What held it.
+    pub reason: Reason,
+}
+
 /// The longest time for which a joined proxy had no line for a class while its coordinator's list had a warm
 /// server open to that class.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -136,7 +151,7 @@
     pub coordinator: usize,
     /// Start of the lack.
     pub start: Duration,
-    /// How long it lasted.
+    /// How long it lasted, without the time in which limits were held off.
     pub length: Duration,
     /// Whether it lasted longer than the rule allows.
     pub breaks_rule: bool,
@@ -216,6 +231,8 @@
     pub windows: Vec<Window>,
     /// Operations by outcome and reason.
     pub reasons: BTreeMap<(Outcome, Reason), u64>,
+    /// Operations answered later than allowed, or never, in the order in which they came.
+    pub lost_operations: Vec<LostOperation>,
     /// Longest lack of a line by proxy and class, longest first.
     pub lacks: Vec<LackOfLine>,
     /// Sends after the grace of a drain, by proxy and server.
@@ -228,6 +245,8 @@
     pub queue_breaches: Vec<QueueBreach>,
     /// Further tries of unsafe operations after one that might have run.
     pub unsafe_repeats: u64,
+    /// Sends of a class to a server outside the only zone that the class may use.
+    pub misplaced_sends: u64,
     /// Marks that proxies have acknowledged.
     pub marks_acknowledged: u64,
     /// Marks that were lost with a stream or a coordinator.
