Rehearsal: further faults, picks and clients' repeats in the workload model

Slow servers, servers that answer errors, proxies that end, a slower channel, picks by wheel and pair, classes that keep to the proxy's zone, and repeats by clients.

--- a/crates/craneknot-rehearsal/src/workload/delivery.rs
+++ b/crates/craneknot-rehearsal/src/workload/delivery.rs
@@ -29,6 +29,8 @@
     batch: BTreeMap<u16, Vec<Update>>,
     batch_marks: Vec<(u16, bool)>,
     channel: Channel,
+    /// Share of the usual pace at which the channel runs.
+    pub pace: f64,
     acknowledgements: Vec<Acknowledgement>,
 }
 
@@ -43,6 +45,7 @@
             batch: BTreeMap::new(),
             batch_marks: Vec::new(),
             channel: Channel::default(),
+            pace: 1.0,
             acknowledgements: Vec::new(),
         }
     }
@@ -64,9 +67,11 @@
         let waiting = self.channel.clear();
         let longest_queue = self.channel.longest_queue;
         let epoch = self.channel.epoch;
+        let pace = self.pace;
         *self = Coordinator::new(self.levels_for_all.len());
         self.channel.longest_queue = longest_queue;
         self.channel.epoch = epoch;
+        self.pace = pace;
         waiting
     }
 
@@ -251,7 +256,9 @@
     fn schedule_departure(&mut self, coordinator: usize) {
         let channel = &self.coordinators[coordinator].channel;
         let Some(lines) = channel.next_lines() else { return };
-        let leaving = Duration::from_secs_f64(lines / self.settings.lines_per_second);
+        let leaving = Duration::from_secs_f64(
+            lines / (self.settings.lines_per_second * self.coordinators[coordinator].pace),
+        );
         let epoch = channel.epoch;
         self.events.schedule(self.now + leaving, Event::MessageLeaves { coordinator, epoch });
     }
@@ -337,9 +344,10 @@
     pub(super) fn update_lacks(&mut self, proxy: u16) {
         let holder = &self.proxies[usize::from(proxy)];
         let accountable = holder.accountable.map(|stream| stream.coordinator);
-        for (class, spec) in self.settings.classes.iter().enumerate() {
+        for class in 0..self.settings.classes.len() {
             let listed = |coordinator: &usize| {
-                let allows = |server: usize| spec.allows(self.servers[server].zone);
+                let allows =
+                    |server: usize| self.settings.allows(class, holder.zone, self.servers[server].zone);
                 self.rules.lists[*coordinator].has_warm(self.settings.ramp_time, self.now, allows)
             };
             let lacking = !holder.has_line(class);
--- a/crates/craneknot-rehearsal/src/workload/dispatch.rs
+++ b/crates/craneknot-rehearsal/src/workload/dispatch.rs
@@ -1,104 +1,22 @@
-//! Operations: how they come, are tried, and end.
+//! Tries: how a proxy admits an operation, sends it, learns what became of it, and tries again.
 
 use std::time::Duration;
 
 use rand::Rng;
-use rand_distr::{Distribution, Exp, Exp1, LogNormal};
-use rand_pcg::Pcg32;
 
 use super::engine::Workload;
 use super::events::Event;
 use super::late_sight::Choice;
-use super::operation::{Answer, End, Operation, TryFailure};
-use super::proxy::Candidate;
+use super::operation::{Answer, Operation, TryFailure};
 use super::server::{Held, Job};
-use super::settings::{Semantics, WorkDistribution, WorkloadSettings};
+use super::settings::Semantics;
 use super::summary::{Fall, Reason};
 
 /// Share of the work from knowing senders from which on a fall breaks the rule.
 const KNOWING_SHARE_OF_BREACH: f64 = 2.0 / 3.0;
 
-/// Usual operations a second by proxy: log-normal around the mean, and in sum what the settings state.
-pub(super) fn proxy_rates(settings: &WorkloadSettings, rng: &mut Pcg32) -> Vec<f64> {
-    let sigma = (1.0 + settings.rate_spread.powi(2)).ln().sqrt();
-    let spread = LogNormal::new(0.0, sigma).ok();
-    let mut draw = || spread.as_ref().map_or(1.0, |spread| spread.sample(rng));
-    let drawn: Vec<f64> = (0..settings.proxies).map(|_| draw()).collect();
-    let sum: f64 = drawn.iter().sum();
-    drawn.iter().map(|rate| rate / sum * settings.operations_per_second()).collect()
-}
-
 impl Workload {
-    /// Draws the time of the next operation; one that was drawn before is void.
-    pub(super) fn schedule_arrival(&mut self) {
-        self.arrival_epoch += 1;
-        let rate = self.rates.iter().sum::<f64>() * self.load_factor;
-        let Some(gap) = Exp::new(rate).ok().filter(|_| rate > 0.0) else { return };
-        let gap = Duration::from_secs_f64(gap.sample(&mut self.chance.arrivals));
-        self.events.schedule(self.now + gap, Event::Arrival { epoch: self.arrival_epoch });
-    }
-
-    pub(super) fn operation_arrives(&mut self, epoch: u64) {
-        if epoch != self.arrival_epoch {
-            return;
-        }
-        let operation = self.draw_operation();
-        let (proxy, class) = (operation.proxy, operation.class);
-        let number = self.operations.len();
-        self.operations.push(operation);
-        self.open.insert(number);
-        self.schedule_arrival();
-        self.schedule_deadline(number);
-        self.sums.count_arrival(proxy, class);
-        self.ensure_standing_table(proxy);
-        if self.late_sight.is_some() {
-            self.send_by_late_sight(number, None);
-        } else {
-            self.admit(number);
-        }
-    }
-
-    fn schedule_deadline(&mut self, number: usize) {
-        if self.settings.fail_at_deadline {
-            let class = self.operations[number].class;
-            let deadline = self.now + self.settings.classes[class].deadline;
-            self.events.schedule(deadline, Event::DeadlinePassed { operation: number });
-        }
-    }
-
-    pub(super) fn deadline_passed(&mut self, number: usize) {
-        let operation = &self.operations[number];
-        if operation.end.is_none() {
-            let reason = self.reason(operation);
-            self.end(number, Answer::Failed, reason);
-        }
-    }
-
-    fn draw_operation(&mut self) -> Operation {
-        let rng = &mut self.chance.arrivals;
-        let proxy = draw_by_weight(self.rates.iter().copied(), rng) as u16;
-        let class = draw_by_weight(self.settings.classes.iter().map(|class| class.share), rng);
-        let mean = self.settings.classes[class].work.as_secs_f64();
-        let work = match self.settings.work_distribution {
-            WorkDistribution::Constant => mean,
-            WorkDistribution::Exponential => mean * rng.sample::<f64, _>(Exp1),
-        };
-        Operation {
-            proxy,
-            class,
-            arrived: self.now,
-            work,
-            attempt: 0,
-            try_began: self.now,
-            connecting: Duration::ZERO,
-            server: None,
-            tries_left: 0,
-            retry: 0,
-            end: None,
-        }
-    }
-
-    fn admit(&mut self, number: usize) {
+    pub(super) fn admit(&mut self, number: usize) {
         let Operation { proxy, class, .. } = self.operations[number];
         let (settings, now) = (&self.settings, self.now);
         let holder = &mut self.proxies[usize::from(proxy)];
@@ -109,7 +27,7 @@
             return self.end(number, Answer::Refused, Reason::Level);
         }
         let retry = holder.retry(class).unwrap_or(settings.usual_retry);
-        let picked = holder.pick(class, None, now, &mut self.chance.picks);
+        let picked = holder.pick(settings.pick, class, None, now, &mut self.chance.picks);
         let operation = &mut self.operations[number];
         operation.retry = retry;
         operation.tries_left = if retry == 3 { 2 } else { retry.min(1) };
@@ -119,12 +37,14 @@
         }
     }
 
-    fn send_by_late_sight(&mut self, number: usize, except: Option<usize>) {
-        let Operation { class, arrived, work, .. } = self.operations[number];
-        let spec = &self.settings.classes[class];
-        let time_left = (arrived + spec.deadline).saturating_sub(self.now);
+    pub(super) fn send_by_late_sight(&mut self, number: usize, except: Option<usize>) {
+        let Operation { proxy, class, arrived, work, .. } = self.operations[number];
+        let settings = &self.settings;
+        let zone = settings.proxy_zone(proxy);
+        let time_left = (arrived + settings.classes[class].deadline).saturating_sub(self.now);
         let servers = &self.servers;
-        let allows = |server: usize| Some(server) != except && spec.allows(servers[server].zone);
+        let allows =
+            |server: usize| Some(server) != except && settings.allows(class, zone, servers[server].zone);
         let Some(late_sight) = &mut self.late_sight else { return };
         match late_sight.choose(work, time_left, self.now, allows) {
             Choice::Send(server) => {
@@ -149,6 +69,7 @@
         operation.connecting = Duration::ZERO;
         operation.server = Some(server);
         let attempt = operation.attempt;
+        self.proxies[place].picker.try_began(server);
         let delay = self.delay(place, server);
         if !self.proxies[place].connections.contains_key(&server) {
             if let Err((failure, wait)) = self.connect(place, server) {
@@ -166,7 +87,8 @@
     }
 
     fn check_send(&mut self, proxy: u16, class: usize, server: usize) {
-        if !self.settings.classes[class].allows(self.servers[server].zone) {
+        let zone = self.settings.proxy_zone(proxy);
+        if !self.settings.allows(class, zone, self.servers[server].zone) {
             self.rules.misplaced_sends += 1;
         }
         if let Some(stream) = self.proxies[usize::from(proxy)].accountable {
@@ -209,13 +131,28 @@
         if !connecting.is_zero() && self.operations[number].attempt == attempt {
             work += self.settings.handshake_work.as_secs_f64();
         }
+        if self.answers_with_error(server) {
+            let failure = TryFailure { reason: Reason::ServerError, may_have_run: true };
+            return self.schedule_failure(number, attempt, server, failure);
+        }
         if self.servers[server].offer(Job { operation: number, attempt, work }, self.now) {
             self.count_received(server, proxy, work);
             return self.schedule_step(server);
         }
         let failure = TryFailure { reason: Reason::ServerFull, may_have_run: false };
-        let refusal = self.now + self.delay(usize::from(proxy), server);
-        self.events.schedule(refusal, Event::TryFailed { operation: number, attempt, failure });
+        self.schedule_failure(number, attempt, server, failure);
+    }
+
+    fn answers_with_error(&mut self, server: usize) -> bool {
+        let share = self.servers[server].error_share;
+        share > 0.0 && self.chance.picks.random::<f64>() < share
+    }
+
+    /// The proxy learns of a failure one way from now.
+    fn schedule_failure(&mut self, number: usize, attempt: u32, server: usize, failure: TryFailure) {
+        let proxy = usize::from(self.operations[number].proxy);
+        let learnt = self.now + self.delay(proxy, server);
+        self.events.schedule(learnt, Event::TryFailed { operation: number, attempt, failure });
     }
 
     /// Counts work against the budget of a cold server, which falls where that is spent.
@@ -267,6 +204,8 @@
         let Operation { proxy, try_began, .. } = self.operations[number];
         let place = usize::from(proxy);
         let load = self.servers[server].load_report();
+        self.proxies[place].picker.try_ended(server);
+        self.operations[number].server = None;
         self.sums.count_answer(self.proxies[place].zone, server, self.now - try_began, load);
         self.proxies[place].count_success(server);
         let reason = self.operations[number].main_reason(held);
@@ -288,6 +227,8 @@
         let operation = &self.operations[number];
         let Some(server) = operation.server.filter(|_| operation.waits_for(attempt)) else { return };
         let place = usize::from(operation.proxy);
+        self.proxies[place].picker.try_ended(server);
+        self.operations[number].server = None;
         self.sums.count_failure(self.proxies[place].zone, server);
         self.proxies[place].count_failure(server, &self.settings, self.now);
         if self.may_follow(number, server, failure.may_have_run) {
@@ -321,37 +262,13 @@
             return self.send_by_late_sight(number, Some(server));
         }
         self.operations[number].tries_left -= 1;
-        let proxy = &self.proxies[usize::from(self.operations[number].proxy)];
-        match proxy.pick(class, Some(server), self.now, &mut self.chance.picks) {
+        let proxy = &mut self.proxies[usize::from(self.operations[number].proxy)];
+        match proxy.pick(self.settings.pick, class, Some(server), self.now, &mut self.chance.picks) {
             Some(other) => self.send(number, other),
             None => self.end(number, Answer::Failed, failure.reason),
         }
     }
 
-    fn end(&mut self, number: usize, answer: Answer, reason: Reason) {
-        let operation = &mut self.operations[number];
-        operation.end = Some(End { at: self.now, answer, reason });
-        operation.server = None;
-        let let_in = !matches!(reason, Reason::NoLine | Reason::Level);
-        if let_in && answer != Answer::Served {
-            self.sums.count_unanswered(operation.proxy, operation.class);
-        }
-        self.open.remove(&number);
-    }
-
-    /// What an outcome is due to, as far as it is known by now.
-    pub(super) fn reason(&self, operation: &Operation) -> Reason {
-        if let Some(end) = operation.end {
-            return end.reason;
-        }
-        let silent = operation.server.is_some_and(|server| self.servers[server].silent);
-        if silent {
-            Reason::SilentServer
-        } else {
-            Reason::QueueWait
-        }
-    }
-
     /// Ends a server's process with all connections and tries.
     pub(super) fn end_process(&mut self, server: usize) {
         self.reset_connections(server);
@@ -392,22 +309,6 @@
         }
     }
 
-    /// A proxy reads the list of servers when it is first needed, and never again.
-    pub(super) fn ensure_standing_table(&mut self, proxy: u16) {
-        let place = usize::from(proxy);
-        if self.proxies[place].has_standing_table() {
-            return;
-        }
-        let listed = self.servers.iter().enumerate().filter(|(_, server)| server.running && !server.draining);
-        let candidate = |(place, server): (usize, &super::server::Server)| Candidate {
-            server: place,
-            zone: server.zone,
-            weight: server.listed_weight,
-        };
-        let list: Vec<Candidate> = listed.map(candidate).collect();
-        self.proxies[place].draw_standing_table(&self.settings, &list, &mut self.chance.tables);
-    }
-
     /// One way between a proxy and a server.
     fn delay(&self, proxy: usize, server: usize) -> Duration {
         if self.proxies[proxy].zone == self.servers[server].zone {
@@ -423,17 +324,3 @@
     coordinator: Option<usize>,
     last_ordered: Option<Duration>,
 }
-
-fn draw_by_weight(weights: impl Iterator<Item = f64> + Clone, rng: &mut Pcg32) -> usize {
-    let total: f64 = weights.clone().sum();
-    let mut left = rng.random::<f64>() * total;
-    let mut last = 0;
-    for (place, weight) in weights.enumerate() {
-        left -= weight;
-        if left < 0.0 {
-            return place;
-        }
-        last = place;
-    }
-    last
-}
--- a/crates/craneknot-rehearsal/src/workload/engine.rs
+++ b/crates/craneknot-rehearsal/src/workload/engine.rs
@@ -72,7 +72,7 @@
             events: EventQueue::default(),
             servers: settings.servers.iter().map(|spec| Server::new(spec, &settings)).collect(),
             proxies: (0..settings.proxies).map(proxy).collect(),
-            rates: super::dispatch::proxy_rates(&settings, &mut chance.arrivals),
+            rates: super::arrivals::proxy_rates(&settings, &mut chance.arrivals),
             coordinators: (0..settings.coordinators).map(|_| Coordinator::new(classes)).collect(),
             operations: Vec::new(),
             open: BTreeSet::new(),
@@ -120,6 +120,7 @@
             }
             Event::TryFailed { operation, attempt, failure } => self.try_failed(operation, attempt, failure),
             Event::TryExpired { operation, attempt } => self.try_expired(operation, attempt),
+            Event::ClientRepeats { operation } => self.client_repeats(operation),
             Event::DeadlinePassed { operation } => self.deadline_passed(operation),
             Event::MessageLeaves { coordinator, epoch } => self.message_leaves(coordinator, epoch),
             Event::MessageArrives(message) => self.message_arrives(message),
@@ -160,6 +161,37 @@
         Ok(())
     }
 
+    /// Makes a server slower than usual by a factor of at least 1, until it starts again.
+    pub fn slow_server(&mut self, id: &str, factor: f64) -> Result<(), Refusal> {
+        let server = self.server(id)?;
+        if !factor.is_finite() || factor < 1.0 {
+            return Err(Refusal::BadFigure);
+        }
+        self.servers[server].set_slowness(factor, self.now);
+        self.schedule_step(server);
+        Ok(())
+    }
+
+    /// Makes a server answer a share of tries with an error at once, until it starts again.
+    pub fn set_server_errors(&mut self, id: &str, share: f64) -> Result<(), Refusal> {
+        let server = self.server(id)?;
+        if !(0.0..=1.0).contains(&share) {
+            return Err(Refusal::BadFigure);
+        }
+        self.servers[server].error_share = share;
+        Ok(())
+    }
+
+    /// Makes a coordinator's channel run at a share of its usual pace, from the next message on.
+    pub fn set_channel_pace(&mut self, coordinator: usize, share: f64) -> Result<(), Refusal> {
+        self.check_coordinator(coordinator)?;
+        if !share.is_finite() || share <= 0.0 {
+            return Err(Refusal::BadFigure);
+        }
+        self.coordinators[coordinator].pace = share;
+        Ok(())
+    }
+
     /// A stream from a proxy to a coordinator stands from now on. An earlier one has ended.
     pub fn join(&mut self, proxy: u16, coordinator: usize) -> Result<(), Refusal> {
         self.check_proxy(proxy)?;
@@ -194,13 +226,22 @@
         Ok(())
     }
 
-    /// A proxy restarts: it holds a standing table, drawn anew, and nothing else.
-    pub fn restart_proxy(&mut self, proxy: u16) -> Result<(), Refusal> {
+    /// A proxy's process ends: what it has in hand fails, and operations come elsewhere until it starts again.
+    pub fn stop_proxy(&mut self, proxy: u16) -> Result<(), Refusal> {
         self.leave(proxy)?;
+        self.fail_operations_of(proxy);
         let place = usize::from(proxy);
         let connections: Vec<usize> = self.proxies[place].connections.keys().copied().collect();
         connections.into_iter().for_each(|server| self.close_connection(place, server));
-        self.proxies[place] = Proxy::new(self.settings.proxy_zone(proxy), self.settings.classes.len());
+        self.proxies[place].running = false;
+        Ok(())
+    }
+
+    /// A proxy's process starts anew: it holds a standing table, drawn anew, and nothing else.
+    pub fn restart_proxy(&mut self, proxy: u16) -> Result<(), Refusal> {
+        self.stop_proxy(proxy)?;
+        let zone = self.settings.proxy_zone(proxy);
+        self.proxies[usize::from(proxy)] = Proxy::new(zone, self.settings.classes.len());
         self.ensure_standing_table(proxy);
         Ok(())
     }
@@ -369,6 +410,8 @@
             ServerAction::Drain => self.drain_server(id),
             ServerAction::Stop => self.stop_server(id),
             ServerAction::Silence(silent) => self.silence_server(id, silent),
+            ServerAction::Slow(factor) => self.slow_server(id, factor),
+            ServerAction::Errors(share) => self.set_server_errors(id, share),
         }
     }
 
--- a/crates/craneknot-rehearsal/src/workload/events.rs
+++ b/crates/craneknot-rehearsal/src/workload/events.rs
@@ -22,6 +22,8 @@
     TryFailed { operation: usize, attempt: u32, failure: TryFailure },
     /// A try that may be followed by another has taken too long.
     TryExpired { operation: usize, attempt: u32 },
+    /// A client repeats an operation that was not served.
+    ClientRepeats { operation: usize },
     /// The deadline of an operation has come.
     DeadlinePassed { operation: usize },
     /// The first message of a channel has left.
--- a/crates/craneknot-rehearsal/src/workload/late_sight.rs
+++ b/crates/craneknot-rehearsal/src/workload/late_sight.rs
@@ -103,6 +103,6 @@
         open: server.running && !server.draining && !server.silent,
         work_in_hand: server.work_in_hand(),
         capacity: server.capacity(now),
-        speed: server.speed() * server.warmth(now),
+        speed: server.core_speed(now),
     }
 }
--- a/crates/craneknot-rehearsal/src/workload/mod.rs
+++ b/crates/craneknot-rehearsal/src/workload/mod.rs
@@ -5,6 +5,7 @@
 //! days. The model is written from the description of the platform alone and shares no code with the service
 //! that it judges.
 
+mod arrivals;
 mod channel;
 mod delivery;
 mod dispatch;
@@ -13,6 +14,7 @@
 mod late_sight;
 mod operation;
 mod orders;
+mod pick;
 mod proxy;
 mod reports;
 mod rules;
@@ -22,7 +24,7 @@
 
 pub use engine::Workload;
 pub use orders::{Acknowledgement, ClientReport, LoadReport, Order, Refusal, UpstreamReport};
-pub use settings::{Admission, ClassSpec, Semantics, ServerSpec, WorkDistribution, WorkloadSettings};
+pub use settings::{Admission, ClassSpec, Pick, Semantics, ServerSpec, WorkDistribution, WorkloadSettings};
 pub use summary::{
     DrainBreach, Fall, LackOfLine, LostOperation, Outcome, QueueBreach, Reason, ServerAction, ServerChange,
     Summary, Tally, Window,
--- a/crates/craneknot-rehearsal/src/workload/operation.rs
+++ b/crates/craneknot-rehearsal/src/workload/operation.rs
@@ -42,14 +42,16 @@
     /// The server of the try in hand.
     pub server: Option<usize>,
     pub tries_left: u8,
+    /// Repeats that the client may still make.
+    pub repeats_left: u8,
     pub retry: u8,
     pub end: Option<End>,
 }
 
 impl Operation {
-    /// Whether `attempt` is still what the operation waits for.
+    /// Whether `attempt` is in hand and the operation waits for it.
     pub fn waits_for(&self, attempt: u32) -> bool {
-        self.end.is_none() && self.attempt == attempt
+        self.end.is_none() && self.server.is_some() && self.attempt == attempt
     }
 
     /// What held an operation longest that was served at `now`.
@@ -60,6 +62,7 @@
             (held.past_knee, Reason::SlowedPastKnee),
             (held.cold, Reason::ColdServer),
             (held.silent, Reason::SilentServer),
+            (held.slow, Reason::SlowServer),
             (self.connecting.as_secs_f64(), Reason::FirstConnection),
             ((self.try_began - self.arrived).as_secs_f64(), Reason::Retries),
         ];
--- a/crates/craneknot-rehearsal/src/workload/proxy.rs
+++ b/crates/craneknot-rehearsal/src/workload/proxy.rs
@@ -7,7 +7,8 @@
 use rand::Rng;
 
 use super::channel::{Level, Levels, Message, TableContent, Update};
-use super::settings::{Admission, WorkloadSettings};
+use super::pick::{Line, Picker};
+use super::settings::{Admission, Pick, WorkloadSettings};
 
 /// Servers of the proxy's zone from which on its standing table keeps to that zone.
 const SERVERS_TO_STAY_IN_ZONE: usize = 3;
@@ -48,6 +49,9 @@
     pub applying_until: Duration,
     /// Connections by server, with the time of last use.
     pub connections: BTreeMap<usize, Duration>,
+    pub picker: Picker,
+    /// Whether its process runs.
+    pub running: bool,
     /// Standing tables by class; nothing before the proxy has read the list.
     standing: Option<Vec<TableContent>>,
     tables: BTreeMap<TableKey, TableContent>,
@@ -69,6 +73,8 @@
             last_arrival: Duration::ZERO,
             applying_until: Duration::ZERO,
             connections: BTreeMap::new(),
+            picker: Picker::default(),
+            running: true,
             standing: None,
             tables: BTreeMap::new(),
             bound: vec![None; classes],
@@ -99,14 +105,13 @@
             list.iter().filter(|candidate| candidate.zone == self.zone).copied().collect();
         let usual = if near.len() >= SERVERS_TO_STAY_IN_ZONE { &near } else { list };
         let common = draw(usual, settings.standing_table, rng);
-        let for_class = |only_zone: Option<usize>, rng: &mut _| match only_zone {
-            None => common.clone(),
-            Some(zone) => {
-                let open: Vec<Candidate> = list.iter().filter(|one| one.zone == zone).copied().collect();
-                draw(&open, settings.standing_table, rng)
-            }
-        };
-        let tables = settings.classes.iter().map(|class| for_class(class.only_zone, rng)).collect();
+        let mut tables = Vec::new();
+        for class in 0..settings.classes.len() {
+            let allowed = |candidate: &&Candidate| settings.allows(class, self.zone, candidate.zone);
+            let open: Vec<Candidate> = list.iter().filter(allowed).copied().collect();
+            let restricted = open.len() < list.len();
+            tables.push(if restricted { draw(&open, settings.standing_table, rng) } else { common.clone() });
+        }
         self.standing = Some(tables);
     }
 
@@ -207,27 +212,20 @@
         self.open_lines(class).any(|(other, _)| other != server)
     }
 
-    /// Draws a line by weight; servers that the proxy avoids only where there is no other.
+    /// Picks a line; one of a server that the proxy avoids only where there is no other.
     pub fn pick(
-        &self,
+        &mut self,
+        how: Pick,
         class: usize,
         except: Option<usize>,
         now: Duration,
         rng: &mut impl Rng,
     ) -> Option<usize> {
-        let lines: Vec<_> = self.open_lines(class).filter(|(server, _)| Some(*server) != except).collect();
+        let lines: Vec<Line> = self.open_lines(class).filter(|(server, _)| Some(*server) != except).collect();
         let avoided = |server: usize| self.avoided_until.get(&server).is_some_and(|until| *until > now);
-        let preferred: Vec<_> = lines.iter().copied().filter(|(server, _)| !avoided(*server)).collect();
-        let drawn = if preferred.is_empty() { lines } else { preferred };
-        let total: f64 = drawn.iter().map(|line| line.1).sum();
-        let mut left = rng.random::<f64>() * total;
-        for (server, weight) in &drawn {
-            left -= weight;
-            if left < 0.0 {
-                return Some(*server);
-            }
-        }
-        drawn.last().map(|line| line.0)
+        let preferred: Vec<Line> = lines.iter().copied().filter(|(server, _)| !avoided(*server)).collect();
+        let lines = if preferred.is_empty() { lines } else { preferred };
+        self.picker.pick(how, class, &lines, rng)
     }
 
     /// The level that holds for a class; the lower one where there are two.
--- a/crates/craneknot-rehearsal/src/workload/rules.rs
+++ b/crates/craneknot-rehearsal/src/workload/rules.rs
@@ -131,7 +131,7 @@
     pub marks: Marks,
     lacks: Vec<Vec<Lack>>,
     drains: BTreeMap<(u16, usize, usize), DrainBreach>,
-    longest_lack: Duration,
+    lack_limit: Duration,
     grace: Duration,
 }
 
@@ -147,7 +147,7 @@
             marks: Marks::default(),
             lacks: vec![vec![Lack::default(); settings.classes.len()]; usize::from(settings.proxies)],
             drains: BTreeMap::new(),
-            longest_lack: settings.bare + settings.socket_slack,
+            lack_limit: settings.bare + settings.socket_slack,
             grace: settings.stop_sending_within + settings.socket_slack,
         }
     }
@@ -179,7 +179,7 @@
         let lack = &self.lacks[usize::from(proxy)][class];
         let Some((start, coordinator)) = lack.since else { return lack.longest };
         let length = self.lists[coordinator].counted(start, now);
-        let breaks_rule = length > self.longest_lack;
+        let breaks_rule = length > self.lack_limit;
         let present = LackOfLine { proxy, class, coordinator, start, length, breaks_rule };
         match lack.longest {
             Some(longest) if longest.length >= length => Some(longest),
--- a/crates/craneknot-rehearsal/src/workload/server.rs
+++ b/crates/craneknot-rehearsal/src/workload/server.rs
@@ -32,6 +32,7 @@
     pub cold: f64,
     pub past_knee: f64,
     pub silent: f64,
+    pub slow: f64,
     pub own: f64,
 }
 
@@ -48,11 +49,12 @@
     knee: f64,
     share: f64,
     connections: f64,
+    slowness: f64,
 }
 
 impl Factors {
     fn product(&self) -> f64 {
-        self.warmth * self.knee * self.share * self.connections
+        self.warmth * self.knee * self.share * self.connections / self.slowness
     }
 }
 
@@ -63,6 +65,7 @@
     past_knee: f64,
     shared: f64,
     silent: f64,
+    slow: f64,
 }
 
 struct InService {
@@ -119,6 +122,10 @@
     pub running: bool,
     pub draining: bool,
     pub silent: bool,
+    /// Factor by which it is slower than usual.
+    slowness: f64,
+    /// Share of tries that it answers with an error at once.
+    pub error_share: f64,
     /// Counts the starts of the process.
     pub run: u32,
     /// When the process started; nothing where it has always run.
@@ -149,6 +156,8 @@
             running: false,
             draining: false,
             silent: false,
+            slowness: 1.0,
+            error_share: 0.0,
             run: 0,
             started: None,
             open_connections: 0,
@@ -181,6 +190,8 @@
         self.running = false;
         self.draining = false;
         self.silent = false;
+        self.slowness = 1.0;
+        self.error_share = 0.0;
         self.run += 1;
         self.open_connections = 0;
         self.in_service.clear();
@@ -197,6 +208,13 @@
         self.epoch += 1;
     }
 
+    /// The server becomes slower than usual by a factor.
+    pub fn set_slowness(&mut self, slowness: f64, now: Duration) {
+        self.settle(now);
+        self.slowness = slowness;
+        self.epoch += 1;
+    }
+
     /// Share of the full capacity that the server has.
     pub fn warmth(&self, now: Duration) -> f64 {
         let Some(started) = self.started else { return 1.0 };
@@ -210,11 +228,12 @@
 
     /// Seconds of standard work that the server can do in a second at present.
     pub fn capacity(&self, now: Duration) -> f64 {
-        self.cores * self.speed * self.warmth(now)
+        self.cores * self.speed * self.warmth(now) / self.slowness
     }
 
-    pub fn speed(&self) -> f64 {
-        self.speed
+    /// Seconds of standard work that one core can do in a second at present.
+    pub fn core_speed(&self, now: Duration) -> f64 {
+        self.speed * self.warmth(now) / self.slowness
     }
 
     pub fn accepts_connection(&self) -> bool {
@@ -300,6 +319,7 @@
             warmth: self.warmth(at),
             knee: 1.0 / (1.0 + self.limits.slowdown_past_knee * past_knee),
             share: (self.cores / self.in_service.len().max(1) as f64).min(1.0),
+            slowness: self.slowness,
             connections: 1.0 - self.limits.full_connections_tax * table,
         }
     }
@@ -317,6 +337,7 @@
         self.attained += self.speed * factors.product() * elapsed;
         self.losses.cold += (1.0 - factors.warmth) * elapsed;
         self.losses.past_knee += (1.0 - factors.knee) * elapsed;
+        self.losses.slow += (1.0 - 1.0 / factors.slowness) * elapsed;
         self.losses.shared += (1.0 - factors.share) * elapsed;
     }
 
@@ -343,13 +364,15 @@
         let past_knee = self.losses.past_knee - done.losses.past_knee;
         let shared = self.losses.shared - done.losses.shared;
         let silent = self.losses.silent - done.losses.silent;
-        let lost = cold + past_knee + shared + silent;
+        let slow = self.losses.slow - done.losses.slow;
+        let lost = cold + past_knee + shared + silent + slow;
         let part = if lost > 0.0 { excess / lost } else { 0.0 };
         let held = Held {
             queued: done.queued + shared * part,
             cold: cold * part,
             past_knee: past_knee * part,
             silent: silent * part,
+            slow: slow * part,
             own,
         };
         Finished { job: done.job, held }
--- a/crates/craneknot-rehearsal/src/workload/settings.rs
+++ b/crates/craneknot-rehearsal/src/workload/settings.rs
@@ -72,6 +72,17 @@
     Ignored,
 }
 
+/// How a proxy picks one of its lines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pick {
+    /// At random by weight.
+    Lottery,
+    /// Evenly by weight.
+    Wheel,
+    /// Of two drawn by weight, the one with fewer of the proxy's tries in flight.
+    Pair,
+}
+
 /// How the work of single operations spreads around the mean of their class.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WorkDistribution {
@@ -159,6 +170,14 @@
     /// Time between two reports.
     pub report_period: Duration,
 
+    /// By class, whether it may only use servers of the proxy's zone; empty for none.
+    pub own_zone: Vec<bool>,
+    /// How proxies pick.
+    pub pick: Pick,
+    /// Repeats that a client makes after a failure, as far as the class allows.
+    pub client_repeats: u8,
+    /// Time until such a repeat.
+    pub client_backoff: Duration,
     /// Meaning of the levels.
     pub admission: Admission,
     /// Most servers in a standing table.
@@ -213,6 +232,10 @@
             push_jitter: 0.5,
             apply_per_line: Duration::from_micros(30),
             report_period: Duration::from_secs(1),
+            own_zone: Vec::new(),
+            pick: Pick::Lottery,
+            client_repeats: 0,
+            client_backoff: Duration::from_millis(50),
             admission: Admission::Rate,
             standing_table: 10,
             usual_retry: 1,
@@ -230,6 +253,12 @@
         usize::from(proxy) % self.zones.max(1)
     }
 
+    /// Whether a proxy of one zone may use a server of another for a class.
+    pub fn allows(&self, class: usize, proxy_zone: usize, server_zone: usize) -> bool {
+        let own_zone = self.own_zone.get(class).copied().unwrap_or(false);
+        self.classes[class].allows(server_zone) && (!own_zone || proxy_zone == server_zone)
+    }
+
     /// Mean work of an operation over all classes, in seconds.
     pub fn mean_work(&self) -> f64 {
         let shares: f64 = self.classes.iter().map(|class| class.share).sum();
--- a/crates/craneknot-rehearsal/src/workload/summary.rs
+++ b/crates/craneknot-rehearsal/src/workload/summary.rs
@@ -57,6 +57,12 @@
     Connection,
     /// The server was silent.
     SilentServer,
+    /// The server was slower than usual.
+    SlowServer,
+    /// The server answered with an error.
+    ServerError,
+    /// The proxy's process ended.
+    ProxyGone,
 }
 
 /// Counts of outcomes. Every operation is in exactly one of them besides `offered` and `within_aim`.
@@ -197,7 +203,7 @@
 }
 
 /// What happens to a server in a script.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum ServerAction {
     /// The process starts, cold unless at time zero.
     Start,
@@ -207,10 +213,14 @@
     Stop,
     /// The server falls silent, or is no longer.
     Silence(bool),
+    /// The server becomes slower than usual by a factor of at least 1.
+    Slow(f64),
+    /// The server answers that share of tries with an error at once.
+    Errors(f64),
 }
 
 /// One line of a script of server changes.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ServerChange {
     /// When it happens.
     pub at: Duration,
--- a/crates/craneknot-rehearsal/tests/workload.rs
+++ b/crates/craneknot-rehearsal/tests/workload.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use craneknot_rehearsal::workload::{
-    ClassSpec, Order, Outcome, Reason, Refusal, Semantics, ServerAction, ServerChange, ServerSpec, Summary,
-    Tally, WorkDistribution, Workload, WorkloadSettings,
+    ClassSpec, Order, Outcome, Pick, Reason, Refusal, Semantics, ServerAction, ServerChange, ServerSpec,
+    Summary, Tally, WorkDistribution, Workload, WorkloadSettings,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
@@ -96,6 +96,9 @@
     settings.coordinators = 3;
     settings.load = 0.9;
     settings.push_jitter = 0.5;
+    settings.client_repeats = (seed % 3) as u8;
+    settings.pick = [Pick::Lottery, Pick::Wheel, Pick::Pair][(seed / 3 % 3) as usize];
+    settings.own_zone = vec![false, seed % 2 == 1];
     settings.classes.push(ClassSpec {
         semantics: Semantics::Unsafe,
         only_zone: Some(1),
@@ -116,7 +119,7 @@
     let id = format!("s-{}", rng.random_range(0..10));
     let coordinator = rng.random_range(0..3);
     let proxy = rng.random_range(0..24);
-    match rng.random_range(0..12) {
+    match rng.random_range(0..16) {
         0 => workload.start_server(&id).unwrap(),
         1 => workload.drain_server(&id).unwrap(),
         2 => workload.stop_server(&id).unwrap(),
@@ -132,6 +135,9 @@
             &[set_line(3, &id, rng.random()), Order::Mark { mark: 1, all: true }],
         ),
         10 => apply(workload, coordinator, &[admit_all(rng.random_range(0.0..9.0), rng.random_range(0..4))]),
+        11 => workload.stop_proxy(proxy).unwrap(),
+        12 | 13 => workload.restart_proxy(proxy).unwrap(),
+        14 => workload.set_server_errors(&id, rng.random()).unwrap(),
         _ => drop(workload.apply(coordinator, &bind(proxy, 3))),
     }
     if rng.random_bool(0.01) {
@@ -591,3 +597,96 @@
     workload.advance(end);
     assert_eq!(workload.summary().total.offered, reference.total.offered);
 }
+
+#[test]
+fn the_wheel_sends_evenly_by_weight_and_a_pair_to_the_less_loaded() {
+    let tried = |pick: Pick, slowness: f64| {
+        let mut workload = running(WorkloadSettings {
+            pick,
+            load: 0.3,
+            zones: 1,
+            usual_retry: 0,
+            ejects: 0,
+            ..settings(2, 1)
+        });
+        apply(&mut workload, 0, &[set_line(1, "s-0", 1.0), set_line(1, "s-1", 3.0), bind(0, 1)]);
+        workload.slow_server("s-1", slowness).unwrap();
+        workload.advance(seconds(1.0));
+        workload.take_upstream_reports(0);
+        workload.advance(seconds(101.0));
+        let reports = workload.take_upstream_reports(0);
+        let total: u64 = reports.iter().map(|row| row.total).sum();
+        reports[1].total as f64 / total as f64
+    };
+    assert!((tried(Pick::Wheel, 1.0) - 0.75).abs() < 0.01);
+    assert!((tried(Pick::Lottery, 1.0) - 0.75).abs() < 0.05);
+    assert!(tried(Pick::Pair, 2.0) < tried(Pick::Lottery, 2.0) - 0.05);
+}
+
+#[test]
+fn a_class_of_the_proxys_zone_keeps_to_it_and_a_planted_line_elsewhere_is_told() {
+    let mut workload = running(WorkloadSettings { own_zone: vec![true], ..settings(6, 2) });
+    workload.advance(seconds(10.0));
+    assert_eq!(workload.summary().misplaced_sends, 0);
+    apply(&mut workload, 0, &[set_line(1, "s-1", 1.0), bind(0, 1)]);
+    workload.advance(seconds(20.0));
+    assert!(workload.summary().misplaced_sends > 0);
+}
+
+#[test]
+fn clients_repeat_what_failed_and_never_an_unsafe_operation_that_might_have_run() {
+    let failed = |semantics: Semantics, client_repeats: u8| {
+        let mut settings = WorkloadSettings { client_repeats, ejects: 0, ..settings(4, 2) };
+        settings.classes[0].semantics = semantics;
+        let mut workload = running(settings);
+        workload.set_server_errors("s-1", 1.0).unwrap();
+        workload.advance(seconds(40.0));
+        let summary = workload.summary();
+        assert_conserved(&summary);
+        count(&summary, Outcome::Failed, Reason::ServerError)
+    };
+    assert!(failed(Semantics::Safe, 2) * 3 < failed(Semantics::Safe, 0));
+    assert_eq!(failed(Semantics::Unsafe, 2), failed(Semantics::Unsafe, 0));
+}
+
+#[test]
+fn a_slow_server_answers_late_until_it_starts_again() {
+    let mut workload = running(WorkloadSettings { load: 0.1, ..settings(2, 2) });
+    workload.slow_server("s-0", 10.0).unwrap();
+    workload.advance(seconds(20.0));
+    let summary = workload.summary();
+    let late = count(&summary, Outcome::Later, Reason::SlowServer);
+    assert!(late > 0, "{:?}", summary.reasons);
+    assert_eq!(workload.slow_server("s-0", 0.5), Err(Refusal::BadFigure));
+}
+
+#[test]
+fn a_channel_that_runs_slower_takes_longer_by_that_factor() {
+    let latency = |share: f64| {
+        let settings =
+            WorkloadSettings { lines_per_second: 100.0, push_delay: Duration::ZERO, ..settings(2, 4) };
+        let mut workload = running(settings);
+        workload.set_channel_pace(0, share).unwrap();
+        apply(&mut workload, 0, &[Order::Mark { mark: 1, all: true }]);
+        workload.advance(seconds(10.0));
+        workload.take_acknowledgements(0)[3].latency.as_secs_f64()
+    };
+    assert!((latency(0.25) / latency(1.0) - 4.0).abs() < 0.01);
+}
+
+#[test]
+fn a_proxy_that_has_ended_gets_nothing_and_starts_with_its_standing_table() {
+    let mut workload = running(settings(2, 1));
+    apply(&mut workload, 0, &[set_line(1, "s-1", 1.0), bind(0, 1)]);
+    workload.advance(seconds(10.0));
+    assert!(!workload.holds_only_standing_table(0));
+    workload.stop_proxy(0).unwrap();
+    let summary = workload.summary();
+    assert_eq!(summary.total.in_flight, 0);
+    workload.advance(seconds(20.0));
+    assert_eq!(workload.summary().total, summary.total);
+    workload.restart_proxy(0).unwrap();
+    workload.advance(seconds(30.0));
+    assert!(workload.summary().total.offered > summary.total.offered);
+    assert!(workload.holds_only_standing_table(0));
+}
