--- a/crates/craneknot-rehearsal/src/soak/mod.rs
+++ b/crates/craneknot-rehearsal/src/soak/mod.rs
@@ -11,7 +11,7 @@
 pub mod discovery;
 pub mod fault_proxy;
 pub mod fleet;
-mod http;
+pub(crate) mod http;
 pub mod node;
 pub mod oracle;
 pub mod relay;
