--- /dev/null
+++ b/crates/craneknot-rehearsal/src/workload/delivery.rs
@@ -0,0 +1,398 @@
+//! Orders: what a coordinator has laid down, and how its messages reach the proxies.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::channel::{Channel, Level, Levels, Message, TableContent, Update};
+use super::engine::Workload;
+use super::events::Event;
+use super::orders::{Acknowledgement, Order, Refusal};
+use super::proxy::Stream;
+use super::summary::QueueBreach;
+
+/// The table number that stands for all tables, which no table may have.
+const ALL_TABLES: u16 = u16::MAX;
+
+/// Ways of retrying run from 0 to this one.
+const MOST_RETRY: u8 = 3;
+
+/// What a coordinator has ordered since it started.
+pub(super) struct Coordinator {
+    tables: BTreeMap<u16, TableContent>,
+    withdrawn: BTreeSet<usize>,
+    levels_for_all: Levels,
+    /// Tables by proxy and class, for the streams that stand.
+    bound: BTreeMap<u16, BTreeMap<usize, u16>>,
+    ever_joined: BTreeSet<u16>,
+    batch: BTreeMap<u16, Vec<Update>>,
+    batch_marks: Vec<(u16, bool)>,
+    channel: Channel,
+    /// Share of the usual pace at which the channel runs.
+    pub pace: f64,
+    acknowledgements: Vec<Acknowledgement>,
+}
+
+impl Coordinator {
+    pub fn new(classes: usize) -> Self {
+        Coordinator {
+            tables: BTreeMap::new(),
+            withdrawn: BTreeSet::new(),
+            levels_for_all: vec![None; classes],
+            bound: BTreeMap::new(),
+            ever_joined: BTreeSet::new(),
+            batch: BTreeMap::new(),
+            batch_marks: Vec::new(),
+            channel: Channel::default(),
+            pace: 1.0,
+            acknowledgements: Vec::new(),
+        }
+    }
+
+    pub fn joined(&mut self, proxy: u16) {
+        self.ever_joined.insert(proxy);
+    }
+
+    pub fn longest_queue(&self) -> f64 {
+        self.channel.longest_queue
+    }
+
+    pub fn take_acknowledgements(&mut self) -> Vec<Acknowledgement> {
+        std::mem::take(&mut self.acknowledgements)
+    }
+
+    /// Forgets everything; returns the messages that waited.
+    pub fn end(&mut self) -> Vec<Message> {
+        let waiting = self.channel.clear();
+        let longest_queue = self.channel.longest_queue;
+        let epoch = self.channel.epoch;
+        let pace = self.pace;
+        *self = Coordinator::new(self.levels_for_all.len());
+        self.channel.longest_queue = longest_queue;
+        self.channel.epoch = epoch;
+        self.pace = pace;
+        waiting
+    }
+
+    fn users_of(&self, table: u16) -> Vec<u16> {
+        let uses = |tables: &BTreeMap<usize, u16>| tables.values().any(|bound| *bound == table);
+        self.bound.iter().filter(|(_, tables)| uses(tables)).map(|(proxy, _)| *proxy).collect()
+    }
+
+    fn has_bound_to_server(&self, proxy: u16, server: usize) -> bool {
+        let names = |table: &u16| self.tables.get(table).is_some_and(|content| content.names(server));
+        self.bound.get(&proxy).is_some_and(|tables| tables.values().any(names))
+    }
+
+    fn write(&mut self, proxies: Vec<u16>, update: &Update) {
+        for proxy in proxies {
+            self.batch.entry(proxy).or_default().push(update.clone());
+        }
+    }
+
+    fn set_line(&mut self, table: u16, server: usize, weight: f64) {
+        self.tables.entry(table).or_default().set_line(server, weight);
+        let withdrawn = self.withdrawn.contains(&server);
+        self.write(self.users_of(table), &Update::Line { table, server, weight, withdrawn });
+    }
+
+    fn bind(&mut self, proxy: u16, table: u16, classes: Vec<usize>) {
+        let bound = self.bound.entry(proxy).or_default();
+        bound.extend(classes.iter().map(|class| (*class, table)));
+        let content = self.tables.entry(table).or_default().clone();
+        let withdrawn = self.withdrawn.iter().copied().collect();
+        let levels = self.levels_for_all.clone();
+        self.write(vec![proxy], &Update::Table { table, classes, content, withdrawn, levels });
+    }
+}
+
+impl Workload {
+    /// Takes an order. Orders to one coordinator between two calls of [`Workload::advance`] or
+    /// [`Workload::end_batch`] are one batch and make one message for each proxy concerned.
+    pub fn apply(&mut self, coordinator: usize, order: &Order) -> Result<(), Refusal> {
+        self.check_coordinator(coordinator)?;
+        match order {
+            Order::SetLine { table, server, weight } => self.set_line(coordinator, *table, server, *weight),
+            Order::ClearTable { table } => self.clear_table(coordinator, *table),
+            Order::Bind { proxy, table, classes } => self.bind(coordinator, *proxy, *table, classes),
+            Order::Withdraw { server } => self.withdraw(coordinator, server, true),
+            Order::Restore { server } => self.withdraw(coordinator, server, false),
+            Order::Admit { table, classes, level, retry } => {
+                let level = Level { level: *level, retry: *retry };
+                self.set_level(coordinator, *table, classes, level)
+            }
+            Order::Mark { mark, all } => {
+                self.coordinators[coordinator].batch_marks.push((*mark, *all));
+                Ok(())
+            }
+        }
+    }
+
+    fn set_line(&mut self, coordinator: usize, table: u16, server: &str, weight: f64) -> Result<(), Refusal> {
+        check_table(table)?;
+        check_figure(weight)?;
+        let server = self.listed_server(server)?;
+        self.coordinators[coordinator].set_line(table, server, weight);
+        Ok(())
+    }
+
+    fn clear_table(&mut self, coordinator: usize, table: u16) -> Result<(), Refusal> {
+        check_table(table)?;
+        let ordering = &mut self.coordinators[coordinator];
+        ordering.tables.entry(table).or_default().clear();
+        ordering.write(ordering.users_of(table), &Update::Clear { table });
+        Ok(())
+    }
+
+    fn bind(&mut self, coordinator: usize, proxy: u16, table: u16, classes: &[usize]) -> Result<(), Refusal> {
+        check_table(table)?;
+        let classes = self.named_classes(classes)?;
+        if !self.coordinators[coordinator].ever_joined.contains(&proxy) {
+            return Err(Refusal::UnknownProxy(proxy));
+        }
+        if self.is_joined(proxy, coordinator) {
+            self.coordinators[coordinator].bind(proxy, table, classes);
+        }
+        Ok(())
+    }
+
+    fn withdraw(&mut self, coordinator: usize, server: &str, withdrawn: bool) -> Result<(), Refusal> {
+        let server = self.listed_server(server)?;
+        let ordering = &mut self.coordinators[coordinator];
+        if withdrawn {
+            ordering.withdrawn.insert(server);
+        } else {
+            ordering.withdrawn.remove(&server);
+        }
+        let mut concerned = self.joined_proxies(coordinator);
+        let ordering = &mut self.coordinators[coordinator];
+        concerned.retain(|proxy| {
+            let holds = self.proxies[usize::from(*proxy)].concerns(server);
+            holds || ordering.has_bound_to_server(*proxy, server)
+        });
+        ordering.write(concerned, &Update::Withdrawn { server, withdrawn });
+        Ok(())
+    }
+
+    fn set_level(
+        &mut self,
+        coordinator: usize,
+        table: Option<u16>,
+        classes: &[usize],
+        level: Level,
+    ) -> Result<(), Refusal> {
+        check_figure(level.level)?;
+        if level.retry > MOST_RETRY {
+            return Err(Refusal::BadFigure);
+        }
+        let classes = self.named_classes(classes)?;
+        let joined = self.joined_proxies(coordinator);
+        let ordering = &mut self.coordinators[coordinator];
+        let proxies = match table {
+            Some(table) => {
+                let content = ordering.tables.entry(table).or_default();
+                classes.iter().for_each(|class| content.set_level(*class, level));
+                ordering.users_of(table)
+            }
+            None => {
+                classes.iter().for_each(|class| ordering.levels_for_all[*class] = Some(level));
+                joined
+            }
+        };
+        ordering.write(proxies, &Update::Level { table, classes, level });
+        Ok(())
+    }
+
+    /// Ends the batch of a coordinator: its messages enter the channel.
+    pub fn end_batch(&mut self, coordinator: usize) {
+        let Some(ordering) = self.coordinators.get_mut(coordinator) else { return };
+        let marks = std::mem::take(&mut ordering.batch_marks);
+        let mut batch = std::mem::take(&mut ordering.batch);
+        if batch.is_empty() && marks.is_empty() {
+            return;
+        }
+        let levels = ordering.levels_for_all.clone();
+        let joined = self.joined_proxies(coordinator);
+        if marks.iter().any(|(_, all)| *all) {
+            for proxy in joined {
+                batch.entry(proxy).or_default();
+            }
+        }
+        for (proxy, mut updates) in batch {
+            let reached = !updates.is_empty();
+            let due = marks.iter().filter(|(_, all)| reached || *all);
+            updates.extend(due.map(|(mark, _)| Update::Mark { mark: *mark }));
+            if levels.iter().any(Option::is_some) {
+                updates.push(Update::LevelsForAll { levels: levels.clone() });
+            }
+            self.write_message(coordinator, proxy, updates);
+        }
+    }
+
+    fn write_message(&mut self, coordinator: usize, proxy: u16, updates: Vec<Update>) {
+        let stream = self.proxies[usize::from(proxy)].stream;
+        let Some(stream) = stream.filter(|stream| stream.coordinator == coordinator) else { return };
+        self.messages += 1;
+        let lines = self.settings.envelope + updates.iter().map(Update::lines).sum::<f64>();
+        let (number, ordered) = (self.messages, self.now);
+        let message = Message { number, coordinator, proxy, stream: stream.id, ordered, lines, updates };
+        message.marks().for_each(|mark| self.rules.marks.ordered(ordered, number, mark));
+        let channel = &mut self.coordinators[coordinator].channel;
+        if channel.push(message) {
+            self.schedule_departure(coordinator);
+        }
+        self.check_queue(coordinator);
+    }
+
+    fn check_queue(&mut self, coordinator: usize) {
+        let longest = self.coordinators[coordinator].longest_queue();
+        let told = self.rules.queue_breaches.iter().any(|breach| breach.coordinator == coordinator);
+        if longest > self.settings.queue_cap && !told {
+            self.rules.queue_breaches.push(QueueBreach { coordinator, at: self.now });
+        }
+    }
+
+    fn schedule_departure(&mut self, coordinator: usize) {
+        let channel = &self.coordinators[coordinator].channel;
+        let Some(lines) = channel.next_lines() else { return };
+        let leaving = Duration::from_secs_f64(
+            lines / (self.settings.lines_per_second * self.coordinators[coordinator].pace),
+        );
+        let epoch = channel.epoch;
+        self.events.schedule(self.now + leaving, Event::MessageLeaves { coordinator, epoch });
+    }
+
+    pub(super) fn message_leaves(&mut self, coordinator: usize, epoch: u64) {
+        let channel = &mut self.coordinators[coordinator].channel;
+        if channel.epoch != epoch {
+            return;
+        }
+        let Some(message) = channel.pop() else { return };
+        self.schedule_departure(coordinator);
+        let jitter = self.settings.push_jitter * (2.0 * self.chance.channels.random::<f64>() - 1.0);
+        let way = self.settings.push_delay.mul_f64((1.0 + jitter).max(0.0));
+        let proxy = &mut self.proxies[usize::from(message.proxy)];
+        let arrival = (self.now + way).max(proxy.last_arrival);
+        proxy.last_arrival = arrival;
+        self.events.schedule(arrival, Event::MessageArrives(message));
+    }
+
+    pub(super) fn message_arrives(&mut self, message: Message) {
+        let proxy = &mut self.proxies[usize::from(message.proxy)];
+        if proxy.stream.is_none_or(|stream| stream.id != message.stream) {
+            return self.message_lost(&message);
+        }
+        let lines = message.lines - self.settings.envelope;
+        let applying = self.settings.apply_per_line.mul_f64(lines.max(0.0));
+        proxy.applying_until = proxy.applying_until.max(self.now) + applying;
+        self.events.schedule(proxy.applying_until, Event::MessageApplied(message));
+    }
+
+    pub(super) fn message_applied(&mut self, message: Message) {
+        let place = usize::from(message.proxy);
+        if self.proxies[place].stream.is_none_or(|stream| stream.id != message.stream) {
+            return self.message_lost(&message);
+        }
+        self.proxies[place].apply(&message);
+        for server in self.proxies[place].unneeded_connections() {
+            self.close_connection(place, server);
+        }
+        for mark in message.marks() {
+            let latency = self.now - message.ordered;
+            let acknowledgement = Acknowledgement { proxy: message.proxy, mark, latency };
+            self.coordinators[message.coordinator].acknowledgements.push(acknowledgement);
+            self.rules.marks.acknowledged(message.ordered, message.number, mark, self.now);
+        }
+        self.update_lacks(message.proxy);
+    }
+
+    pub(super) fn message_lost(&mut self, message: &Message) {
+        for mark in message.marks() {
+            self.rules.marks.lost(message.ordered, message.number, mark);
+        }
+    }
+
+    /// Ends the stream of a proxy; where it counts as left, what waits for it leaves the channel.
+    pub(super) fn end_stream(&mut self, proxy: u16, left: bool) {
+        let Some(Stream { id, coordinator, .. }) = self.proxies[usize::from(proxy)].stream.take() else {
+            return;
+        };
+        let ordering = &mut self.coordinators[coordinator];
+        ordering.bound.remove(&proxy);
+        ordering.batch.remove(&proxy);
+        if !left {
+            return;
+        }
+        let (was_leaving, dropped) = ordering.channel.drop_stream(id);
+        if was_leaving {
+            self.schedule_departure(coordinator);
+        }
+        dropped.iter().for_each(|message| self.message_lost(message));
+    }
+
+    /// Judges anew, for all proxies of a coordinator, whether they lack a line.
+    pub(super) fn update_lacks_of(&mut self, coordinator: usize) {
+        for proxy in 0..self.settings.proxies {
+            let accountable = self.proxies[usize::from(proxy)].accountable;
+            if accountable.is_some_and(|stream| stream.coordinator == coordinator) {
+                self.update_lacks(proxy);
+            }
+        }
+    }
+
+    pub(super) fn update_lacks(&mut self, proxy: u16) {
+        let holder = &self.proxies[usize::from(proxy)];
+        let accountable = holder.accountable.map(|stream| stream.coordinator);
+        for class in 0..self.settings.classes.len() {
+            let listed = |coordinator: &usize| {
+                let allows =
+                    |server: usize| self.settings.allows(class, holder.zone, self.servers[server].zone);
+                self.rules.lists[*coordinator].has_warm(self.settings.ramp_time, self.now, allows)
+            };
+            let lacking = !holder.has_line(class);
+            let answerable = accountable.filter(|coordinator| lacking && listed(coordinator));
+            self.rules.set_lack(proxy, class, answerable, self.now);
+        }
+    }
+
+    fn is_joined(&self, proxy: u16, coordinator: usize) -> bool {
+        let stream = self.proxies.get(usize::from(proxy)).and_then(|proxy| proxy.stream);
+        stream.is_some_and(|stream| stream.coordinator == coordinator)
+    }
+
+    fn joined_proxies(&self, coordinator: usize) -> Vec<u16> {
+        (0..self.settings.proxies).filter(|proxy| self.is_joined(*proxy, coordinator)).collect()
+    }
+
+    /// A server that the list has shown at some time.
+    fn listed_server(&self, id: &str) -> Result<usize, Refusal> {
+        let server = self.server(id)?;
+        if self.servers[server].run == 0 {
+            return Err(Refusal::UnknownServer(id.to_owned()));
+        }
+        Ok(server)
+    }
+
+    fn named_classes(&self, classes: &[usize]) -> Result<Vec<usize>, Refusal> {
+        let known = self.settings.classes.len();
+        if let Some(unknown) = classes.iter().find(|class| **class >= known) {
+            return Err(Refusal::UnknownClass(*unknown));
+        }
+        Ok(if classes.is_empty() { (0..known).collect() } else { classes.to_vec() })
+    }
+}
+
+fn check_table(table: u16) -> Result<(), Refusal> {
+    if table == ALL_TABLES {
+        return Err(Refusal::BadFigure);
+    }
+    Ok(())
+}
+
+fn check_figure(figure: f64) -> Result<(), Refusal> {
+    if !figure.is_finite() || figure < 0.0 {
+        return Err(Refusal::BadFigure);
+    }
+    Ok(())
+}
