--- a/crates/craneknot-cli/src/main.rs
+++ b/crates/craneknot-cli/src/main.rs
@@ -4,6 +4,7 @@
 mod soak;
 mod solve;
 mod status;
+mod trial;
 
 use std::fs;
 use std::net::SocketAddr;
@@ -144,6 +145,9 @@
         #[arg(long)]
         folder: Option<PathBuf>,
     },
+    /// Tries coordinators on a scripted day: real processes among stand-ins, judged by due times and by a model of
+    /// servers, proxies and channels that shares nothing with the program.
+    Trial(trial::Trial),
     /// Plays a rehearsal's script in simulated time.
     Model {
         #[command(subcommand)]
@@ -312,6 +316,7 @@
                 Err(Failed::Rule)
             }
         }
+        Command::Trial(asked) => trial::trial(&asked),
         Command::Soak { seed, seeds, nodes, seconds, incident, program, fault_library, folder } => {
             let kept = tempfile::tempdir().map_err(system)?;
             let settings = SoakSettings {
--- a/crates/craneknot-rehearsal/src/lib.rs
+++ b/crates/craneknot-rehearsal/src/lib.rs
@@ -4,7 +4,8 @@
 //! [`script`] is what is asked for, [`plan`] what will happen when, drawn from the script's seed. [`machine`],
 //! [`chooser`] and [`caller`] are the stand-ins without I/O; [`servers`] and [`proxies`] put them on sockets.
 //! [`conduct`] raises the processes and plays the plan. [`auditor`] knows nothing of all these but the
-//! [`record`]. [`soak`] is a randomized fault soak of the coordinator on the users' platform.
+//! [`record`]. [`soak`] is a randomized fault soak of the coordinator on the users' platform; [`trial`] plays scripted
+//! days there, judged by due times and by the [`workload`] model.
 
 pub mod auditor;
 pub mod caller;
@@ -22,6 +23,8 @@
 pub mod servers;
 pub mod soak;
 pub mod sums;
+pub mod trial;
+pub mod workload;
 
 pub use conduct::rehearse;
 pub use report::Report;
--- /dev/null
+++ b/crates/craneknot-rehearsal/src/trial/deployment.rs
@@ -0,0 +1,136 @@
+//! The deployment that a trial plays: its settings as a node is given them, and the figures that the judge goes by.
+
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+use serde_json::{json, Value};
+
+use crate::workload::{Admission, ClassSpec, Semantics, ServerSpec, WorkloadSettings};
+
+/// The coordinators of the fleet.
+pub const COORDINATORS: usize = 3;
+/// The proxies of the fleet.
+pub const PROXIES: u16 = 240;
+/// The servers of the fleet.
+pub const SERVERS: usize = 30;
+/// The zones.
+pub const ZONES: [&str; 2] = ["pier", "yard"];
+/// One server in so many stands in the second zone, which is the one that is lost.
+pub const SECOND_ZONE_EVERY: usize = 3;
+/// The classes of operations.
+pub const CLASSES: [&str; 3] = ["quote", "track", "book"];
+
+/// How long a proxy may lack a line (`extra.bare`).
+pub const BARE: Duration = Duration::from_millis(2_800);
+/// How long a proxy may keep a line to a server that drains (`rules.stop-sending-within`).
+pub const DRAIN_GRACE: Duration = Duration::from_millis(2_700);
+/// How long after its start a server is warm (`rules.ramp-time`).
+pub const WARM_AFTER: Duration = Duration::from_millis(14_000);
+/// How long a coordinator may go without asking for the list before it counts as told (`rules.ask-within`).
+pub const ASK_WITHIN: Duration = Duration::from_secs(10);
+/// Lines a second that leave a coordinator's channel (`extra.egress-per-s`).
+pub const LINES_PER_SECOND: f64 = 14_000.0;
+/// Lines that may wait in the channel (`extra.queue-cap`).
+pub const QUEUE_CAP: f64 = 28_000.0;
+/// Lines that each message costs on top of its own (`extra.envelope`).
+pub const MESSAGE_LINES: f64 = 3.0;
+/// Mean time from the channel to the proxy (`extra.push-delay`).
+pub const PUSH_DELAY: Duration = Duration::from_millis(180);
+/// The longest such time (`extra.worst-transit`).
+pub const WORST_TRANSIT: Duration = Duration::from_millis(450);
+/// How often reports are gathered (`extra.interval`).
+pub const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
+const AIMS: [Duration; 3] =
+    [Duration::from_millis(1_000), Duration::from_millis(1_200), Duration::from_millis(1_500)];
+const DEADLINES: [Duration; 3] =
+    [Duration::from_millis(2_500), Duration::from_millis(3_000), Duration::from_millis(4_000)];
+const UNSAFE_CLASS: usize = 2; // may not run twice
+const COLD_SHARE: f64 = 0.2; // of its capacity, that a server has when it starts
+const FALL_MULTIPLE: f64 = 3.0; // of its present capacity, at which a cold server falls
+const FALL_WINDOW: Duration = Duration::from_secs(3); // over which that is counted
+const CORES: f64 = 2.0; // of each server
+const LOAD: f64 = 0.35; // of the capacity of all servers when warm
+
+/// The zone of a server, by its place.
+pub fn zone_of_server(server: usize) -> usize {
+    usize::from(server % SECOND_ZONE_EVERY == SECOND_ZONE_EVERY - 1)
+}
+
+/// The zone of a proxy, by its number.
+pub fn zone_of_proxy(proxy: u16) -> usize {
+    usize::from(proxy) % ZONES.len()
+}
+
+/// The identifier of a server, by its place.
+pub fn server_id(server: usize) -> String {
+    format!("s-{:08x}", (server as u32 + 1).wrapping_mul(0x9e37_79b1))
+}
+
+/// The settings as a node's configuration holds them.
+pub fn settings() -> Value {
+    let profile = |place: usize| {
+        let semantics = if place == UNSAFE_CLASS { "single_shot" } else { "free" };
+        json!({"name": CLASSES[place], "aim": AIMS[place].as_secs_f64(), "worth": 1.0 + place as f64,
+               "deadline": DEADLINES[place].as_secs_f64(), "semantics": semantics})
+    };
+    let profiles: Vec<Value> = (0..CLASSES.len()).map(profile).collect();
+    json!({
+        "localities": ZONES, "kinds": ["m2"], "balancers": COORDINATORS, "registry-mode": "on_request",
+        "reporting": {"how": "answers", "names": ["busy", "rif", "lat_ms"]},
+        "profiles": profiles,
+        "caps": {"probing": false},
+        "rules": {"ask-within": ASK_WITHIN.as_secs_f64(), "cold-share": COLD_SHARE,
+                  "fall": FALL_WINDOW.as_secs_f64(), "fall-multiple": FALL_MULTIPLE,
+                  "ramp-time": WARM_AFTER.as_secs_f64(), "stop-sending-within": DRAIN_GRACE.as_secs_f64()},
+        "extra": {"data-plane-size": PROXIES, "bare": BARE.as_secs_f64(), "admission": "rps",
+                  "egress-per-s": LINES_PER_SECOND, "queue-cap": QUEUE_CAP, "envelope": MESSAGE_LINES,
+                  "update-cap": 0, "reload-span": 10.0, "interval": REPORT_INTERVAL.as_secs_f64(), "slices": 0,
+                  "home-only": [false, false, false], "push-delay": PUSH_DELAY.as_secs_f64(),
+                  "worst-transit": WORST_TRANSIT.as_secs_f64()}
+    })
+}
+
+/// The same deployment as the workload takes it; the servers' true speeds are drawn.
+pub fn workload(seed: u64) -> WorkloadSettings {
+    let mut rng = Pcg32::seed_from_u64(seed);
+    let server = |server: usize| ServerSpec {
+        id: server_id(server),
+        zone: zone_of_server(server),
+        cores: CORES,
+        speed: rng.random_range(0.85..1.15),
+        listed_weight: 1.0,
+    };
+    let class = |place: usize| ClassSpec {
+        name: CLASSES[place].to_owned(),
+        share: [0.5, 0.3, 0.2][place],
+        work: Duration::from_millis([30, 50, 80][place]),
+        aim: AIMS[place],
+        deadline: DEADLINES[place],
+        semantics: if place == UNSAFE_CLASS { Semantics::Unsafe } else { Semantics::Safe },
+        only_zone: None,
+    };
+    WorkloadSettings {
+        servers: (0..SERVERS).map(server).collect(),
+        classes: (0..CLASSES.len()).map(class).collect(),
+        proxies: PROXIES,
+        zones: ZONES.len(),
+        coordinators: COORDINATORS,
+        load: LOAD,
+        rate_spread: 0.4,
+        cold_share: COLD_SHARE,
+        ramp_time: WARM_AFTER,
+        fall_multiple: FALL_MULTIPLE,
+        fall: FALL_WINDOW,
+        bare: BARE,
+        stop_sending_within: DRAIN_GRACE,
+        lines_per_second: LINES_PER_SECOND,
+        envelope: MESSAGE_LINES,
+        queue_cap: QUEUE_CAP,
+        push_delay: PUSH_DELAY,
+        report_period: REPORT_INTERVAL,
+        admission: Admission::Rate,
+        ..WorkloadSettings::default()
+    }
+}
--- /dev/null
+++ b/crates/craneknot-rehearsal/src/trial/fleet.rs
@@ -0,0 +1,363 @@
+//! The proxies: who is joined to which coordinator, what the relay tells of them, and the workload that they carry.
+
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+
+use super::deployment::{self, server_id, zone_of_proxy, COORDINATORS, PROXIES, SERVERS, ZONES};
+use super::judge::Judge;
+use super::news::News;
+use super::orders;
+use super::overlay::Overlay;
+use super::registry::Told;
+use super::relay::CallOutcome;
+use super::release::{Phase, ServerChange};
+use super::reports::Reports;
+use super::settings::{PlantedBreak, TrialSettings};
+use crate::workload::{self, Order, ServerAction, Summary, Workload, WorkloadSettings};
+
+const DIAL_MILLIS: std::ops::Range<u64> = 100..1_400; // from the loss of a coordinator to the next one
+const DIAL_AGAIN: Duration = Duration::from_millis(200); // where none takes proxies
+const MOVE_PAUSE: Duration = Duration::from_millis(50); // of a proxy that moves, between two streams
+const STRIKE_CHANCE: f64 = 0.5; // that a call goes wrong while calls do
+const BROKEN_WAIT: Duration = Duration::from_millis(500); // of time limits after a call that broke
+const SPOILT_WAIT: Duration = Duration::from_millis(1_500); // after an answer that cannot be read
+const PLANTED_AT: Duration = Duration::from_secs(2); // in the day: servers fall silent where that is planted
+
+/// The fleet as the threads of the stand-ins share it.
+pub type SharedFleet = Arc<Mutex<Fleet>>;
+
+#[derive(Clone, Copy, Debug)]
+enum Home {
+    Joined(usize),
+    /// It dials then: one coordinator, or any.
+    Dialling {
+        at: Instant,
+        to: Option<usize>,
+    },
+}
+
+struct Move {
+    at: Instant,
+    proxy: u16,
+    to: usize,
+}
+
+struct Strike {
+    coordinator: usize,
+    fault: Overlay,
+    until: Instant,
+}
+
+/// All proxies, and the workload.
+pub struct Fleet {
+    workload: Workload,
+    workload_settings: WorkloadSettings,
+    seed: u64,
+    begun: Option<Instant>,
+    homes: Vec<Home>,
+    /// By proxy: when it joined which coordinator, oldest first.
+    joinings: Vec<Vec<(Duration, usize)>>,
+    moves: Vec<Move>,
+    strikes: Vec<Strike>,
+    news: Vec<News>,
+    reports: Reports,
+    /// What became of servers, for the reference.
+    server_history: Vec<workload::ServerChange>,
+    judge: Arc<Judge>,
+    rng: Pcg32,
+    planted: Option<PlantedBreak>,
+}
+
+impl Fleet {
+    /// A fleet that has not begun: no proxy is joined, and calls are turned away.
+    pub fn new(settings: &TrialSettings, judge: Arc<Judge>) -> Self {
+        let workload_settings = deployment::workload(settings.seed);
+        let nowhere = Home::Dialling { at: Instant::now(), to: None };
+        Fleet {
+            workload: Workload::new(workload_settings.clone(), settings.seed),
+            workload_settings,
+            seed: settings.seed,
+            begun: None,
+            homes: vec![nowhere; usize::from(PROXIES)],
+            joinings: vec![Vec::new(); usize::from(PROXIES)],
+            moves: Vec::new(),
+            strikes: Vec::new(),
+            news: (0..COORDINATORS).map(|_| News::default()).collect(),
+            reports: Reports::default(),
+            server_history: Vec::new(),
+            judge,
+            rng: Pcg32::seed_from_u64(settings.seed),
+            planted: settings.planted,
+        }
+    }
+
+    /// The day begins: servers run, and proxies join coordinators in turn.
+    pub fn begin(&mut self) {
+        // At time zero, so that they are warm.
+        for server in 0..SERVERS {
+            self.act_on_server(server, ServerAction::Start);
+        }
+        self.tell_first_list();
+        self.begun = Some(Instant::now());
+        for proxy in 0..PROXIES {
+            self.join(proxy, usize::from(proxy) % COORDINATORS);
+        }
+    }
+
+    /// All coordinators are started with the whole list.
+    fn tell_first_list(&mut self) {
+        let of = |coordinator| (0..SERVERS).map(move |server| Told { coordinator, server, is_ready: true });
+        let news: Vec<Told> = (0..COORDINATORS).flat_map(of).collect();
+        self.told(&news);
+    }
+
+    fn now(&self) -> Duration {
+        self.begun.map_or(Duration::ZERO, |begun| begun.elapsed())
+    }
+
+    /// Lets the workload come up to date, and has proxies dial and move.
+    pub fn advance(&mut self) {
+        if self.begun.is_none() {
+            return;
+        }
+        self.workload.advance(self.now());
+        if self.planted == Some(PlantedBreak::SilentServers) && self.now() > PLANTED_AT {
+            self.planted = None;
+            (0..SERVERS).for_each(|server| self.act_on_server(server, ServerAction::Silence(true)));
+        }
+        self.tell_acknowledgements();
+        self.reports.gather(&mut self.workload);
+        self.move_due();
+        self.dial_due();
+    }
+
+    fn tell_acknowledgements(&mut self) {
+        for coordinator in 0..COORDINATORS {
+            for done in self.workload.take_acknowledgements(coordinator) {
+                self.judge.judge_mark(coordinator, done.latency);
+                let millis = done.latency.as_secs_f64() * 1e3;
+                self.news[coordinator].tell(&format!(
+                    "event: done\ndata: node={}&nonce={}&latency={millis:.1}\n\n",
+                    done.proxy, done.mark
+                ));
+            }
+        }
+    }
+
+    fn dial_due(&mut self) {
+        let now = Instant::now();
+        let open: Vec<usize> =
+            (0..COORDINATORS).filter(|number| self.judge.timeline.takes_proxies(*number)).collect();
+        for proxy in 0..PROXIES {
+            let Home::Dialling { at, to } = self.homes[usize::from(proxy)] else { continue };
+            if at > now {
+                continue;
+            }
+            let wanted = to.filter(|to| open.contains(to)).or_else(|| open.choose(&mut self.rng).copied());
+            match wanted {
+                Some(to) => self.join(proxy, to),
+                None => {
+                    self.homes[usize::from(proxy)] = Home::Dialling { at: now + DIAL_AGAIN, to };
+                }
+            }
+        }
+    }
+
+    fn move_due(&mut self) {
+        let now = Instant::now();
+        let (due, later) = std::mem::take(&mut self.moves).into_iter().partition(|planned| planned.at <= now);
+        self.moves = later;
+        let due: Vec<Move> = due;
+        for Move { proxy, to, .. } in due {
+            if matches!(self.homes[usize::from(proxy)], Home::Joined(home) if home != to) {
+                self.leave(proxy);
+                self.homes[usize::from(proxy)] = Home::Dialling { at: now + MOVE_PAUSE, to: Some(to) };
+            }
+        }
+    }
+
+    fn attach_event(&self, proxy: u16) -> String {
+        let cold = u8::from(self.workload.holds_only_standing_table(proxy));
+        let (zone, rate) = (ZONES[zone_of_proxy(proxy)], self.workload.proxy_rate(proxy));
+        format!("event: attach\ndata: node={proxy}&locality={zone}&w={rate:.2}&cold={cold}\n\n")
+    }
+
+    fn join(&mut self, proxy: u16, coordinator: usize) {
+        if self.workload.join(proxy, coordinator).is_ok() {
+            self.homes[usize::from(proxy)] = Home::Joined(coordinator);
+            let now = self.now();
+            self.joinings[usize::from(proxy)].push((now, coordinator));
+            let event = self.attach_event(proxy);
+            self.news[coordinator].tell(&event);
+        }
+    }
+
+    /// A proxy's stream ends; it dials another coordinator a moment later.
+    fn leave(&mut self, proxy: u16) {
+        let Home::Joined(coordinator) = self.homes[usize::from(proxy)] else { return };
+        let _ = self.workload.leave(proxy);
+        self.news[coordinator].tell(&format!("event: detach\ndata: node={proxy}\n\n"));
+        self.dial_later(proxy);
+    }
+
+    fn dial_later(&mut self, proxy: u16) {
+        let span = Duration::from_millis(self.rng.random_range(DIAL_MILLIS));
+        self.homes[usize::from(proxy)] = Home::Dialling { at: Instant::now() + span, to: None };
+    }
+
+    fn joined(&self, coordinator: usize) -> Vec<u16> {
+        let is_home = |proxy: &u16| matches!(self.homes[usize::from(*proxy)], Home::Joined(home) if home == coordinator);
+        (0..PROXIES).filter(is_home).collect()
+    }
+
+    /// All proxies of a coordinator leave it.
+    pub fn leave_all(&mut self, coordinator: usize) {
+        self.joined(coordinator).into_iter().for_each(|proxy| self.leave(proxy));
+    }
+
+    /// A coordinator's process has ended, and with it its streams and tables.
+    pub fn coordinator_ended(&mut self, coordinator: usize) {
+        self.leave_all(coordinator);
+        let _ = self.workload.coordinator_ended(coordinator);
+        self.news[coordinator].end();
+    }
+
+    /// Proxies move to a coordinator within a span, one in so many.
+    pub fn move_proxies(&mut self, to: usize, within: Duration, one_in: u16) {
+        for proxy in (0..PROXIES).filter(|proxy| proxy % one_in.max(1) == 0) {
+            let at = Instant::now() + within.mul_f64(self.rng.random_range(0.0..1.0));
+            self.moves.push(Move { at, proxy, to });
+        }
+    }
+
+    /// What becomes of servers, whatever the list says yet.
+    pub fn change_servers(&mut self, changes: &[ServerChange]) {
+        for change in changes {
+            match change.phase {
+                Phase::Draining => self.act_on_server(change.server, ServerAction::Drain),
+                Phase::Gone => self.act_on_server(change.server, ServerAction::Stop),
+                Phase::Ready => {
+                    self.act_on_server(change.server, ServerAction::Stop);
+                    self.act_on_server(change.server, ServerAction::Start);
+                }
+            }
+        }
+    }
+
+    fn act_on_server(&mut self, server: usize, action: ServerAction) {
+        let (id, at) = (server_id(server), self.now());
+        self.workload.advance(at);
+        // All servers of the list are the workload's.
+        let _ = self.workload.change_server(&id, action);
+        self.server_history.push(workload::ServerChange { at, server: id, action });
+    }
+
+    /// The list has told coordinators of servers.
+    pub fn told(&mut self, news: &[Told]) {
+        for told in news {
+            let id = server_id(told.server);
+            let _ = match told.is_ready {
+                true => self.workload.told_ready(told.coordinator, &id),
+                false => self.workload.told_lost(told.coordinator, &id),
+            };
+        }
+    }
+
+    /// Time limits of a coordinator's proxies wait for so long from now on.
+    pub fn hold_off_limits(&mut self, coordinator: usize, span: Duration) {
+        let now = self.now();
+        self.workload.advance(now);
+        let _ = self.workload.hold_off_limits(coordinator, span);
+    }
+
+    /// Calls of a coordinator go wrong for so long.
+    pub fn strike_calls(&mut self, coordinator: usize, fault: Overlay, span: Duration) {
+        self.strikes.push(Strike { coordinator, fault, until: Instant::now() + span });
+    }
+
+    /// What becomes of a coordinator's next call.
+    pub fn draw_outcome(&mut self, coordinator: usize) -> CallOutcome {
+        if self.begun.is_none() {
+            return CallOutcome::Throttled;
+        }
+        let now = Instant::now();
+        self.strikes.retain(|strike| strike.until > now);
+        let active = self.strikes.iter().find(|strike| strike.coordinator == coordinator);
+        let Some(fault) = active.map(|strike| strike.fault).filter(|_| self.rng.random_bool(STRIKE_CHANCE))
+        else {
+            return CallOutcome::Answered;
+        };
+        let carried_out = self.rng.random_bool(0.5);
+        match fault {
+            Overlay::RelayThrottled => CallOutcome::Throttled,
+            Overlay::RelayBroken => {
+                self.hold_off_limits(coordinator, BROKEN_WAIT);
+                CallOutcome::Broken { carried_out }
+            }
+            _ => {
+                self.hold_off_limits(coordinator, SPOILT_WAIT);
+                CallOutcome::Spoilt { carried_out }
+            }
+        }
+    }
+
+    /// Carries out the orders of one call up to the first that can't be used; how many were.
+    pub fn apply(&mut self, coordinator: usize, texts: &[&str]) -> usize {
+        let now = self.now();
+        self.workload.advance(now);
+        let taken = texts.iter().take_while(|text| self.apply_one(coordinator, text)).count();
+        self.workload.end_batch(coordinator);
+        taken
+    }
+
+    fn apply_one(&mut self, coordinator: usize, text: &str) -> bool {
+        let Some(order) = orders::read(text) else { return false };
+        let is_dropped =
+            self.planted == Some(PlantedBreak::LinesDropped) && matches!(order, Order::SetLine { .. });
+        is_dropped || self.workload.apply(coordinator, &order).is_ok()
+    }
+
+    /// A stream of a coordinator's news opens, and begins with what stands.
+    pub fn open_stream(&mut self, coordinator: usize) -> u64 {
+        let standing = self.joined(coordinator).into_iter().map(|proxy| self.attach_event(proxy)).collect();
+        self.news[coordinator].open(standing)
+    }
+
+    /// What a stream has to tell; nothing: it is over.
+    pub fn take_news(&mut self, coordinator: usize, stream: u64) -> Option<Vec<String>> {
+        self.news[coordinator].take(stream)
+    }
+
+    /// A stream has ended.
+    pub fn close_stream(&mut self, coordinator: usize, stream: u64) {
+        self.news[coordinator].close(stream);
+    }
+
+    /// What a zone's collector passes on to a coordinator.
+    pub fn take_reports(&mut self, coordinator: usize, zone: usize) -> String {
+        self.reports.take(coordinator, zone)
+    }
+
+    /// The coordinator that a proxy had joined last by then.
+    pub fn last_joined(&self, proxy: u16, at: Duration) -> Option<usize> {
+        let joinings = &self.joinings[usize::from(proxy)];
+        joinings.iter().rev().find(|(joined, _)| *joined <= at).map(|(_, coordinator)| *coordinator)
+    }
+
+    /// What became of the day so far.
+    pub fn summary(&self) -> Summary {
+        self.workload.summary()
+    }
+
+    /// The same day under perfect late sight.
+    pub fn reference(&self) -> Summary {
+        let reference =
+            Workload::reference(&self.workload_settings, self.seed, &self.server_history, self.now());
+        // All servers of the history are the workload's.
+        reference.unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/craneknot-rehearsal/src/trial/overlay.rs
@@ -0,0 +1,116 @@
+//! Faults that are laid over a script, drawn by seed: of processes, of the relay, of the list, of the machine.
+
+use std::fmt;
+use std::ops::Range;
+use std::str::FromStr;
+use std::time::Duration;
+
+use rand::Rng;
+use rand_pcg::Pcg32;
+
+use super::deployment::COORDINATORS;
+use super::script::{Planned, Step, LOADED};
+
+const WINDOWS: Range<usize> = 2..6; // of one fault in a day
+const WINDOW_MILLIS: Range<u64> = 800..4_000; // how long one lasts
+const LOADED_CHANCE: f64 = 0.5; // that a fault strikes the coordinator that gets all proxies
+
+/// A fault that can be laid over any script.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Overlay {
+    /// Nobody reads the log of a coordinator, and the pipe is full.
+    LogUnread,
+    /// The wall clock is an hour off in every process but the first of a coordinator.
+    ClockStep,
+    /// System calls of a coordinator fail now and then.
+    SystemCalls,
+    /// The relay turns calls away.
+    RelayThrottled,
+    /// The relay breaks calls after their last byte.
+    RelayBroken,
+    /// The relay's answers cannot be read.
+    RelaySpoilt,
+    /// The list comes late.
+    ListsLate,
+    /// The list comes whole in place of changes.
+    ListsWhole,
+    /// Discovery answers nothing.
+    ListsSilent,
+    /// A coordinator gets a quarter of a core.
+    QuarterCore,
+    /// Other work keeps the machine busy.
+    BusyNeighbours,
+}
+
+/// All of them, by the names of the command line.
+pub const ALL: [(&str, Overlay); 11] = [
+    ("log-unread", Overlay::LogUnread),
+    ("clock-step", Overlay::ClockStep),
+    ("system-calls", Overlay::SystemCalls),
+    ("relay-throttled", Overlay::RelayThrottled),
+    ("relay-broken", Overlay::RelayBroken),
+    ("relay-spoilt", Overlay::RelaySpoilt),
+    ("lists-late", Overlay::ListsLate),
+    ("lists-whole", Overlay::ListsWhole),
+    ("lists-silent", Overlay::ListsSilent),
+    ("quarter-core", Overlay::QuarterCore),
+    ("busy-neighbours", Overlay::BusyNeighbours),
+];
+
+/// A name that is no fault's.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnknownOverlay(pub String);
+
+impl fmt::Display for UnknownOverlay {
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        let names: Vec<&str> = ALL.iter().map(|(name, _)| *name).collect();
+        write!(formatter, "{:?} is no fault; there are {}", self.0, names.join(", "))
+    }
+}
+
+impl std::error::Error for UnknownOverlay {}
+
+impl FromStr for Overlay {
+    type Err = UnknownOverlay;
+
+    fn from_str(text: &str) -> Result<Self, UnknownOverlay> {
+        let found = ALL.iter().find(|(name, _)| *name == text).map(|(_, overlay)| *overlay);
+        found.ok_or_else(|| UnknownOverlay(text.to_owned()))
+    }
+}
+
+impl fmt::Display for Overlay {
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        let name = ALL.iter().find(|(_, overlay)| overlay == self).map_or("", |(name, _)| name);
+        formatter.write_str(name)
+    }
+}
+
+impl Overlay {
+    /// Whether it holds for whole processes, from their start on.
+    pub fn is_of_process(self) -> bool {
+        matches!(self, Overlay::LogUnread | Overlay::ClockStep | Overlay::SystemCalls)
+    }
+
+    /// Draws when it strikes, and whom.
+    pub fn draw(self, rng: &mut Pcg32, length: Duration) -> Vec<Planned> {
+        let whole = length.as_millis() as u64;
+        if self.is_of_process() {
+            return vec![self.planned(rng, 0, whole)];
+        }
+        let windows = rng.random_range(WINDOWS);
+        let window = |_| {
+            let span = rng.random_range(WINDOW_MILLIS);
+            let at = rng.random_range(0..whole);
+            self.planned(rng, at, span)
+        };
+        (0..windows).map(window).collect()
+    }
+
+    fn planned(self, rng: &mut Pcg32, at: u64, span: u64) -> Planned {
+        let coordinator =
+            if rng.random_bool(LOADED_CHANCE) { LOADED } else { rng.random_range(0..COORDINATORS) };
+        let step = Step::Overlay { fault: self, coordinator, span };
+        Planned { at: Duration::from_millis(at), step }
+    }
+}
--- /dev/null
+++ b/crates/craneknot-rehearsal/src/trial/release.rs
@@ -0,0 +1,101 @@
+//! A release in place without end: servers restart under their identifiers, several in one version of the list.
+
+use std::ops::Range;
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use rand::Rng;
+use rand_pcg::Pcg32;
+
+use super::deployment::{zone_of_server, SERVERS};
+use super::script::{Planned, Step, LOST_ZONE};
+
+const STEP_MILLIS: Range<u64> = 610..641; // between two versions of the list
+const RESTARTS_MOST: usize = 2; // that begin with one version
+const DRAIN_STEPS: Range<usize> = 3..6; // versions that a server drains for
+const GONE_STEPS: Range<usize> = 1..4; // versions that it is gone for
+
+/// What becomes of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// It has started just now.
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// A server's change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerChange {
+    pub server: usize,
+    pub phase: Phase,
+}
+
+/// The forms in which a restart shows in the list.
+#[derive(Clone, Copy, Debug)]
+enum Form {
+    DrainingGoneReady,
+    DrainingReady,
+    ReadyAgain,
+}
+
+impl Form {
+    fn draw(rng: &mut Pcg32) -> Self {
+        match rng.random_range(0..10) {
+            0..4 => Form::DrainingGoneReady,
+            4..7 => Form::DrainingReady,
+            _ => Form::ReadyAgain,
+        }
+    }
+
+    /// The phases of a restart that begins with this version, by version.
+    fn phases(self, rng: &mut Pcg32, version: usize) -> Vec<(usize, Phase)> {
+        let drained = version + rng.random_range(DRAIN_STEPS);
+        let back = drained + rng.random_range(GONE_STEPS);
+        match self {
+            Form::DrainingGoneReady => {
+                vec![(version, Phase::Draining), (drained, Phase::Gone), (back, Phase::Ready)]
+            }
+            Form::DrainingReady => vec![(version, Phase::Draining), (drained, Phase::Ready)],
+            Form::ReadyAgain => vec![(version, Phase::Ready)],
+        }
+    }
+}
+
+/// Draws the versions of a release. Servers of a lost zone are left alone while it is lost.
+pub fn draw(rng: &mut Pcg32, from: Duration, until: Duration, lost: Option<Range<Duration>>) -> Vec<Planned> {
+    let times = version_times(rng, from, until);
+    let mut busy_until = vec![0; SERVERS];
+    let mut changes = vec![Vec::new(); times.len()];
+    for version in 0..times.len() {
+        for _ in 0..rng.random_range(0..=RESTARTS_MOST) {
+            let idle: Vec<usize> = (0..SERVERS).filter(|server| busy_until[*server] <= version).collect();
+            let Some(server) = idle.choose(rng).copied() else { break };
+            let phases = Form::draw(rng).phases(rng, version);
+            let last = phases.last().map_or(version, |(last, _)| *last);
+            busy_until[server] = last + 1;
+            let end = times.get(last).copied().unwrap_or(until);
+            let meets_loss = lost.as_ref().is_some_and(|lost| times[version] < lost.end && end >= lost.start);
+            if meets_loss && zone_of_server(server) == LOST_ZONE {
+                continue;
+            }
+            for (at, phase) in phases {
+                if let Some(changes) = changes.get_mut(at) {
+                    changes.push(ServerChange { server, phase });
+                }
+            }
+        }
+    }
+    let planned = times.into_iter().zip(changes).filter(|(_, changes)| !changes.is_empty());
+    planned.map(|(at, changes)| Planned { at, step: Step::Servers(changes) }).collect()
+}
+
+fn version_times(rng: &mut Pcg32, from: Duration, until: Duration) -> Vec<Duration> {
+    let mut times = Vec::new();
+    let mut at = from;
+    while at < until {
+        times.push(at);
+        at += Duration::from_millis(rng.random_range(STEP_MILLIS));
+    }
+    times
+}
--- /dev/null
+++ b/crates/craneknot-rehearsal/src/trial/report.rs
@@ -0,0 +1,302 @@
+//! What a trial found: figures for each reading, and each broken rule with its time, place and surroundings.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use super::deployment::{CLASSES, COORDINATORS, QUEUE_CAP};
+use super::fleet::Fleet;
+use super::judge::{Asked, Finding, Judge, Reading, Tally};
+use super::settings::TrialSettings;
+use super::timeline::Timeline;
+use crate::workload::{Reason, Summary, Window};
+
+const OPERATIONS_WINDOW: Duration = Duration::from_secs(5); // of the workload's counts
+/// Operations lost beyond those of the reference that pass, as a share of all: the platform states no figure.
+const LOST_BEYOND_REFERENCE: f64 = 0.001;
+
+/// One start of a process.
+#[derive(Clone, Debug, Serialize)]
+pub struct Start {
+    pub coordinator: usize,
+    pub process: usize,
+    /// Since the day began; less than nothing: before it.
+    pub second: f64,
+    /// From the start to the first answer.
+    pub ready_after_ms: Option<u64>,
+    /// From SIGTERM to the end.
+    pub ended_after_ms: Option<u64>,
+}
+
+/// Reading A: what proxies held.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Lines {
+    /// Lacks of a line beyond the limit.
+    pub lacks_beyond: usize,
+    pub longest_lack_ms: u64,
+    pub drain_breaches: usize,
+    pub cold_falls: usize,
+    pub cold_falls_beyond: usize,
+    pub queue_breaches: usize,
+    pub longest_queue_lines: f64,
+    pub unsafe_repeats: u64,
+}
+
+/// Operations by outcome.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Outcomes {
+    pub offered: u64,
+    pub in_time: u64,
+    pub late: u64,
+    pub later: u64,
+    pub never: u64,
+    pub refused: u64,
+    pub failed: u64,
+}
+
+/// Reading B: what became of operations.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Operations {
+    pub total: Outcomes,
+    /// The same day under a policy that sees the true state late.
+    pub reference: Outcomes,
+    /// By outcome and reason.
+    pub reasons: BTreeMap<String, u64>,
+    pub reference_reasons: BTreeMap<String, u64>,
+    /// Lost operations by the start of a window in seconds, beside the reference's.
+    pub lost_by_window: Vec<(u64, u64, u64)>,
+}
+
+/// All of it.
+#[derive(Clone, Debug, Serialize)]
+pub struct TrialReport {
+    pub seed: u64,
+    pub script: String,
+    pub overlays: Vec<String>,
+    pub seconds: f64,
+    pub starts: Vec<Start>,
+    pub lines: Lines,
+    pub operations: Operations,
+    /// Reading C, by what was asked.
+    pub control: BTreeMap<Asked, Tally>,
+    pub machine_late_ms: u64,
+    pub findings: Vec<Finding>,
+    /// Findings that were not kept.
+    pub findings_dropped: u64,
+}
+
+fn millis(span: Duration) -> u64 {
+    span.as_millis() as u64
+}
+
+fn outcomes(tally: &crate::workload::Tally) -> Outcomes {
+    Outcomes {
+        offered: tally.offered,
+        in_time: tally.in_time,
+        late: tally.late,
+        later: tally.later,
+        never: tally.never,
+        refused: tally.refused,
+        failed: tally.failed,
+    }
+}
+
+impl Outcomes {
+    /// Answered later than half a second after their time, or never.
+    pub fn lost(&self) -> u64 {
+        self.later + self.never
+    }
+
+    fn lost_share(&self) -> f64 {
+        self.lost() as f64 / self.offered.max(1) as f64
+    }
+}
+
+fn reasons(summary: &Summary) -> BTreeMap<String, u64> {
+    let all = summary.reasons.iter();
+    all.map(|((outcome, reason), count)| (format!("{outcome:?} {reason:?}"), *count)).collect()
+}
+
+fn starts(timeline: &Timeline) -> Vec<Start> {
+    let of = |coordinator: usize| {
+        let processes = timeline.processes(coordinator).into_iter().enumerate();
+        processes.map(move |(process, life)| Start {
+            coordinator,
+            process,
+            second: timeline.second(life.started),
+            ready_after_ms: life.ready.map(|ready| millis(ready - life.started)),
+            ended_after_ms: life.terminated.zip(life.ended).map(|(from, until)| millis(until - from)),
+        })
+    };
+    (0..COORDINATORS).flat_map(of).collect()
+}
+
+fn judge_lines(summary: &Summary, judge: &Judge) -> Lines {
+    let mut lines = Lines {
+        drain_breaches: summary.drain_breaches.len(),
+        cold_falls: summary.falls.len(),
+        cold_falls_beyond: summary.falls.iter().filter(|fall| fall.breaks_rule).count(),
+        queue_breaches: summary.queue_breaches.len(),
+        longest_queue_lines: summary.longest_queue.iter().copied().fold(0.0, f64::max),
+        unsafe_repeats: summary.unsafe_repeats,
+        ..Lines::default()
+    };
+    for lack in &summary.lacks {
+        lines.longest_lack_ms = lines.longest_lack_ms.max(millis(lack.length));
+        if lack.breaks_rule {
+            lines.lacks_beyond += 1;
+            let from = judge.timeline.begun() + lack.start;
+            let what = format!(
+                "proxy {} had no line for {} for {:.2?}",
+                lack.proxy, CLASSES[lack.class], lack.length
+            );
+            judge.was_broken(Reading::Lines, Some(lack.coordinator), (from, from + lack.length), what);
+        }
+    }
+    tell_breaches(summary, judge);
+    lines
+}
+
+fn tell_breaches(summary: &Summary, judge: &Judge) {
+    let begun = judge.timeline.begun();
+    for breach in &summary.drain_breaches {
+        let span = (begun + breach.first, begun + breach.first + breach.latest_after_grace);
+        let what = format!(
+            "proxy {} sent {} requests to server {} up to {:.2?} after the grace of its drain",
+            breach.proxy, breach.sends, breach.server, breach.latest_after_grace
+        );
+        judge.was_broken(Reading::Lines, Some(breach.coordinator), span, what);
+    }
+    for fall in summary.falls.iter().filter(|fall| fall.breaks_rule) {
+        let what =
+            format!("cold server {} fell, {:.2} of its work sent knowingly", fall.server, fall.knowing_share);
+        judge.was_broken(Reading::Lines, None, (begun + fall.at, begun + fall.at), what);
+    }
+    for breach in &summary.queue_breaches {
+        let span = (begun + breach.at, begun + breach.at);
+        let what = format!("more than {QUEUE_CAP} lines waited in the channel");
+        judge.was_broken(Reading::Lines, Some(breach.coordinator), span, what);
+    }
+    if summary.unsafe_repeats > 0 {
+        let what = format!("{} repeats of what may not run twice", summary.unsafe_repeats);
+        judge.was_broken(Reading::Lines, None, (begun, begun), what);
+    }
+}
+
+fn judge_operations(summary: &Summary, judge: &Judge, fleet: &Fleet) -> Operations {
+    let reference = fleet.reference();
+    let lost = |windows: &[Window], place: usize| windows.get(place).map_or(0, |window| window.total.lost());
+    let window = |(place, window): (usize, &Window)| {
+        (window.start.as_secs(), window.total.lost(), lost(&reference.windows, place))
+    };
+    let operations = Operations {
+        total: outcomes(&summary.total),
+        reference: outcomes(&reference.total),
+        reasons: reasons(summary),
+        reference_reasons: reasons(&reference),
+        lost_by_window: summary.windows.iter().enumerate().map(window).collect(),
+    };
+    let allowed = operations.reference.lost_share() + LOST_BEYOND_REFERENCE;
+    if operations.total.lost_share() > allowed {
+        tell_lost(summary, &operations, judge, fleet);
+    }
+    operations
+}
+
+/// Tells lost operations by window, coordinator and reason, where more were lost than under perfect late sight.
+fn tell_lost(summary: &Summary, operations: &Operations, judge: &Judge, fleet: &Fleet) {
+    let length = OPERATIONS_WINDOW.as_secs();
+    let beyond = operations.lost_by_window.iter().filter(|(_, lost, reference)| lost > reference);
+    let beyond: Vec<u64> = beyond.map(|(start, _, _)| *start).collect();
+    let mut groups: BTreeMap<(u64, Option<usize>, Reason), u64> = BTreeMap::new();
+    for operation in &summary.lost_operations {
+        let start = operation.arrived.as_secs() / length * length;
+        if beyond.contains(&start) {
+            let coordinator = fleet.last_joined(operation.proxy, operation.arrived);
+            *groups.entry((start, coordinator, operation.reason)).or_default() += 1;
+        }
+    }
+    for ((start, coordinator, reason), count) in groups {
+        let from = judge.timeline.begun() + Duration::from_secs(start);
+        let what = format!("{count} operations lost that came in 5 s: {reason:?}");
+        judge.was_broken(Reading::Operations, coordinator, (from, from + OPERATIONS_WINDOW), what);
+    }
+}
+
+impl TrialReport {
+    /// The report of a trial that is over.
+    pub fn new(settings: &TrialSettings, judge: &Judge, fleet: &Fleet) -> Self {
+        let summary = fleet.summary();
+        let lines = judge_lines(&summary, judge);
+        let operations = judge_operations(&summary, judge, fleet);
+        let (control, findings, findings_dropped) = judge.results();
+        TrialReport {
+            seed: settings.seed,
+            script: format!("{:?}", settings.script).to_lowercase(),
+            overlays: settings.overlays.iter().map(ToString::to_string).collect(),
+            seconds: settings.length.as_secs_f64(),
+            starts: starts(&judge.timeline),
+            lines,
+            operations,
+            control,
+            machine_late_ms: millis(judge.machine_late()),
+            findings,
+            findings_dropped,
+        }
+    }
+
+    /// Whether no rule was broken, but for what the judge's own machine was late.
+    pub fn passed(&self) -> bool {
+        self.findings.iter().all(|finding| finding.by_machine)
+    }
+
+    /// The findings of one reading.
+    pub fn found(&self, reading: Reading) -> usize {
+        self.findings.iter().filter(|finding| finding.reading == reading).count()
+    }
+
+    /// The report as text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        let Lines {
+            lacks_beyond, longest_lack_ms, drain_breaches, cold_falls_beyond, queue_breaches, ..
+        } = self.lines;
+        let verdict = if self.passed() { "passed" } else { "FAILED" };
+        let _ = writeln!(
+            text,
+            "seed {}, {}, {} s, over it {:?}: {verdict}; machine late {} ms in all",
+            self.seed, self.script, self.seconds, self.overlays, self.machine_late_ms
+        );
+        let _ = writeln!(
+            text,
+            "  lines: {lacks_beyond} lacks beyond the limit, longest {longest_lack_ms} ms, {drain_breaches} drains, {cold_falls_beyond} of {} falls, {queue_breaches} queues (longest {:.0} lines)",
+            self.lines.cold_falls, self.lines.longest_queue_lines
+        );
+        let (total, reference) = (&self.operations.total, &self.operations.reference);
+        let _ = writeln!(text, "  operations: {total:?}");
+        let _ = writeln!(text, "  reference:  {reference:?}");
+        let lost = self
+            .operations
+            .reasons
+            .iter()
+            .filter(|(name, _)| name.starts_with("Later") || name.starts_with("Never"));
+        for (name, count) in lost {
+            let _ = writeln!(text, "    {name}: {count}");
+        }
+        for (asked, tally) in &self.control {
+            let _ = writeln!(text, "  {asked:?}: {tally:?}");
+        }
+        for start in self.starts.iter().filter(|start| start.second > 0.0) {
+            let _ = writeln!(text, "  {start:?}");
+        }
+        for finding in &self.findings {
+            let _ = writeln!(text, "  broken: {finding:?}");
+        }
+        if self.findings_dropped > 0 {
+            let _ = writeln!(text, "  and {} more", self.findings_dropped);
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/craneknot-rehearsal/src/trial/script.rs
@@ -0,0 +1,126 @@
+//! What happens when on a trial's day, drawn from one seed: the same seed gives the same script.
+
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+
+use super::overlay::Overlay;
+use super::release::{self, ServerChange};
+
+/// How long the day of the incident lasts; another length scales its times.
+pub const INCIDENT_LENGTH: Duration = Duration::from_secs(63);
+
+const BACK_AFTER: u64 = 500; // ms; from the end of a process to the next, whatever the scale
+const KILL_AFTER_TERMINATE: u64 = 700; // ms; the platform's earliest
+const MOVE_WITHIN: u64 = 1_400; // ms; in which the proxies of a coordinator that is back come to it
+
+/// The coordinator that is absent while another comes back.
+pub const ABSENT: usize = 0;
+/// The coordinator that is lost with a zone.
+pub const LOST_WITH_ZONE: usize = 1;
+/// The coordinator that is killed first, gets all proxies, and is restarted as planned.
+pub const LOADED: usize = 2;
+/// The zone that is lost.
+pub const LOST_ZONE: usize = 1;
+
+/// How a coordinator is absent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Absence {
+    Killed,
+    Stopped,
+    Silent,
+}
+
+/// One step of the day.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// SIGKILL.
+    Kill(usize),
+    /// A new process.
+    Start(usize),
+    /// SIGTERM; SIGKILL and a new process follow by themselves, so many milliseconds later.
+    Restart { coordinator: usize, kill_after: u64, back_after: u64 },
+    /// A coordinator is stopped or cut off.
+    Leave(usize, Absence),
+    /// It is back.
+    Return(usize, Absence),
+    /// All servers of a zone are gone.
+    LoseZone(usize),
+    /// They start anew.
+    RegainZone(usize),
+    /// Servers change, in one version of the list.
+    Servers(Vec<ServerChange>),
+    /// Proxies move to a coordinator within so many milliseconds, one in so many.
+    Move { to: usize, within: u64, one_in: u16 },
+    /// A fault is laid over for so many milliseconds.
+    Overlay { fault: Overlay, coordinator: usize, span: u64 },
+}
+
+/// A step at its time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Planned {
+    /// Since the day began.
+    pub at: Duration,
+    pub step: Step,
+}
+
+/// Which day is played.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Script {
+    /// A release without end alone.
+    Release,
+    /// The day of the incident.
+    Incident,
+}
+
+/// A whole day.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Day {
+    pub steps: Vec<Planned>,
+    pub length: Duration,
+}
+
+/// Draws the day of a seed.
+pub fn draw(script: Script, seed: u64, length: Duration, overlays: &[Overlay]) -> Day {
+    let mut rng = Pcg32::seed_from_u64(seed);
+    let scale = length.as_secs_f64() / INCIDENT_LENGTH.as_secs_f64();
+    let mut steps = Vec::new();
+    if script == Script::Incident {
+        steps.extend(incident(&mut rng, scale));
+    }
+    let lost = incident_span(scale, 41.0)..incident_span(scale, 46.0);
+    let lost = (script == Script::Incident).then_some(lost);
+    steps.extend(release::draw(&mut rng, incident_span(scale, 3.0), length, lost));
+    for fault in overlays {
+        steps.extend(fault.draw(&mut rng, length));
+    }
+    steps.sort_by_key(|planned| planned.at);
+    Day { steps, length }
+}
+
+fn incident_span(scale: f64, second: f64) -> Duration {
+    Duration::from_secs_f64(second * scale)
+}
+
+fn incident(rng: &mut Pcg32, scale: f64) -> Vec<Planned> {
+    let at = |second: f64, step: Step| Planned { at: incident_span(scale, second), step };
+    let later =
+        |planned: Planned, millis: u64| Planned { at: planned.at + Duration::from_millis(millis), ..planned };
+    let absence = [Absence::Killed, Absence::Stopped, Absence::Silent][rng.random_range(0..3)];
+    vec![
+        at(27.0, Step::Kill(LOADED)),
+        later(at(27.0, Step::Start(LOADED)), BACK_AFTER),
+        at(41.0, Step::Kill(LOST_WITH_ZONE)),
+        at(41.0, Step::LoseZone(LOST_ZONE)),
+        at(41.0, Step::Leave(ABSENT, absence)),
+        at(46.0, Step::RegainZone(LOST_ZONE)),
+        at(46.0, Step::Start(LOST_WITH_ZONE)),
+        at(rng.random_range(49.5..50.4), Step::Return(ABSENT, absence)),
+        at(50.45, Step::Move { to: LOST_WITH_ZONE, within: MOVE_WITHIN, one_in: 2 }),
+        at(
+            51.0,
+            Step::Restart { coordinator: LOADED, kill_after: KILL_AFTER_TERMINATE, back_after: BACK_AFTER },
+        ),
+    ]
+}
