Trial: silent zones, calls kept for tracing, lost operations by coordinator

Every relay call is kept with its time and outcome. Lost operations are told by window, coordinator, class and reason; those that came to a proxy between two coordinators are nobody's.

--- a/crates/craneknot-rehearsal/src/trial/fleet.rs
+++ b/crates/craneknot-rehearsal/src/trial/fleet.rs
@@ -59,8 +59,8 @@
     seed: u64,
     begun: Option<Instant>,
     homes: Vec<Home>,
-    /// By proxy: when it joined which coordinator, oldest first.
-    joinings: Vec<Vec<(Duration, usize)>>,
+    /// By proxy: when it joined which coordinator, or left, oldest first.
+    joinings: Vec<Vec<(Duration, Option<usize>)>>,
     moves: Vec<Move>,
     strikes: Vec<Strike>,
     news: Vec<News>,
@@ -127,7 +127,7 @@
         self.workload.advance(self.now());
         if self.planted == Some(PlantedBreak::SilentServers) && self.now() > PLANTED_AT {
             self.planted = None;
-            (0..SERVERS).for_each(|server| self.act_on_server(server, ServerAction::Silence(true)));
+            (0..SERVERS).for_each(|server| self.silence_server(server, true));
         }
         self.tell_acknowledgements();
         self.reports.gather(&mut self.workload);
@@ -190,7 +190,7 @@
         if self.workload.join(proxy, coordinator).is_ok() {
             self.homes[usize::from(proxy)] = Home::Joined(coordinator);
             let now = self.now();
-            self.joinings[usize::from(proxy)].push((now, coordinator));
+            self.joinings[usize::from(proxy)].push((now, Some(coordinator)));
             let event = self.attach_event(proxy);
             self.news[coordinator].tell(&event);
         }
@@ -199,6 +199,8 @@
     /// A proxy's stream ends; it dials another coordinator a moment later.
     fn leave(&mut self, proxy: u16) {
         let Home::Joined(coordinator) = self.homes[usize::from(proxy)] else { return };
+        let now = self.now();
+        self.joinings[usize::from(proxy)].push((now, None));
         let _ = self.workload.leave(proxy);
         self.news[coordinator].tell(&format!("event: detach\ndata: node={proxy}\n\n"));
         self.dial_later(proxy);
@@ -248,6 +250,11 @@
         }
     }
 
+    /// A server falls silent, or is no longer.
+    pub fn silence_server(&mut self, server: usize, silent: bool) {
+        self.act_on_server(server, ServerAction::Silence(silent));
+    }
+
     fn act_on_server(&mut self, server: usize, action: ServerAction) {
         let (id, at) = (server_id(server), self.now());
         self.workload.advance(at);
@@ -342,10 +349,10 @@
         self.reports.take(coordinator, zone)
     }
 
-    /// The coordinator that a proxy had joined last by then.
-    pub fn last_joined(&self, proxy: u16, at: Duration) -> Option<usize> {
+    /// The coordinator that a proxy was joined to then, if any.
+    pub fn joined_at(&self, proxy: u16, at: Duration) -> Option<usize> {
         let joinings = &self.joinings[usize::from(proxy)];
-        joinings.iter().rev().find(|(joined, _)| *joined <= at).map(|(_, coordinator)| *coordinator)
+        joinings.iter().rev().find(|(since, _)| *since <= at).and_then(|(_, coordinator)| *coordinator)
     }
 
     /// What became of the day so far.
--- a/crates/craneknot-rehearsal/src/trial/overlay.rs
+++ b/crates/craneknot-rehearsal/src/trial/overlay.rs
@@ -87,15 +87,15 @@
 }
 
 impl Overlay {
-    /// Whether it holds for whole processes, from their start on.
-    pub fn is_of_process(self) -> bool {
-        matches!(self, Overlay::LogUnread | Overlay::ClockStep | Overlay::SystemCalls)
+    /// Whether it holds for a coordinator all day.
+    pub fn is_all_day(self) -> bool {
+        matches!(self, Overlay::LogUnread | Overlay::ClockStep | Overlay::SystemCalls | Overlay::QuarterCore)
     }
 
     /// Draws when it strikes, and whom.
     pub fn draw(self, rng: &mut Pcg32, length: Duration) -> Vec<Planned> {
         let whole = length.as_millis() as u64;
-        if self.is_of_process() {
+        if self.is_all_day() {
             return vec![self.planned(rng, 0, whole)];
         }
         let windows = rng.random_range(WINDOWS);
--- a/crates/craneknot-rehearsal/src/trial/relay.rs
+++ b/crates/craneknot-rehearsal/src/trial/relay.rs
@@ -1,11 +1,15 @@
 //! The relay on sockets: calls that carry orders, streams of news, and the ways in which a call goes wrong.
 
+use std::fs::File;
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use super::fleet::SharedFleet;
+use super::timeline::Timeline;
 use crate::soak::http::{self, read_request, respond};
 
 const TELL_EVERY: Duration = Duration::from_millis(5); // between looks for news
@@ -25,11 +29,30 @@
 }
 
 /// Serves one coordinator; gives the address.
-pub fn serve(fleet: SharedFleet, coordinator: usize) -> io::Result<SocketAddr> {
-    http::serve(move |stream| converse(&fleet, coordinator, stream))
+pub fn serve(fleet: SharedFleet, coordinator: usize, log: CallLog) -> io::Result<SocketAddr> {
+    http::serve(move |stream| converse(&fleet, coordinator, &log, stream))
 }
 
-fn converse(fleet: &SharedFleet, coordinator: usize, mut stream: TcpStream) {
+/// Keeps every call with its time and outcome.
+pub struct CallLog {
+    timeline: Arc<Timeline>,
+    file: Mutex<File>,
+}
+
+impl CallLog {
+    /// Writes to a new file.
+    pub fn create(path: &Path, timeline: Arc<Timeline>) -> io::Result<Self> {
+        Ok(CallLog { timeline, file: Mutex::new(File::create(path)?) })
+    }
+
+    fn keep(&self, outcome: CallOutcome, orders: &str) {
+        let second = self.timeline.second(Instant::now());
+        // A trial goes on without its log.
+        let _ = writeln!(self.file.lock().unwrap(), "{second:.3} {outcome:?} {orders}");
+    }
+}
+
+fn converse(fleet: &SharedFleet, coordinator: usize, log: &CallLog, mut stream: TcpStream) {
     let (mut rest, _) = (Vec::new(), stream.set_nodelay(true));
     while let Some(request) = read_request(&mut stream, &mut rest) {
         if request.path == "/api/events" {
@@ -43,7 +66,7 @@
             }
             continue;
         };
-        if call(fleet, coordinator, &orders, &mut stream).is_err() {
+        if call(fleet, coordinator, log, &orders, &mut stream).is_err() {
             return;
         }
     }
@@ -60,9 +83,16 @@
 }
 
 /// Carries out a call as the trial has it; an error ends the connection.
-fn call(fleet: &SharedFleet, coordinator: usize, orders: &str, stream: &mut TcpStream) -> io::Result<()> {
-    let orders: Vec<&str> = orders.split(';').collect();
+fn call(
+    fleet: &SharedFleet,
+    coordinator: usize,
+    log: &CallLog,
+    orders: &str,
+    stream: &mut TcpStream,
+) -> io::Result<()> {
     let outcome = fleet.lock().unwrap().draw_outcome(coordinator);
+    log.keep(outcome, orders);
+    let orders: Vec<&str> = orders.split(';').collect();
     let apply = |is_carried_out: bool| match is_carried_out {
         true => fleet.lock().unwrap().apply(coordinator, &orders),
         false => 0,
--- a/crates/craneknot-rehearsal/src/trial/script.rs
+++ b/crates/craneknot-rehearsal/src/trial/script.rs
@@ -45,10 +45,10 @@
     Leave(usize, Absence),
     /// It is back.
     Return(usize, Absence),
-    /// All servers of a zone are gone.
-    LoseZone(usize),
+    /// All servers of a zone are lost: their processes end, or their machines fall silent.
+    LoseZone { zone: usize, silent: bool },
     /// They start anew.
-    RegainZone(usize),
+    RegainZone { zone: usize, silent: bool },
     /// Servers change, in one version of the list.
     Servers(Vec<ServerChange>),
     /// Proxies move to a coordinator within so many milliseconds, one in so many.
@@ -108,13 +108,14 @@
     let later =
         |planned: Planned, millis: u64| Planned { at: planned.at + Duration::from_millis(millis), ..planned };
     let absence = [Absence::Killed, Absence::Stopped, Absence::Silent][rng.random_range(0..3)];
+    let silent = rng.random_bool(0.5);
     vec![
         at(27.0, Step::Kill(LOADED)),
         later(at(27.0, Step::Start(LOADED)), BACK_AFTER),
         at(41.0, Step::Kill(LOST_WITH_ZONE)),
-        at(41.0, Step::LoseZone(LOST_ZONE)),
+        at(41.0, Step::LoseZone { zone: LOST_ZONE, silent }),
         at(41.0, Step::Leave(ABSENT, absence)),
-        at(46.0, Step::RegainZone(LOST_ZONE)),
+        at(46.0, Step::RegainZone { zone: LOST_ZONE, silent }),
         at(46.0, Step::Start(LOST_WITH_ZONE)),
         at(rng.random_range(49.5..50.4), Step::Return(ABSENT, absence)),
         at(50.45, Step::Move { to: LOST_WITH_ZONE, within: MOVE_WITHIN, one_in: 2 }),
