--- a/crates/craneknot-cli/src/main.rs
+++ b/crates/craneknot-cli/src/main.rs
@@ -6,6 +6,7 @@
 mod soak;
 mod solve;
 mod status;
+mod trial;
 
 use std::fs;
 use std::net::SocketAddr;
@@ -154,6 +155,9 @@
         #[arg(long)]
         folder: Option<PathBuf>,
     },
+    /// Tries coordinators on a scripted day: real processes among stand-ins, judged by due times and by a model of
+    /// servers, proxies and channels that shares nothing with the program.
+    Trial(trial::Trial),
     /// Plays a rehearsal's script in simulated time.
     Model {
         #[command(subcommand)]
@@ -340,6 +344,7 @@
                 Err(Failed::Rule)
             }
         }
+        Command::Trial(asked) => trial::trial(&asked),
         Command::Soak {
             seed,
             seeds,
--- a/crates/craneknot-rehearsal/src/soak/mod.rs
+++ b/crates/craneknot-rehearsal/src/soak/mod.rs
@@ -13,7 +13,7 @@
 pub mod fault_proxy;
 pub mod fleet;
 pub mod hold_ups;
-mod http;
+pub(crate) mod http;
 pub mod load;
 pub mod node;
 pub mod oracle;
