--- a/src/sender.rs
+++ b/src/sender.rs
@@ -2,14 +2,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::health::FLOOR;
 use crate::interface::*;
 use crate::policy::{LEAST, ODD_SHARE, PLACES, TURN};
 use crate::state::State::Cold;
 use crate::state::*;
 
 const CHANGE: f64 = 0.12; // share by which a line or level must move: less is not worth the channel
-const LEVEL_FREES: f64 = 2.0; // factor by which a level rises that does not wait for a pause in the channel
 const CHANNEL_SHARE: f64 = 0.5; // share of the channel's told pace counted on: it may run slower
 const REFUSED_FORGOTTEN: Nanos = Nanos::from_millis(10_000); // ms; after its wait a refusal counts no more
 const QUEUE_SHARES: [f64; 5] = [0.7, 0.5, 0.3, 0.3, 0.3]; // by rank: share of the limit to be filled
@@ -25,10 +23,7 @@
         // failed them yet: a cold server gets less, and, beside servers that fail, nothing.
         let (open, cold) = (&self.groups[group].seen, self.groups[group].cold.unwrap_or_default());
         let answered = 1.0 - open.share().max(cold.share());
-        // Where little else is in use, it would get all that comes.
-        let Group { weight, listed, .. } = self.groups[group];
-        let is_guarded = open.share() >= ODD_SHARE && weight > FLOOR * listed;
-        let guard = if is_guarded { 0.0 } else { answered.powi(2).max(LEAST) };
+        let guard = if open.share() < ODD_SHARE { answered.powi(2).max(LEAST) } else { 0.0 };
         let lines = |guard: f64| -> BTreeMap<ServerId, f64> {
             let line = |(server, weight): (&Server, f64)| {
                 let cold = server.state == Cold;
@@ -54,7 +49,6 @@
         let mut users = self.users();
         let mut binds: BTreeMap<(ProxyId, TableId), (u8, ClassSet)> = BTreeMap::new();
         let mut used: BTreeSet<TableId> = BTreeSet::new();
-        let mut followed: BTreeSet<(TableId, usize)> = BTreeSet::new();
         let lost = |id: &ServerId| !self.servers[id].ready() || self.servers[id].state == Cold;
         let left_bare = |table: &TableId| self.tables[table].lines.keys().all(lost);
         for (id, proxy) in &self.proxies {
@@ -62,7 +56,6 @@
                 let Some(group) = binding.group else { continue };
                 let table = self.table_of(group, binding.place);
                 used.insert(table);
-                followed.extend(binding.sent.map(|sent| (sent, class)));
                 if binding.sent != Some(table) {
                     let bind = binds.entry((*id, table)).or_insert((2, ClassSet(0)));
                     let urgent = binding.sent.as_ref().is_none_or(left_bare);
@@ -91,15 +84,7 @@
                 let differs = |old: &(f64, _)| tries != old.1 || (level - old.0).abs() > CHANGE * old.0;
                 if held.levels.get(&class).is_none_or(differs) {
                     let classes = ClassSet::of(ClassId(class as u8));
-                    let rises = held.levels.get(&class).is_some_and(|old| old.0 * LEVEL_FREES < level);
-                    let late = match followed.contains(&(table, class)) {
-                        // It must be there before the class's first proxy.
-                        false => 1,
-                        // Proxies follow one that lets in far less than it should: as urgent as a binding.
-                        true if rises => 2,
-                        true => 4,
-                    };
-                    ranked.push((rank(late), Order::Level { table, classes, level, tries }));
+                    ranked.push((rank(4), Order::Level { table, classes, level, tries }));
                 }
             }
         }
