Decisions: a class whose servers are all cold keeps lines, under levels they can bear

What callers saw: proxies left with no line to pick for a class, though servers of its only zone were listed ready.

Cause: weights_of leaves a surely cold server out until it is half warm, and in a coordinator's first 5 s whatever its age; where a class has no other server its table was empty, and bind moved its proxies to an empty one. All servers of one zone that start at once are such a case for a class closed to that zone.

Change: src/cold_placements.rs. A placement with servers listed ready, none in use and none that may be warm, gets lines to its cold servers; bindings count these; a level goes out before the lines, which lets in what they can surely do now (the warm-up ramp, this coordinator's part), with no further tries. The level may not reach half of the multiple at which a cold server falls. Bindings that leave such a table go before its lines.

One red test was wrong and is replaced: it took lines that a restart in place lowers for new ones; now the zone is gone before, and the order of the new lines is held.

--- /dev/null
+++ b/src/cold_placements.rs
@@ -0,0 +1,92 @@
+//! Decisions on placements of which all servers are surely cold: their tables keep lines to these servers, under levels
+//! that let in no more than the servers can surely do.
+
+use std::collections::BTreeMap;
+
+use crate::interface::*;
+use crate::levels::even_cap;
+use crate::policy::BUSY_UNTOLD;
+use crate::state::State::Cold;
+use crate::state::*;
+
+const SURE: f64 = 0.75; // share counted on of the best that servers have shown lately: the best of noisy sums
+const UNPROVEN: f64 = 0.5; // share counted on of what usual traffic tells, before servers have shown what they can do
+const MARGIN: f64 = 0.5; // share of the multiple at which a cold server falls that all proxies at their levels may reach
+
+impl Controller {
+    /// Finds the placements that have servers listed as ready, none of which is in use or may be warm.
+    pub(crate) fn find_cold_placements(&mut self) {
+        let is_cold = |placement: &Placement| {
+            let ready = || self.servers.values().filter(|s| s.ready() && placement.allows(&s.listing));
+            let can_serve = |s: &Server| s.in_use() || s.may_be_warm(self.now, &self.settings);
+            ready().next().is_some() && !ready().any(can_serve)
+        };
+        self.cold_placements = self.placements.iter().map(is_cold).collect();
+    }
+
+    /// Whether a table serves a placement of which all servers are cold; one of a zone may serve several placements.
+    pub(crate) fn is_cold_table(&self, group: usize, place: usize) -> bool {
+        let table = self.table_of(group, place);
+        let cold = self.cold_placements.iter().enumerate().filter(|(_, is_cold)| **is_cold);
+        cold.into_iter().any(|(other, _)| self.table_of(group, other) == table)
+    }
+
+    /// Cold servers of a group that a placement allows, with what each can surely do; those that were shut out only where
+    /// there is no other.
+    pub(crate) fn cold_weights(&self, group: usize, placement: &Placement) -> Vec<(&Server, f64)> {
+        let fits = |s: &&Server| s.ready() && placement.allows(&s.listing);
+        let members = || self.groups[group].members.iter().map(|id| &self.servers[id]).filter(fits);
+        let weigh = |s| (s, Server::listed_weight(s) * s.warmed(self.now, &self.settings));
+        let sound: Vec<_> = members().filter(|s| s.state == Cold).map(weigh).collect();
+        if sound.is_empty() {
+            members().map(weigh).collect()
+        } else {
+            sound
+        }
+    }
+
+    /// What bindings under a placement count a group with: its weight, or what its cold servers can do where there are no
+    /// others anywhere.
+    pub(crate) fn binding_weight(&self, group: usize, place: usize) -> f64 {
+        let placement = &self.placements[place];
+        match self.cold_placements[place] {
+            true => self.cold_weights(group, placement).iter().map(|(_, weight)| weight).sum(),
+            false => self.weight_of(group, placement),
+        }
+    }
+
+    /// Levels of a table to cold servers alone: what these can surely do, the most important class first.
+    pub(crate) fn cold_levels(&self, group: usize, place: usize) -> BTreeMap<usize, (f64, FurtherTries)> {
+        let best = self.best_yield.read(self.now);
+        let usual = UNPROVEN * self.usual / BUSY_UNTOLD / self.most_listed.max(1.0);
+        let each = if best > 0.0 { SURE * best * self.own_part() } else { usual };
+        let weights = self.cold_weights(group, &self.placements[place]);
+        let able = each * weights.iter().map(|(_, weight)| weight).sum::<f64>();
+        let arrivals = self.table_arrivals(self.table_of(group, place));
+        let level = |class: usize, share: f64| match self.settings.level_unit {
+            LevelUnit::Share => share.min(1.0),
+            LevelUnit::Rate => {
+                let proxies = arrivals[class].len() as f64;
+                let most = able * MARGIN * self.settings.fall_multiple / proxies;
+                even_cap(&arrivals[class], share).min(most)
+            }
+            LevelUnit::Ignored => 1.0,
+        };
+        let shares = self.shares_within(able, &arrivals);
+        let levels = shares.into_iter().map(|(class, share)| (class, level(class, share)));
+        levels.map(|(class, level)| (class, (level, FurtherTries::Never))).collect()
+    }
+
+    /// By class: what comes to each proxy that is bound to a table, per second.
+    fn table_arrivals(&self, table: TableId) -> Vec<Vec<f64>> {
+        let mut arrivals = vec![Vec::new(); self.classes.len()];
+        for proxy in self.proxies.values() {
+            for (class, binding) in proxy.bindings.iter().enumerate() {
+                if binding.group.is_some_and(|group| self.table_of(group, binding.place) == table) {
+                    arrivals[class].push(self.arrival_rate(proxy, class));
+                }
+            }
+        }
+        arrivals
+    }
+}
--- a/src/levels.rs
+++ b/src/levels.rs
@@ -86,11 +86,8 @@
         for proxy in self.proxies.values() {
             for (class, binding) in proxy.bindings.iter().enumerate() {
                 let Some(group) = binding.group else { continue };
-                let age = self.now - proxy.joined;
-                let heard = !binding.recent.is_empty() || age >= LASTING;
-                let rate = heard.then(|| binding.recent.rate(self.now, age.max(LEAST_AGE)));
-                let rate = rate.unwrap_or_else(|| self.demand(proxy, class));
-                settled[group] += if age >= STEP { rate } else { 0.0 };
+                let rate = self.arrival_rate(proxy, class);
+                settled[group] += if self.now - proxy.joined >= STEP { rate } else { 0.0 };
                 arrivals[group][class].push(rate);
             }
         }
@@ -101,6 +98,15 @@
         self.usual = self.proxies.values().map(|proxy| proxy.usual_rate).sum();
     }
 
+    /// What comes of a class to a proxy, per second; of one that joined lately and is unheard, the usual.
+    pub(crate) fn arrival_rate(&self, proxy: &Proxy, class: usize) -> f64 {
+        let binding = &proxy.bindings[class];
+        let age = self.now - proxy.joined;
+        let heard = !binding.recent.is_empty() || age >= LASTING;
+        let rate = heard.then(|| binding.recent.rate(self.now, age.max(LEAST_AGE)));
+        rate.unwrap_or_else(|| self.demand(proxy, class))
+    }
+
     /// What a group takes in at most while its servers hold operations for long: by what they hold and handle, which
     /// shows a queue before its answers come late. An operation refused at once has its answer; one that waits may have
     /// none in time.
@@ -130,22 +136,8 @@
             None => f64::INFINITY,
         };
         let limit = group.limit.min(able).min(self.crowded_limit(group));
-        let sums: Vec<f64> = group.arrivals.iter().map(|arrivals| arrivals.iter().sum()).collect();
         let mut levels = BTreeMap::new();
-        for (class, row) in self.classes.iter().enumerate() {
-            // No proxy of the group has this class: a level would only meet who is bound next.
-            if group.arrivals[class].is_empty() {
-                continue;
-            }
-            let sum_of = |fits: fn(&f64, &f64) -> bool| -> f64 {
-                let fitting = self.classes.iter().zip(&sums);
-                fitting
-                    .filter(|(other, _)| fits(&other.importance, &row.importance))
-                    .map(|(_, sum)| sum)
-                    .sum()
-            };
-            let left = limit - sum_of(f64::gt);
-            let share = (left / sum_of(f64::eq).max(0.1)).max(LEAST);
+        for (class, share) in self.shares_within(limit, &group.arrivals) {
             let level = match self.settings.level_unit {
                 LevelUnit::Share => share.min(1.0),
                 LevelUnit::Rate if share < CEILING_NEAR => even_cap(&group.arrivals[class], share),
@@ -161,9 +153,27 @@
     }
 }
 
+impl Controller {
+    /// The share of what arrives of each class that a limit leaves it: the most important class comes first.
+    pub(crate) fn shares_within(&self, limit: f64, arrivals: &[Vec<f64>]) -> BTreeMap<usize, f64> {
+        let sums: Vec<f64> = arrivals.iter().map(|arrivals| arrivals.iter().sum()).collect();
+        let sum_of = |fits: fn(&f64, &f64) -> bool, importance: f64| -> f64 {
+            let fitting = self.classes.iter().zip(&sums);
+            fitting.filter(|(other, _)| fits(&other.importance, &importance)).map(|(_, sum)| sum).sum()
+        };
+        let share = |(class, row): (usize, &ClassRow)| {
+            let left = limit - sum_of(f64::gt, row.importance);
+            (class, (left / sum_of(f64::eq, row.importance).max(0.1)).max(LEAST))
+        };
+        // No proxy has this class here: a level would only meet who is bound next.
+        let is_met = |(class, _): &(usize, &ClassRow)| !arrivals[*class].is_empty();
+        self.classes.iter().enumerate().filter(is_met).map(share).collect()
+    }
+}
+
 /// The rate at each proxy that lets in a share of all that arrives: the busiest give first. What arrives at
 /// one proxy comes by chance, so that a cap at its mean rate refuses some and a cap above it still does.
-fn even_cap(arrivals: &[f64], share: f64) -> f64 {
+pub(crate) fn even_cap(arrivals: &[f64], share: f64) -> f64 {
     let most = share.max(1.0) * arrivals.iter().copied().fold(0.1, f64::max);
     let (mut low, mut high) = (0.0, most + CHANCE * most.sqrt());
     if share >= 1.0 {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,8 +1,10 @@
 //! The decisions of a traffic director for a fleet of sidecar proxies.
 //!
 //! [`interface`] holds what goes in and what comes out, free of any wire. Decisions stand in [`policy`] (groups and
-//! bindings), `health` (servers), `levels` (what groups take in) and `sender` (what is sent when).
+//! bindings), `health` (servers), `levels` (what groups take in), `cold_placements` (placements whose servers are all cold)
+//! and `sender` (what is sent when).
 
+mod cold_placements;
 mod health;
 pub mod interface;
 mod levels;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -7,7 +7,8 @@
 //! The ordinary path: the listed servers are dealt into groups, a table each; a proxy is bound, per class, to
 //! one group; bindings move by load only as proxies or servers come and go; a paced sender publishes what
 //! changed. Beside this file stand a server's states and the weights of lines within a group (`health.rs`), what a group
-//! takes in (`levels.rs`), and the sender (`sender.rs`).
+//! takes in (`levels.rs`), what a placement gets whose servers are all cold (`cold_placements.rs`), and the sender
+//! (`sender.rs`).
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -70,6 +71,7 @@
         self.probe(&mut orders);
         if self.settings.slices == 0 {
             self.follow_pace();
+            self.find_cold_placements();
             self.bind();
             self.count_arrivals();
             self.move_groups();
@@ -267,8 +269,10 @@
             self.steps_left -= 1;
             self.next_step = self.now + STEP;
         }
-        let weigh = |place: &Placement| (0..self.groups.len()).map(|g| self.weight_of(g, place)).collect();
-        let weights: Vec<Vec<f64>> = self.placements.iter().map(weigh).collect();
+        let weigh = |place| (0..self.groups.len()).map(|g| self.binding_weight(g, place)).collect();
+        let weights: Vec<Vec<f64>> = (0..self.placements.len()).map(weigh).collect();
+        let most = |g: usize| weights.iter().map(|row| row[g]).fold(0.0, f64::max);
+        let most: Vec<f64> = (0..self.groups.len()).map(most).collect();
         // Where no group has a line, a binding still moves: an empty table rids a proxy of a standing one
         // that names lost servers.
         let nowhere: Vec<bool> = weights.iter().map(|row| row.iter().all(|weight| *weight <= 0.0)).collect();
@@ -277,8 +281,8 @@
         if !due && candidates.iter().all(|candidate| candidate.from.is_some()) {
             return;
         }
-        let loads = self.loads(&weights[0], &candidates);
-        let mut group_loads = GroupLoads::new(&weights[0], loads, weights.len(), &self.groups, &open);
+        let loads = self.loads(&most, &candidates);
+        let mut group_loads = GroupLoads::new(&most, loads, weights.len(), &self.groups, &open);
         candidates.retain(|candidate| due || candidate.from.is_none());
         let load =
             |candidate: &Candidate| candidate.from.map_or(f64::INFINITY, |from| group_loads.load(from));
--- a/src/sender.rs
+++ b/src/sender.rs
@@ -17,8 +17,20 @@
 const LINE_STEPS: f64 = 1e4; // a unit of weight is told in so many steps
 const LINE_LEAST: f64 = 1.0 / LINE_STEPS; // the least weight of a line: what is smaller would be none
 
+/// A line's weight as it is told: rounding must not end a line, however small the weights that are listed.
+fn told_weight(weight: f64) -> f64 {
+    ((weight * LINE_STEPS).round() / LINE_STEPS).max(LINE_LEAST)
+}
+
 impl Controller {
-    pub(crate) fn wanted_lines(&self, group: usize, placement: &Placement) -> BTreeMap<ServerId, f64> {
+    pub(crate) fn wanted_lines(&self, group: usize, place: usize) -> BTreeMap<ServerId, f64> {
+        let placement = &self.placements[place];
+        if self.is_cold_table(group, place) {
+            let line = |(server, weight): (&Server, f64)| {
+                (server.listing.server.clone(), told_weight(weight * server.pace.min(1.0)))
+            };
+            return self.cold_weights(group, placement).into_iter().map(line).collect();
+        }
         // Where tries fail more are made, and proxies that avoid failing servers send all to one that has not
         // failed them yet: a cold server gets less, and, beside servers that fail, nothing.
         let (open, cold) = (&self.groups[group].seen, self.groups[group].cold.unwrap_or_default());
@@ -28,9 +40,7 @@
             let line = |(server, weight): (&Server, f64)| {
                 let cold = server.state == Cold;
                 let weight = weight * if cold { server.pace.min(1.0) * guard } else { server.pace };
-                // Rounding must not end a line, however small the weights that are listed.
-                let told = ((weight * LINE_STEPS).round() / LINE_STEPS).max(LINE_LEAST);
-                (weight > 0.0).then(|| (server.listing.server.clone(), told))
+                (weight > 0.0).then(|| (server.listing.server.clone(), told_weight(weight)))
             };
             self.weights_of(group, placement).into_iter().filter_map(line).collect()
         };
@@ -64,32 +74,47 @@
             }
         }
         // By rank: lost servers and lines for empty tables, bare proxies, bindings, weights, levels.
-        let mut ranked: Vec<(u8, Order)> = Vec::new();
+        let bind = |((proxy, table), (rank, classes))| (rank, Order::Bind { proxy, classes, table });
+        let mut ranked: Vec<(u8, Order)> = binds.into_iter().map(bind).collect();
         for table in self.tables.keys().chain(&used).copied().collect::<BTreeSet<TableId>>() {
             let held = self.tables.get(&table).cloned().unwrap_or_default();
             let (group, place) = (usize::from(table.0) / PLACES, usize::from(table.0) % PLACES);
+            let is_cold = used.contains(&table) && self.is_cold_table(group, place);
             let (wanted, levels) = match used.contains(&table) {
-                true => (self.wanted_lines(group, &self.placements[place]), self.wanted_levels(group)),
+                true if is_cold => (self.wanted_lines(group, place), self.cold_levels(group, place)),
+                true => (self.wanted_lines(group, place), self.wanted_levels(group)),
                 false => (held.without(lost), BTreeMap::new()),
             };
             let stands = |(id, weight): (&ServerId, &f64)| *weight > LINE_LEAST && wanted.contains_key(id);
             let bare = !held.lines.iter().any(stands);
-            let rank = |late: u8| if bare || !users.contains_key(&table) { 0 } else { late };
-            for (server, weight) in held.changes(&wanted, CHANGE) {
+            let rank = |late: u8| match bare || !users.contains_key(&table) {
+                // Lines to cold servers wait for the bindings that leave their table.
+                true if is_cold => 1,
+                true => 0,
+                false => late,
+            };
+            let line = |(server, weight): (ServerId, f64)| {
                 let sinks = held.lines.get(&server).is_some_and(|old| weight < *old);
                 let rank = if sinks && lost(&server) { 0 } else { rank(3) };
-                ranked.push((rank, Order::Line { table, server, weight }));
-            }
-            for (class, (level, tries)) in levels {
+                (rank, Order::Line { table, server, weight })
+            };
+            let lines = held.changes(&wanted, CHANGE).into_iter().map(line);
+            let level = |(class, (level, tries)): (usize, (f64, FurtherTries))| {
+                let old = held.levels.get(&class);
                 let differs = |old: &(f64, _)| tries != old.1 || (level - old.0).abs() > CHANGE * old.0;
-                if held.levels.get(&class).is_none_or(differs) {
-                    let classes = ClassSet::of(ClassId(class as u8));
-                    ranked.push((rank(4), Order::Level { table, classes, level, tries }));
-                }
+                let is_lower = old.is_none_or(|old| level < old.0);
+                let rank = if is_cold && is_lower { 1 } else { rank(4) };
+                let classes = ClassSet::of(ClassId(class as u8));
+                old.is_none_or(differs).then_some((rank, Order::Level { table, classes, level, tries }))
+            };
+            let levels = levels.into_iter().filter_map(level);
+            // What cold servers can't do is kept off before they get a line.
+            if is_cold {
+                ranked.extend(levels.chain(lines));
+            } else {
+                ranked.extend(lines.chain(levels));
             }
         }
-        let bind = |((proxy, table), (rank, classes))| (rank, Order::Bind { proxy, classes, table });
-        ranked.extend(binds.into_iter().map(bind));
         // Kept for a while after, so that it is known as refused again.
         self.refused.retain(|_, refusal| refusal.until + REFUSED_FORGOTTEN > self.now);
         let waits =
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -66,6 +66,8 @@
     pub(crate) groups: Vec<Group>,
     /// Distinct placements, the open one first; a table is a group's servers under one of them.
     pub(crate) placements: Vec<Placement>,
+    /// Whether all servers of a placement are surely cold.
+    pub(crate) cold_placements: Vec<bool>,
     pub(crate) tables: BTreeMap<TableId, Table>,
     pub(crate) steps_left: u32,
     pub(crate) next_step: Nanos,
@@ -105,6 +107,7 @@
             proxies: BTreeMap::new(),
             groups: Vec::new(),
             placements: vec![Placement::default()],
+            cold_placements: Vec::new(),
             tables: BTreeMap::new(),
             steps_left: 0,
             next_step: now,
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -452,13 +452,18 @@
 fn a_level_for_cold_servers_alone_is_ordered_before_their_lines() {
     for unit in [LevelUnit::Rate, LevelUnit::Share] {
         let mut world = calm_world(unit);
-        let table = world.bound[&(ProxyId(0), 2)];
+        let gone = (0..5).map(|k| World::change(2 * k, None, Readiness::Removed));
+        world.step(0.1, &gone.collect::<Vec<_>>());
+        assert!(world.lines(0, 2).is_empty());
         restart_zone_0(&mut world);
-        let is_line = |order: &Order| matches!(order, Order::Line { table: of, weight, .. } if *of == table && *weight > 0.0);
-        let is_level = |order: &Order| matches!(order, Order::Level { table: of, classes, .. } if *of == table && classes.has(ClassId(2)));
-        let first_line = world.orders.iter().position(is_line);
-        let first_level = world.orders.iter().position(is_level);
-        assert!(first_level.is_some(), "{:?}", world.orders);
-        assert!(first_line.is_none_or(|line| first_level < Some(line)), "{:?}", world.orders);
+        assert_eq!(world.lines(0, 2).len(), 5);
+        let held = world.bound[&(ProxyId(0), 2)];
+        let is_line = |order: &Order| matches!(order, Order::Line { table, .. } if *table == held);
+        let is_level = |order: &Order| match order {
+            Order::Level { table, classes, .. } => *table == held && classes.has(ClassId(2)),
+            _ => false,
+        };
+        let (line, level) = (world.orders.iter().position(is_line), world.orders.iter().position(is_level));
+        assert!(level.is_some() && level < line, "{:?}", world.orders);
     }
 }
