Node: the longest bare by what servers there were, a warning at half the limit, a last line

What was missing: the users' logs showed who was bare and that it waited for a line, but not whether its servers were cold, shut out or not listed; and nothing while it lasted, nor at a process's end.

Change: Supply (AllCold, AllOut, Usable, NoneListed) in each status line of the longest bare, one for each that was met; 'bare for half the limit' with class, table, proxies and counts of servers; a line 'ended' with the life's worst. A class's name is cut at 11 characters in status lines, so that none is over 250 (test).

Tests: the_longest_bare_is_told_apart_by_what_there_was_meanwhile; the longest lines of all events. Not changed: how 'uncovered' counts.

--- a/crates/craneknot-node/src/coordinator.rs
+++ b/crates/craneknot-node/src/coordinator.rs
@@ -6,7 +6,7 @@
 
 use bytes::{Bytes, BytesMut};
 use craneknot::interface::*;
-use craneknot::Controller;
+use craneknot::{Controller, State, Transition};
 use craneknot_platform::config::Config;
 use craneknot_platform::discovery::{self, Roster};
 use craneknot_platform::news::News;
@@ -61,8 +61,8 @@
     pub coverage: CoverageFigures,
     /// The longest lack of a line since the start.
     pub worst: Option<NamedWorst>,
-    /// The longest time that a proxy was bare since the start.
-    pub worst_bare: Option<NamedWorst>,
+    /// The longest times without a line since the start: one for each supply of servers that was met meanwhile.
+    pub worst_bare: Vec<NamedWorst>,
 }
 
 /// The longest lack, with what an operator calls its class, and the time since the start.
@@ -418,6 +418,10 @@
             let orders_waiting = self.order_queue.waiting();
             self.todo.log.push(LogEvent::Lapse { lapse, class, calls_failed, orders_waiting });
         }
+        for warning in self.coverage.take_warnings() {
+            let class = self.class_names(ClassSet::of(warning.class));
+            self.todo.log.push(LogEvent::Bare { warning, class });
+        }
     }
 
     fn class_names(&self, classes: ClassSet) -> String {
@@ -513,7 +517,12 @@
                 }
             }
         }
-        self.todo.log.extend(self.controller.take_transitions().into_iter().map(LogEvent::Decision));
+        for transition in self.controller.take_transitions() {
+            if let Transition::Server { server, to, .. } = &transition {
+                self.coverage.set_shut_out(server, *to == State::Out);
+            }
+            self.todo.log.push(LogEvent::Decision(transition));
+        }
     }
 
     /// Whether an order may go out, whatever the decisions believe: no line for a server that is not listed as ready, no
@@ -590,7 +599,7 @@
             violations: self.pending.violations(),
             coverage: self.coverage.figures(),
             worst: self.coverage.worst().map(|worst| self.named(worst)),
-            worst_bare: self.coverage.worst_bare().map(|worst| self.named(worst)),
+            worst_bare: self.coverage.worst_bare().values().map(|worst| self.named(worst)).collect(),
         }
     }
 
--- a/crates/craneknot-node/src/coverage.rs
+++ b/crates/craneknot-node/src/coverage.rs
@@ -34,6 +34,34 @@
     UsableServer,
 }
 
+/// What the servers are like that a proxy without a line could be sent to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Supply {
+    /// One at least is warm, or may be, and is not shut out.
+    Usable,
+    /// All that are listed ready are cold.
+    AllCold,
+    /// All that are listed ready and warm are shut out for their health.
+    AllOut,
+    /// None is listed ready.
+    NoneListed,
+}
+
+/// Proxies that have been bare, for one class and table, for half of the time that the settings allow.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BareWarning {
+    pub class: ClassId,
+    pub table: Option<TableId>,
+    /// The first of them, and how many there are.
+    pub proxy: ProxyId,
+    pub proxies: usize,
+    pub supply: Supply,
+    /// Servers open to the class that are listed ready: all of them, those that are cold and those that are shut out.
+    pub ready: usize,
+    pub cold: usize,
+    pub shut_out: usize,
+}
+
 /// A proxy that lacks a line for a class.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Lapse {
@@ -42,6 +70,7 @@
     /// The table it is bound to, as far as is acknowledged.
     pub table: Option<TableId>,
     pub waiting_for: WaitingFor,
+    pub supply: Supply,
     /// How long it has lasted.
     pub lasted: Nanos,
 }
@@ -80,7 +109,12 @@
     since: Option<Nanos>,
     /// Since when it has been bare.
     bare_since: Option<Nanos>,
+    /// Since when it has had no line and no server to go to.
+    unlisted_since: Option<Nanos>,
+    /// What there is for it while it has no line.
+    supply: Option<Supply>,
     is_over_limit: bool,
+    is_warned_of: bool,
 }
 
 struct Joined {
@@ -101,7 +135,11 @@
     look_at: Nanos,
     over_limit: u64,
     worst: Option<Worst>,
-    worst_bare: Option<Worst>,
+    /// The longest times without a line, by what there was meanwhile.
+    worst_bare: BTreeMap<Supply, Worst>,
+    /// Servers that the decisions have shut out.
+    shut_out: BTreeSet<ServerId>,
+    warnings: Vec<BareWarning>,
 }
 
 impl Coverage {
@@ -117,10 +155,26 @@
             look_at: Nanos(0),
             over_limit: 0,
             worst: None,
-            worst_bare: None,
+            worst_bare: BTreeMap::new(),
+            shut_out: BTreeSet::new(),
+            warnings: Vec::new(),
+        }
+    }
+
+    /// The decisions have shut a server out, or no longer do.
+    pub fn set_shut_out(&mut self, server: &ServerId, is_shut_out: bool) {
+        if is_shut_out {
+            self.shut_out.insert(server.clone());
+        } else {
+            self.shut_out.remove(server);
         }
     }
 
+    /// Who has become bare for half of the limit since the last call.
+    pub fn take_warnings(&mut self) -> Vec<BareWarning> {
+        std::mem::take(&mut self.warnings)
+    }
+
     /// A proxy has joined: none of its bindings stands.
     pub fn joined(&mut self, now: Nanos, proxy: ProxyId, zone: ZoneId) {
         let held = Held { since: Some(now), bare_since: Some(now), ..Held::default() };
@@ -208,17 +262,25 @@
             return Vec::new();
         }
         self.look_at = now + LOOK_EVERY;
-        let usable = Usable::new(now, self.warm_after, &self.classes, listed);
+        let usable = Usable::new(now, self.warm_after, &self.classes, &self.shut_out, listed);
         let mut lapsed: Vec<(ProxyId, usize)> = Vec::new();
-        let mut known: BTreeMap<(usize, ZoneId, Option<TableId>), Lack> = BTreeMap::new();
+        let mut known: BTreeMap<(usize, ZoneId, Option<TableId>), Option<Supply>> = BTreeMap::new();
+        let mut warnings: BTreeMap<(usize, Option<TableId>), BareWarning> = BTreeMap::new();
         for (proxy, joined) in &mut self.proxies {
             for (class, held) in joined.held.iter_mut().enumerate() {
                 let lines = held.table.and_then(|table| self.tables.get(&table));
-                let lack = *known
+                let supply = *known
                     .entry((class, joined.zone, held.table))
-                    .or_insert_with(|| usable.lack(class, joined.zone, lines));
-                held.since = (lack == Lack::OfWarm).then(|| held.since.unwrap_or(now));
-                held.bare_since = (lack != Lack::Nothing).then(|| held.bare_since.unwrap_or(now));
+                    .or_insert_with(|| usable.supply_without_line(class, joined.zone, lines));
+                held.note(now, supply);
+                if held.bare_since.is_some_and(|since| now - since > Nanos(self.limit.0 / 2)) {
+                    if !std::mem::replace(&mut held.is_warned_of, true) {
+                        let warn = || usable.warning(*proxy, class, joined.zone, held);
+                        warnings.entry((class, held.table)).or_insert_with(warn).proxies += 1;
+                    }
+                } else {
+                    held.is_warned_of = false;
+                }
                 let is_over_limit = held.since.is_some_and(|since| now - since > self.limit);
                 if is_over_limit && !held.is_over_limit {
                     lapsed.push((*proxy, class));
@@ -226,21 +288,30 @@
                 held.is_over_limit = is_over_limit;
             }
         }
+        self.warnings.extend(warnings.into_values());
         self.over_limit += lapsed.len() as u64;
         self.note_worst(now);
         let lapse = |(proxy, class)| self.lapse(now, proxy, class, |held| held.since);
         lapsed.into_iter().filter_map(lapse).collect()
     }
 
-    /// Keeps the longest lack, and the longest time that one was bare.
+    /// Keeps the longest lack, and the longest time without a line for each supply.
     fn note_worst(&mut self, now: Nanos) {
         let lapse = self.longest_now(now, |held| held.since);
         self.worst = longer(now, self.worst.take(), lapse);
-        let lapse = self.longest_now(now, |held| held.bare_since);
-        self.worst_bare = longer(now, self.worst_bare.take(), lapse);
+        for supply in [Supply::Usable, Supply::AllCold, Supply::AllOut, Supply::NoneListed] {
+            let since = |held: &Held| {
+                let since = held.bare_since.or(held.unlisted_since);
+                since.filter(|_| held.supply == Some(supply))
+            };
+            let lapse = self.longest_now(now, since);
+            if let Some(worst) = longer(now, self.worst_bare.remove(&supply), lapse) {
+                self.worst_bare.insert(supply, worst);
+            }
+        }
     }
 
-    fn longest_now(&self, now: Nanos, since: fn(&Held) -> Option<Nanos>) -> Option<Lapse> {
+    fn longest_now(&self, now: Nanos, since: impl Fn(&Held) -> Option<Nanos>) -> Option<Lapse> {
         let held = self.proxies.iter().flat_map(|(proxy, joined)| {
             joined.held.iter().enumerate().map(move |(class, held)| (*proxy, class, held))
         });
@@ -262,6 +333,7 @@
             class: ClassId(class as u8),
             table: held.table,
             waiting_for: self.waiting_for(held),
+            supply: held.supply.unwrap_or(Supply::Usable),
             lasted: now - since(held)?,
         })
     }
@@ -282,9 +354,21 @@
         self.worst.as_ref()
     }
 
-    /// The longest time that one was bare since the start.
-    pub fn worst_bare(&self) -> Option<&Worst> {
-        self.worst_bare.as_ref()
+    /// The longest times without a line since the start, by what there was meanwhile.
+    pub fn worst_bare(&self) -> &BTreeMap<Supply, Worst> {
+        &self.worst_bare
+    }
+}
+
+impl Held {
+    /// `supply`: what there is for it, where it has no line.
+    fn note(&mut self, now: Nanos, supply: Option<Supply>) {
+        let is_listed = supply.is_some_and(|supply| supply != Supply::NoneListed);
+        let is_lacking = matches!(supply, Some(Supply::Usable | Supply::AllOut));
+        self.since = is_lacking.then(|| self.since.unwrap_or(now));
+        self.bare_since = is_listed.then(|| self.bare_since.unwrap_or(now));
+        self.unlisted_since = (supply.is_some() && !is_listed).then(|| self.unlisted_since.unwrap_or(now));
+        self.supply = supply;
     }
 }
 
@@ -295,21 +379,12 @@
     lapse.map(|lapse| Worst { at: now, lapse }).or(worst)
 }
 
-/// What a proxy lacks for a class.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Lack {
-    Nothing,
-    /// A line, though a server that is warm or may be is listed ready.
-    OfWarm,
-    /// A line, though a server is listed ready; all of them are cold.
-    OfCold,
-}
-
 /// The servers that are listed ready.
 struct Usable<'c, 'a> {
     classes: &'c [ClassSettings],
     now: Nanos,
     warm_after: Nanos,
+    shut_out: &'c BTreeSet<ServerId>,
     servers: BTreeMap<&'a ServerId, &'a Listing>,
 }
 
@@ -318,10 +393,12 @@
         now: Nanos,
         warm_after: Nanos,
         classes: &'c [ClassSettings],
+        shut_out: &'c BTreeSet<ServerId>,
         listed: impl Iterator<Item = &'a Listing>,
     ) -> Self {
         let ready = listed.filter(|entry| entry.readiness == Readiness::Ready);
-        Usable { classes, now, warm_after, servers: ready.map(|entry| (&entry.server, entry)).collect() }
+        let servers = ready.map(|entry| (&entry.server, entry)).collect();
+        Usable { classes, now, warm_after, shut_out, servers }
     }
 
     /// Whether it is warm, or may be.
@@ -337,21 +414,49 @@
             && (!settings.home_only || entry.zone == zone)
     }
 
-    /// What a proxy of a zone with these lines lacks.
-    fn lack(&self, class: usize, zone: ZoneId, lines: Option<&BTreeSet<ServerId>>) -> Lack {
+    fn open(&self, class: usize, zone: ZoneId) -> impl Iterator<Item = &&'a Listing> {
+        self.servers.values().filter(move |entry| self.is_open(class, zone, entry))
+    }
+
+    /// What there is for a proxy of a zone, if none of these lines is of use to it.
+    fn supply_without_line(
+        &self,
+        class: usize,
+        zone: ZoneId,
+        lines: Option<&BTreeSet<ServerId>>,
+    ) -> Option<Supply> {
         let has = |server: &ServerId| {
             self.servers.get(server).is_some_and(|entry| self.is_open(class, zone, entry))
         };
         if lines.is_some_and(|lines| lines.iter().any(has)) {
-            return Lack::Nothing;
+            return None;
         }
-        let open = || self.servers.values().filter(|entry| self.is_open(class, zone, entry));
-        if open().any(|entry| self.is_warm(entry)) {
-            Lack::OfWarm
-        } else if open().next().is_some() {
-            Lack::OfCold
+        let mut warm = self.open(class, zone).filter(|entry| self.is_warm(entry)).peekable();
+        Some(if warm.peek().is_some() {
+            match warm.all(|entry| self.shut_out.contains(&entry.server)) {
+                true => Supply::AllOut,
+                false => Supply::Usable,
+            }
+        } else if self.open(class, zone).next().is_some() {
+            Supply::AllCold
         } else {
-            Lack::Nothing
+            Supply::NoneListed
+        })
+    }
+
+    /// Of no proxy yet: `proxies` is to be counted.
+    fn warning(&self, proxy: ProxyId, class: usize, zone: ZoneId, held: &Held) -> BareWarning {
+        let count =
+            |fits: &dyn Fn(&Listing) -> bool| self.open(class, zone).filter(|entry| fits(entry)).count();
+        BareWarning {
+            class: ClassId(class as u8),
+            table: held.table,
+            proxy,
+            proxies: 0,
+            supply: held.supply.unwrap_or(Supply::NoneListed),
+            ready: count(&|_| true),
+            cold: count(&|entry| !self.is_warm(entry)),
+            shut_out: count(&|entry| self.shut_out.contains(&entry.server)),
         }
     }
 }
--- a/crates/craneknot-node/src/log_event.rs
+++ b/crates/craneknot-node/src/log_event.rs
@@ -9,12 +9,13 @@
 
 use crate::clients::ClientId;
 use crate::coordinator::{NamedWorst, Status};
-use crate::coverage::Lapse;
+use crate::coverage::{BareWarning, Lapse};
 use crate::pending::Violations;
 use crate::takeover::Takeover;
 
 const LINES_MOST: u32 = 40; // of one kind between two status lines: enough to see how it began
 const TEXT_MOST: usize = 100; // characters of a text that came from outside: a line is kept to some 250
+const CLASS_MOST: usize = 11; // characters of a class's name in a status line, which has the most fields
 const NAME_MOST: usize = 18; // characters of a name beside which there are many fields
 
 /// One event.
@@ -29,6 +30,11 @@
         calls_failed: u32,
         orders_waiting: usize,
     },
+    /// Proxies have had no line for half of what the settings allow, though servers are listed.
+    Bare {
+        warning: BareWarning,
+        class: String,
+    },
     /// Many proxies came at once, some seconds ago.
     Takeover(Takeover),
     ProxyJoined {
@@ -117,6 +123,7 @@
         match self {
             LogEvent::Note(_) => "note",
             LogEvent::Lapse { .. } => "no line to pick",
+            LogEvent::Bare { .. } => "bare for half the limit",
             LogEvent::Takeover(_) => "proxies were taken over",
             LogEvent::ProxyJoined { .. } => "proxy joined",
             LogEvent::ProxyLeft { .. } => "proxy left",
@@ -143,8 +150,13 @@
             LogEvent::Note(text) => warn!("{}", cut(text)),
             LogEvent::Lapse { lapse, class, calls_failed, orders_waiting } => warn!(
                 proxy = lapse.proxy.0, class = cut_name(class), waiting_for = ?lapse.waiting_for,
-                lasted_ms = millis(lapse.lasted), table = lapse.table.map(|table| table.0), calls_failed,
-                orders_waiting, "{kind}"
+                supply = ?lapse.supply, lasted_ms = millis(lapse.lasted),
+                table = lapse.table.map(|table| table.0), calls_failed, orders_waiting, "{kind}"
+            ),
+            LogEvent::Bare { warning, class } => warn!(
+                class = cut_name(class), supply = ?warning.supply, proxies = warning.proxies,
+                proxy = warning.proxy.0, table = warning.table.map(|table| table.0), ready = warning.ready,
+                cold = warning.cold, shut_out = warning.shut_out, "{kind}"
             ),
             LogEvent::Takeover(takeover) => write_takeover(takeover, kind),
             LogEvent::ProxyJoined { proxy, zone } => info!(proxy = proxy.0, zone = zone.0, "{kind}"),
@@ -222,7 +234,12 @@
         "status"
     );
     write_worst("status of the longest lack", status.worst.as_ref(), status.coverage.uncovered);
-    write_worst("status of the longest bare", status.worst_bare.as_ref(), status.coverage.bare);
+    if status.worst_bare.is_empty() {
+        write_worst("status of the longest bare", None, status.coverage.bare);
+    }
+    for worst in &status.worst_bare {
+        write_worst("status of the longest bare", Some(worst), status.coverage.bare);
+    }
     info!(
         orders = status.orders,
         orders_rejected = status.orders_rejected,
@@ -250,6 +267,23 @@
     );
 }
 
+/// The last lines of a process: the longest that a proxy was without a line, and what is left undone.
+pub fn write_end(status: &Status, violations: Violations) {
+    let longest = status.worst_bare.iter().max_by_key(|worst| worst.worst.lapse.lasted);
+    let lapse = longest.map(|longest| &longest.worst.lapse);
+    let (bare_longest_ms, bare_now) = (lapse.map_or(0, |lapse| millis(lapse.lasted)), status.coverage.bare);
+    let supply = lapse.map(|lapse| format!("{:?}", lapse.supply));
+    let class = longest.map(|longest| beginning(&longest.class, CLASS_MOST));
+    let over_limit = status.coverage.over_limit;
+    info!(over_limit, bare_now, bare_longest_ms, class, supply, "ended");
+    if violations.total() > 0 {
+        let Violations { closed_unanswered, orders_dropped, orders_forbidden, orders_overtaken } = violations;
+        warn!(closed_unanswered, orders_dropped, orders_forbidden, orders_overtaken, "ended with this owed");
+    } else {
+        info!("ended with nothing owed");
+    }
+}
+
 /// The longest since the start, in each status line anew: readers keep a log's beginning and end only. `now`: how many
 /// proxies and classes are without a line now.
 fn write_worst(kind: &str, worst: Option<&NamedWorst>, now: usize) {
@@ -259,8 +293,9 @@
         longest_ms = lapse.map_or(0, |lapse| millis(lapse.lasted)),
         after_s = worst.map(|worst| millis(worst.since_start) / 1_000),
         proxy = lapse.map(|lapse| lapse.proxy.0),
-        class = worst.map(|worst| cut_name(&worst.class)),
+        class = worst.map(|worst| beginning(&worst.class, CLASS_MOST)),
         waiting_for = lapse.map(|lapse| format!("{:?}", lapse.waiting_for)),
+        supply = lapse.map(|lapse| format!("{:?}", lapse.supply)),
         "{kind}"
     );
 }
--- a/crates/craneknot-node/src/shell.rs
+++ b/crates/craneknot-node/src/shell.rs
@@ -24,8 +24,8 @@
 use crate::coordinator::{Coordinator, Todo};
 use crate::descriptors::Descriptors;
 use crate::link::{Act, LinkId};
-use crate::log_event::{cut, write_status, EventLog, LogEvent, ProcessFigures};
-use crate::pending::{CloseReason, Violations};
+use crate::log_event::{cut, write_end, write_status, EventLog, LogEvent, ProcessFigures};
+use crate::pending::CloseReason;
 
 const INPUT: usize = 256 * 1024; // bytes read ahead of a peer that has joined, or was dialled
 const OUTPUT: usize = 512 * 1024; // bytes waiting for a peer: a call carries far less, a client gets single lines
@@ -346,16 +346,7 @@
             self.coordinator.client_flushed(*client);
         }
         let violations = self.coordinator.abandon();
-        if violations.total() > 0 {
-            let Violations { closed_unanswered, orders_dropped, orders_forbidden, orders_overtaken } =
-                violations;
-            warn!(
-                closed_unanswered,
-                orders_dropped, orders_forbidden, orders_overtaken, "ended with this owed"
-            );
-        } else {
-            info!("ended with nothing owed");
-        }
+        write_end(&self.coordinator.status(), violations);
     }
 
     /// Reads the configuration again. One that can't be read may be half written: it is read again a few times.
--- a/crates/craneknot-node/tests/observability.rs
+++ b/crates/craneknot-node/tests/observability.rs
@@ -8,8 +8,8 @@
 use craneknot::{Load, Sign, State, Transition};
 use craneknot_node::clients::ClientId;
 use craneknot_node::coordinator::{NamedWorst, Status};
-use craneknot_node::coverage::{Coverage, CoverageFigures, Lapse, WaitingFor, Worst};
-use craneknot_node::log_event::{write_status, EventLog, LogEvent, ProcessFigures};
+use craneknot_node::coverage::{BareWarning, Coverage, CoverageFigures, Lapse, Supply, WaitingFor, Worst};
+use craneknot_node::log_event::{write_end, write_status, EventLog, LogEvent, ProcessFigures};
 use craneknot_node::order_queue::Outcome;
 use craneknot_node::pending::Violations;
 use craneknot_node::takeover::Takeover;
@@ -67,6 +67,7 @@
         class: ClassId(0),
         table: Some(table),
         waiting_for: WaitingFor::BindingRefused,
+        supply: Supply::NoneListed,
         lasted: Nanos::from_millis(600_000),
     };
     let takeover = Takeover {
@@ -83,6 +84,19 @@
     vec![
         LogEvent::Note(long.clone()),
         LogEvent::Lapse { lapse, class: long.clone(), calls_failed: 10_000, orders_waiting: 1_000_000 },
+        LogEvent::Bare {
+            warning: BareWarning {
+                class: ClassId(31),
+                table: Some(table),
+                proxy,
+                proxies: 65_535,
+                supply: Supply::NoneListed,
+                ready: 65_535,
+                cold: 65_535,
+                shut_out: 65_535,
+            },
+            class: long.clone(),
+        },
         LogEvent::Takeover(takeover),
         LogEvent::ProxyJoined { proxy, zone: ZoneId(u16::MAX) },
         LogEvent::ProxyLeft { proxy },
@@ -120,6 +134,7 @@
         class: ClassId(31),
         table: Some(TableId(u16::MAX)),
         waiting_for: WaitingFor::BindingRefused,
+        supply: Supply::NoneListed,
         lasted: Nanos::from_millis(100_000_000),
     };
     let worst = NamedWorst {
@@ -154,7 +169,7 @@
             bare: 7_200,
         },
         worst: Some(worst.clone()),
-        worst_bare: Some(worst),
+        worst_bare: vec![worst],
     };
     for is_json in [false, true] {
         let mut log = EventLog::default();
@@ -162,9 +177,11 @@
             let process =
                 ProcessFigures { connections: 1_024, system_calls_retried: many, log_lines_dropped: many };
             write_status(&status, process);
+            write_end(&status, status.violations);
+            write_end(&status, Violations::default());
             all_events().iter().for_each(|event| assert!(log.write(event)));
         });
-        assert_eq!(lines.len(), 6 + all_events().len(), "one line an event");
+        assert_eq!(lines.len(), 6 + 4 + all_events().len(), "one line an event");
         for line in lines {
             assert!(line.len() <= LINE_MOST, "{} bytes: {line}", line.len());
         }
@@ -354,7 +371,7 @@
     coverage.look(ms(6_000), list.iter());
     let figures = coverage.figures();
     assert_eq!((figures.uncovered, figures.over_limit, figures.bare), (0, 0, 2));
-    let worst = coverage.worst_bare().unwrap();
+    let worst = &coverage.worst_bare()[&Supply::AllCold];
     assert_eq!((worst.at, worst.lapse.lasted), (ms(6_000), ms(5_000)), "since its joining");
     assert_eq!(coverage.worst(), None);
     for order in [line("b-1", 1.0), BIND] {
@@ -374,7 +391,37 @@
     coverage.begin_anew(ms(6_350));
     coverage.look(ms(6_400), list.iter());
     assert_eq!(coverage.figures().bare, 1);
-    assert_eq!(coverage.worst_bare().unwrap().lapse.lasted, ms(5_100), "the longest stays");
+    assert_eq!(coverage.worst_bare()[&Supply::AllCold].lapse.lasted, ms(5_100), "the longest stays");
+}
+
+#[test]
+fn the_longest_bare_is_told_apart_by_what_there_was_meanwhile() {
+    let mut coverage = coverage_since(0);
+    let warm = [listing("a-1", 0, None)];
+    let cold = [listing("a-1", 0, Some(500))];
+    let none: [Listing; 0] = [];
+    coverage.look(ms(200), cold.iter());
+    coverage.look(ms(1_300), cold.iter());
+    assert!(coverage.take_warnings().is_empty(), "less than half of the limit");
+    coverage.look(ms(1_500), cold.iter());
+    let warnings = coverage.take_warnings();
+    let told: Vec<_> =
+        warnings.iter().map(|warning| (warning.class, warning.proxies, warning.cold)).collect();
+    assert_eq!(told, [(ClassId(0), 1, 1), (ClassId(1), 1, 1)]);
+    assert!(warnings.iter().all(|warning| warning.supply == Supply::AllCold && warning.ready == 1));
+    coverage.look(ms(1_700), cold.iter());
+    assert!(coverage.take_warnings().is_empty(), "told once");
+    coverage.set_shut_out(&warm[0].server, true);
+    coverage.look(ms(2_000), warm.iter());
+    coverage.set_shut_out(&warm[0].server, false);
+    coverage.look(ms(2_100), warm.iter());
+    coverage.look(ms(2_200), none.iter());
+    coverage.look(ms(2_900), none.iter());
+    let lasted = |supply| coverage.worst_bare()[&supply].lapse.lasted;
+    assert_eq!(lasted(Supply::AllCold), ms(1_700));
+    assert_eq!(lasted(Supply::AllOut), ms(2_000));
+    assert_eq!(lasted(Supply::Usable), ms(2_100));
+    assert_eq!(lasted(Supply::NoneListed), ms(700), "from when there was none");
 }
 
 /// While the relay takes no orders from anybody nothing that lasts is the coordinator's.
@@ -385,7 +432,7 @@
     coverage.look(ms(1_100), list.iter());
     coverage.begin_anew(ms(9_000));
     coverage.look(ms(9_050), list.iter());
-    assert_eq!(coverage.worst_bare().unwrap().lapse.lasted, ms(100));
+    assert_eq!(coverage.worst_bare()[&Supply::AllCold].lapse.lasted, ms(100));
 }
 
 /// Readers keep a log's beginning and end: what was worst must stand in each status line, with who and when.
