--- a/crates/craneknot-node/src/log_event.rs
+++ b/crates/craneknot-node/src/log_event.rs
@@ -150,7 +150,7 @@
             LogEvent::Note(text) => warn!("{}", cut(text)),
             LogEvent::Lapse { lapse, class, calls_failed, orders_waiting } => warn!(
                 proxy = lapse.proxy.0, class = cut_name(class), waiting_for = ?lapse.waiting_for,
-                supply = ?lapse.supply, lasted_ms = millis(lapse.lasted),
+                lasted_ms = millis(lapse.lasted),
                 table = lapse.table.map(|table| table.0), calls_failed, orders_waiting, "{kind}"
             ),
             LogEvent::Bare { warning, class } => warn!(
