Soak: a class's only zone starts anew, and a cold server is one to have a line to

The soak had such a class, restarted servers a few at a time, and asked for a line only while a warm server was listed.

The judge asks for a line while any server open to the class is listed ready.

--- a/crates/craneknot-rehearsal/src/soak/coverage.rs
+++ b/crates/craneknot-rehearsal/src/soak/coverage.rs
@@ -10,7 +10,7 @@
 
 use super::fleet::{Fleet, Holdings, Server, CLASSES, ONLY_ZONE, ONLY_ZONE_CLASS, ZONES};
 use super::hold_ups::{last_end, overlap, Span};
-use super::node::{Life, BARE, DRAIN_GRACE, WARM_AFTER};
+use super::node::{Life, BARE, DRAIN_GRACE};
 
 const PLATFORM_SLACK: Duration = Duration::from_millis(300); // on top of the settings, by the platform's page
 const FIRST_SECOND: Duration = Duration::from_secs(1); // after a node's first answer nobody is late
@@ -66,7 +66,7 @@
 /// What is wrong with a proxy's lines.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Wrong {
-    /// It has no line, though a warm server is listed that the class may use.
+    /// It has no line, though a server is listed that the class may use, cold or warm.
     NoLine,
     /// It has a line to a server that is known to drain or to be gone.
     LineTo(String),
@@ -191,7 +191,7 @@
                 let subject = Subject { node, proxy: *proxy, class, wrong: is };
                 wrong.insert(subject, (since, format!("holds {lines:?}")));
             };
-            if is_lacking(told, &lines, class, now) {
+            if is_lacking(told, &lines, class) {
                 let was_covered = looked.is_some_and(|before| *joined <= before);
                 add(Wrong::NoLine, if was_covered { now } else { *joined });
             }
@@ -220,10 +220,8 @@
     server.phase == "SERVING" && (class != ONLY_ZONE_CLASS || server.zone == ZONES[ONLY_ZONE])
 }
 
-/// Whether a proxy with these lines has none to pick, though a warm server is told that the class may use.
-fn is_lacking(told: &BTreeMap<String, Server>, lines: &[String], class: &str, now: Instant) -> bool {
+/// Whether a proxy with these lines has none to pick, though a server is told that the class may use.
+fn is_lacking(told: &BTreeMap<String, Server>, lines: &[String], class: &str) -> bool {
     let is_line = |id: &String| told.get(id).is_some_and(|server| is_open(server, class));
-    let is_warm =
-        |server: &Server| server.started_at.is_none_or(|at| now.saturating_duration_since(at) >= WARM_AFTER);
-    !lines.iter().any(is_line) && told.values().any(|server| is_open(server, class) && is_warm(server))
+    !lines.iter().any(is_line) && told.values().any(|server| is_open(server, class))
 }
--- a/crates/craneknot-rehearsal/src/soak/fleet.rs
+++ b/crates/craneknot-rehearsal/src/soak/fleet.rs
@@ -89,6 +89,11 @@
 pub const ONLY_ZONE_CLASS: &str = "issue";
 pub const ONLY_ZONE: usize = 0;
 
+/// The place of a server's zone.
+pub fn zone_of(server: usize) -> usize {
+    server % ZONES.len()
+}
+
 impl Fleet {
     /// So many nodes, proxies and servers; proxies are joined to nodes in turn.
     pub fn new(nodes: usize, proxies: u16, servers: usize) -> Self {
@@ -96,7 +101,7 @@
         let started = date.saturating_sub(LAST_RELEASE).as_millis() as u64;
         let server = |number: usize| Server {
             id: format!("s-{number:02}"),
-            zone: ZONES[number % 2],
+            zone: ZONES[zone_of(number)],
             phase: "SERVING",
             version: 1,
             started,
@@ -249,7 +254,7 @@
 
     /// A server's phase changes; one of a lost zone stays gone. `ready` has it start anew.
     pub fn set_phase(&mut self, server: usize, phase: Phase) {
-        let is_lost = self.lost_zone.is_some_and(|zone| server % ZONES.len() == zone);
+        let is_lost = self.lost_zone.is_some_and(|zone| zone_of(server) == zone);
         if is_lost && phase != Phase::Gone {
             return;
         }
@@ -271,7 +276,7 @@
     /// A zone is lost: its servers are gone, and its proxies leave. Who they were.
     pub fn lose_zone(&mut self, zone: usize) -> Vec<u16> {
         self.lost_zone = Some(zone);
-        (0..self.servers.len()).filter(|server| server % ZONES.len() == zone).for_each(|server| {
+        (0..self.servers.len()).filter(|server| zone_of(*server) == zone).for_each(|server| {
             self.set_phase(server, Phase::Gone);
         });
         let mut left = Vec::new();
@@ -288,7 +293,7 @@
     /// The zone is back: all of its servers start anew.
     pub fn regain_zone(&mut self, zone: usize) {
         self.lost_zone = None;
-        (0..self.servers.len()).filter(|server| server % ZONES.len() == zone).for_each(|server| {
+        (0..self.servers.len()).filter(|server| zone_of(*server) == zone).for_each(|server| {
             self.set_phase(server, Phase::Ready);
         });
     }
--- a/crates/craneknot-rehearsal/src/soak/play.rs
+++ b/crates/craneknot-rehearsal/src/soak/play.rs
@@ -9,11 +9,11 @@
 
 use super::clients::{come_silently, CrowdOfAskers};
 use super::fault_proxy::FaultProxy;
-use super::fleet::{Fleet, Phase};
+use super::fleet::{zone_of, Fleet, Phase};
 use super::hold_ups::Span;
 use super::node::{Life, Node};
 use super::run::Soak;
-use super::schedule::{self, Fault, ListChange, Neighbour, Planned, Restart, RestartForm};
+use super::schedule::{self, Fault, ListChange, Neighbour, Planned, Restart, RestartForm, ZoneRestart};
 
 const REDIAL_AFTER: Duration = Duration::from_millis(300); // proxies whose coordinator is gone join another
 const OLD_ADDRESS_ENDS: Duration = Duration::from_millis(1_500); // after a reload, as on the platform
@@ -262,6 +262,7 @@
                 fleet.lock().unwrap().lag = Duration::ZERO;
             }
             ListChange::Restart(restart) => restart_servers(&fleet, restart),
+            ListChange::RestartZone(restart) => restart_zone(&fleet, restart),
         }));
     }
 
@@ -304,3 +305,13 @@
     }
     enter(Phase::Ready);
 }
+
+/// The servers of a zone restart in place, a step of the list for each wave.
+fn restart_zone(fleet: &Mutex<Fleet>, restart: ZoneRestart) {
+    let all = fleet.lock().unwrap().servers.len();
+    let zone: Vec<usize> = (0..all).filter(|server| zone_of(*server) == restart.zone).collect();
+    for wave in zone[restart.spared..].chunks(restart.wave) {
+        fleet.lock().unwrap().set_phases(wave, Phase::Ready);
+        thread::sleep(Duration::from_millis(restart.pause));
+    }
+}
--- a/crates/craneknot-rehearsal/src/soak/schedule.rs
+++ b/crates/craneknot-rehearsal/src/soak/schedule.rs
@@ -82,6 +82,19 @@
     AnswerWhole,
     /// Answers come so many milliseconds late.
     Lag(u64),
+    /// The servers of a zone are ready with a new start, and were never listed as anything else.
+    RestartZone(ZoneRestart),
+}
+
+/// A restart in place of the servers of a zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ZoneRestart {
+    pub zone: usize,
+    /// Servers that go on as they are.
+    pub spared: usize,
+    /// How many restart in one step of the list, and how long it is until the next step, in milliseconds.
+    pub wave: usize,
+    pub pause: u64,
 }
 
 /// One fault.
--- a/crates/craneknot-rehearsal/src/soak/schedule/incident.rs
+++ b/crates/craneknot-rehearsal/src/soak/schedule/incident.rs
@@ -6,12 +6,14 @@
 use rand::Rng;
 use rand_pcg::Pcg32;
 
-use super::{restart, Fault, ListChange, Neighbour, NetworkFault, Planned, TOGETHER_MOST};
+use super::{restart, Fault, ListChange, Neighbour, NetworkFault, Planned, ZoneRestart, TOGETHER_MOST};
+use crate::soak::fleet::ONLY_ZONE;
 
 const RELEASE_STEP: Range<u64> = 610..640; // ms; between two steps of the release
 const MOVED_AFTER: u64 = 400; // ms; after the loss, all proxies are at the first coordinator
 const MOVED_BEFORE: u64 = 550; // ms; before its planned restart, they move on
 const BACK_AFTER_KILL: u64 = 500; // ms
+const WAVE_PAUSE: Range<u64> = 100..700; // ms; between two waves of a zone's restart
 const ABSENT_BEFORE: u64 = 500; // ms; at most, the third is absent before the zone is lost
 
 /// Draws them, in their order. The first node is one whose wall clock can be stepped. What `added` draws changes nothing
@@ -46,9 +48,23 @@
     if added.random_bool(0.5) {
         planned.push(Planned { at: restarted - MOVED_BEFORE, node: second, fault: Fault::MoveAll });
     }
+    // Before and while the first coordinator is away, as it is young, and as it gets all proxies.
+    let moments = [begin, killed - 300, killed + BACK_AFTER_KILL, lost + MOVED_AFTER];
+    let at = moments[added.random_range(0..moments.len())];
+    planned.push(Planned { at, node: first, fault: Fault::List(restart_zone(added)) });
     planned
 }
 
+/// The only zone of a class starts anew: at once, all but one of its servers, or in waves.
+fn restart_zone(rng: &mut Pcg32) -> ListChange {
+    let whole = ZoneRestart { zone: ONLY_ZONE, spared: 0, wave: usize::MAX, pause: 0 };
+    ListChange::RestartZone(match rng.random_range(0..4) {
+        0 | 1 => whole,
+        2 => ZoneRestart { spared: 1, ..whole },
+        _ => ZoneRestart { wave: rng.random_range(1..4), pause: rng.random_range(WAVE_PAUSE), ..whole },
+    })
+}
+
 /// Servers restart in place in turn, some steps bring several, some none.
 fn release(rng: &mut Pcg32, servers: usize, span: Range<u64>) -> Vec<Planned> {
     let (mut at, mut first, mut planned) = (span.start, 0, Vec::new());
--- a/crates/craneknot-rehearsal/tests/schedule.rs
+++ b/crates/craneknot-rehearsal/tests/schedule.rs
@@ -6,7 +6,7 @@
 use craneknot_rehearsal::soak::load::BusyThreads;
 use craneknot_rehearsal::soak::schedule::{
     draw, draw_throttle, fleet_size, Day, Fault, ListChange, Neighbour, NetworkFault, Planned, Restart,
-    RestartForm,
+    RestartForm, ZoneRestart,
 };
 
 const LENGTH: Duration = Duration::from_secs(40);
@@ -48,6 +48,20 @@
     }
 }
 
+#[test]
+fn the_only_zone_of_a_class_starts_anew_at_once_all_but_one_and_in_waves() {
+    let mut ways = BTreeSet::new();
+    for seed in SEEDS {
+        let restarts = incident(seed, 3).into_iter().filter_map(|planned| match planned.fault {
+            Fault::List(ListChange::RestartZone(restart)) => Some(restart),
+            _ => None,
+        });
+        let way = |restart: ZoneRestart| (restart.spared, restart.wave == usize::MAX);
+        ways.extend(restarts.map(way));
+    }
+    assert_eq!(ways, BTreeSet::from([(0, true), (1, true), (0, false)]));
+}
+
 #[test]
 fn the_third_coordinator_is_absent_in_each_way_while_the_zone_is_lost() {
     let mut ways = BTreeSet::new();
