Trial: a class confined by seed, its zone starts anew at once, cold servers count

What was not played: the trial's classes ran anywhere, so that the users' case could not happen on it.

Change: by seed the class that may not run twice is closed to the zone that is lost, to the other one, or to none, in the settings as in the workload; the zone starts anew in place once more, early or as a coordinator is young. The test that a lack among cold servers is none is replaced by its opposite.

--- a/crates/craneknot-rehearsal/src/trial/deployment.rs
+++ b/crates/craneknot-rehearsal/src/trial/deployment.rs
@@ -6,6 +6,7 @@
 use rand_pcg::Pcg32;
 use serde_json::{json, Value};
 
+use super::script::LOST_ZONE;
 use crate::workload::{Admission, ClassSpec, Semantics, ServerSpec, WorkloadSettings};
 
 /// The coordinators of the fleet.
@@ -68,12 +69,22 @@
     format!("s-{:08x}", (server as u32 + 1).wrapping_mul(0x9e37_79b1))
 }
 
+/// The only zone of the class that may not run twice, by seed: the zone that is lost, the other, or none.
+pub fn confined_zone(seed: u64) -> Option<usize> {
+    [Some(LOST_ZONE), Some(1 - LOST_ZONE), None][(seed % 3) as usize]
+}
+
 /// The settings as a node's configuration holds them.
-pub fn settings() -> Value {
+pub fn settings(seed: u64) -> Value {
     let profile = |place: usize| {
         let semantics = if place == UNSAFE_CLASS { "single_shot" } else { "free" };
-        json!({"name": CLASSES[place], "aim": AIMS[place].as_secs_f64(), "worth": 1.0 + place as f64,
-               "deadline": DEADLINES[place].as_secs_f64(), "semantics": semantics})
+        let mut profile = json!({"name": CLASSES[place], "aim": AIMS[place].as_secs_f64(),
+                                 "worth": 1.0 + place as f64, "deadline": DEADLINES[place].as_secs_f64(),
+                                 "semantics": semantics});
+        if let Some(zone) = confined_zone(seed).filter(|_| place == UNSAFE_CLASS) {
+            profile["only-zones"] = json!([ZONES[zone]]);
+        }
+        profile
     };
     let profiles: Vec<Value> = (0..CLASSES.len()).map(profile).collect();
     json!({
@@ -109,7 +120,7 @@
         aim: AIMS[place],
         deadline: DEADLINES[place],
         semantics: if place == UNSAFE_CLASS { Semantics::Unsafe } else { Semantics::Safe },
-        only_zone: None,
+        only_zone: confined_zone(seed).filter(|_| place == UNSAFE_CLASS),
     };
     WorkloadSettings {
         servers: (0..SERVERS).map(server).collect(),
--- a/crates/craneknot-rehearsal/src/trial/process.rs
+++ b/crates/craneknot-rehearsal/src/trial/process.rs
@@ -27,6 +27,8 @@
 pub struct Launch {
     pub program: PathBuf,
     pub folder: PathBuf,
+    /// Of the trial.
+    pub seed: u64,
     /// Preloaded where a fault needs it.
     pub fault_library: Option<PathBuf>,
     pub log_unread: bool,
@@ -104,7 +106,7 @@
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 1024},
             "distributor": {"address": self.relay.address().to_string()},
             "known": known,
-            "settings": settings()
+            "settings": settings(self.launch.seed)
         })
     }
 
--- a/crates/craneknot-rehearsal/src/trial/run.rs
+++ b/crates/craneknot-rehearsal/src/trial/run.rs
@@ -67,6 +67,7 @@
     Launch {
         program: settings.program.clone(),
         folder: settings.folder.clone(),
+        seed: settings.seed,
         fault_library: settings.fault_library.clone().filter(|_| clock_step || system_calls),
         log_unread: strikes(Overlay::LogUnread),
         clock_step,
--- a/crates/craneknot-rehearsal/src/trial/script.rs
+++ b/crates/craneknot-rehearsal/src/trial/script.rs
@@ -5,6 +5,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 
+use super::deployment::confined_zone;
 use super::overlay::Overlay;
 use super::release::{self, ServerChange};
 
@@ -49,6 +50,8 @@
     LoseZone { zone: usize, silent: bool },
     /// They start anew.
     RegainZone { zone: usize, silent: bool },
+    /// All servers of a zone start anew in place: the list never shows them as anything but ready.
+    RestartZone { zone: usize },
     /// Servers change, in one version of the list.
     Servers(Vec<ServerChange>),
     /// Proxies move to a coordinator within so many milliseconds, one in so many.
@@ -88,6 +91,7 @@
     let mut steps = Vec::new();
     if script == Script::Incident {
         steps.extend(incident(&mut rng, scale));
+        steps.push(zone_restart(seed, scale));
     }
     let lost = incident_span(scale, 41.0)..incident_span(scale, 46.0);
     let lost = (script == Script::Incident).then_some(lost);
@@ -103,6 +107,16 @@
     Duration::from_secs_f64(second * scale)
 }
 
+/// The zone that one class may be confined to starts anew at once, early in the day or as a coordinator is young. What is
+/// drawn here changes nothing else of the day.
+fn zone_restart(seed: u64, scale: f64) -> Planned {
+    let mut rng = Pcg32::seed_from_u64(!seed);
+    let second =
+        if rng.random_bool(0.5) { rng.random_range(8.0..20.0) } else { rng.random_range(27.0..30.0) };
+    let zone = confined_zone(seed).unwrap_or(LOST_ZONE);
+    Planned { at: incident_span(scale, second), step: Step::RestartZone { zone } }
+}
+
 fn incident(rng: &mut Pcg32, scale: f64) -> Vec<Planned> {
     let at = |second: f64, step: Step| Planned { at: incident_span(scale, second), step };
     let later =
--- a/crates/craneknot-rehearsal/src/trial/stage.rs
+++ b/crates/craneknot-rehearsal/src/trial/stage.rs
@@ -104,6 +104,7 @@
             Step::Leave(number, how) => self.leave(number, how),
             Step::Return(number, how) => self.return_from(number, how),
             Step::LoseZone { zone, silent } => self.change_zone(zone, Phase::Gone, silent),
+            Step::RestartZone { zone } => self.change_zone(zone, Phase::Ready, false),
             Step::RegainZone { zone, silent } => self.change_zone(zone, Phase::Ready, silent),
             Step::Move { to, within, one_in } => {
                 self.fleet.lock().unwrap().move_proxies(to, Duration::from_millis(within), one_in);
--- a/crates/craneknot-rehearsal/src/workload/delivery.rs
+++ b/crates/craneknot-rehearsal/src/workload/delivery.rs
@@ -348,7 +348,7 @@
             let listed = |coordinator: &usize| {
                 let allows =
                     |server: usize| self.settings.allows(class, holder.zone, self.servers[server].zone);
-                self.rules.lists[*coordinator].has_warm(self.settings.ramp_time, self.now, allows)
+                self.rules.lists[*coordinator].has_ready(allows)
             };
             let lacking = !holder.has_line(class);
             let answerable = accountable.filter(|coordinator| lacking && listed(coordinator));
--- a/crates/craneknot-rehearsal/src/workload/rules.rs
+++ b/crates/craneknot-rehearsal/src/workload/rules.rs
@@ -54,13 +54,10 @@
         }
     }
 
-    /// Whether the list shows a warm server among those that `allows` lets pass.
-    pub fn has_warm(&self, ramp_time: Duration, now: Duration, allows: impl Fn(usize) -> bool) -> bool {
-        let warm = |told: &Option<Told>| match told {
-            Some(Told::Ready { started, .. }) => started.is_none_or(|started| started + ramp_time <= now),
-            _ => false,
-        };
-        self.told.iter().enumerate().any(|(server, told)| warm(told) && allows(server))
+    /// Whether the list shows a ready server, cold or warm, among those that `allows` lets pass.
+    pub fn has_ready(&self, allows: impl Fn(usize) -> bool) -> bool {
+        let is_ready = |told: &Option<Told>| matches!(told, Some(Told::Ready { .. }));
+        self.told.iter().enumerate().any(|(server, told)| is_ready(told) && allows(server))
     }
 
     /// Holds the limits off for some time.
--- a/crates/craneknot-rehearsal/tests/workload.rs
+++ b/crates/craneknot-rehearsal/tests/workload.rs
@@ -341,7 +341,7 @@
 }
 
 #[test]
-fn a_lack_is_no_break_where_no_warm_server_is_listed_or_limits_are_held_off() {
+fn a_lack_is_no_break_where_no_server_is_listed_or_limits_are_held_off() {
     let mut workload = running(settings(2, 1));
     apply(&mut workload, 0, &[bind(0, 8)]);
     (0..2).for_each(|number| workload.told_lost(0, &format!("s-{number}")).unwrap());
@@ -349,12 +349,14 @@
     assert!(workload.summary().lacks.is_empty());
     workload.start_server("s-0").unwrap();
     workload.told_ready(0, "s-0").unwrap();
-    workload.advance(seconds(24.9));
-    assert!(workload.summary().lacks.is_empty(), "the only server listed is cold for 15 s");
     workload.hold_off_limits(0, seconds(3.1)).unwrap();
-    workload.advance(seconds(30.2));
+    workload.advance(seconds(15.3));
+    assert!(
+        !workload.summary().lacks.is_empty(),
+        "the only server listed is cold, and one to have a line to"
+    );
     assert_eq!(workload.summary().lacks_beyond_limit().count(), 0);
-    workload.advance(seconds(30.4));
+    workload.advance(seconds(15.5));
     assert_eq!(workload.summary().lacks_beyond_limit().count(), 1);
 }
 
