Node: status lines in a module of their own; trial: the lost zone belongs to the deployment

Change: status.rs holds what an operator is told at a glance and its lines; LOST_ZONE stands in the deployment.

--- a/crates/craneknot-node/src/coordinator.rs
+++ b/crates/craneknot-node/src/coordinator.rs
@@ -15,7 +15,7 @@
 use http::{Response, StatusCode};
 
 use crate::clients::{ClientAction, ClientId, Clients};
-use crate::coverage::{Coverage, CoverageFigures, Worst};
+use crate::coverage::{Coverage, Worst};
 use crate::descriptors::Descriptors;
 use crate::event_streams::EventStreams;
 use crate::link::{Act, LinkId, Links};
@@ -24,6 +24,7 @@
 use crate::pending::{CloseReason, PendingWork, Violations};
 use crate::probes::{self, Probes};
 use crate::server_age::ServerStarts;
+use crate::status::{NamedWorst, Status};
 use crate::takeover::TakeoverWatch;
 use crate::watch::Watch;
 
@@ -37,42 +38,6 @@
     pub log: Vec<LogEvent>,
 }
 
-/// What an operator wants to know at a glance.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Status {
-    pub proxies: usize,
-    pub servers: usize,
-    pub collectors: usize,
-    /// Clients that have not joined.
-    pub unidentified: usize,
-    /// Clients that something is owed to.
-    pub clients_pending: usize,
-    pub reports: u64,
-    pub reports_malformed: u64,
-    pub orders: u64,
-    pub orders_waiting: usize,
-    pub orders_rejected: u64,
-    pub calls_retried: u64,
-    pub event_streams: usize,
-    /// News that were left out, since a field was absent, wrong or out of range.
-    pub news_malformed: u64,
-    pub violations: Violations,
-    /// Proxies without a line to pick.
-    pub coverage: CoverageFigures,
-    /// The longest lack of a line since the start.
-    pub worst: Option<NamedWorst>,
-    /// The longest times without a line since the start: one for each supply of servers that was met meanwhile.
-    pub worst_bare: Vec<NamedWorst>,
-}
-
-/// The longest lack, with what an operator calls its class, and the time since the start.
-#[derive(Clone, Debug, PartialEq)]
-pub struct NamedWorst {
-    pub worst: Worst,
-    pub class: String,
-    pub since_start: Nanos,
-}
-
 pub struct Coordinator {
     controller: Controller,
     names: GivenNames,
--- a/crates/craneknot-node/src/lib.rs
+++ b/crates/craneknot-node/src/lib.rs
@@ -4,7 +4,7 @@
 //! What is decided here is the program's own, each in a file of its own with the clock passed in: who may speak
 //! at the coordinator's address ([`clients`]), what is owed to whom ([`pending`]), what the streams of news tell
 //! together ([`event_streams`], [`presence`]), when a call in doubt is made again ([`order_queue`]), how the list is followed ([`watch`]), how old
-//! a server is ([`server_age`]), whether each proxy has a server to go to ([`coverage`]), what is logged ([`log_event`]), what descriptors are for ([`descriptors`]), which probes are in flight ([`probes`]).
+//! a server is ([`server_age`]), whether each proxy has a server to go to ([`coverage`]), what is logged ([`log_event`], [`status`]), what descriptors are for ([`descriptors`]), which probes are in flight ([`probes`]).
 
 pub mod clients;
 pub mod coordinator;
@@ -19,5 +19,6 @@
 pub mod probes;
 pub mod server_age;
 pub mod shell;
+pub mod status;
 pub mod takeover;
 pub mod watch;
--- a/crates/craneknot-node/src/log_event.rs
+++ b/crates/craneknot-node/src/log_event.rs
@@ -8,14 +8,11 @@
 use tracing::{info, warn};
 
 use crate::clients::ClientId;
-use crate::coordinator::{NamedWorst, Status};
 use crate::coverage::{BareWarning, Lapse};
-use crate::pending::Violations;
 use crate::takeover::Takeover;
 
 const LINES_MOST: u32 = 40; // of one kind between two status lines: enough to see how it began
 const TEXT_MOST: usize = 100; // characters of a text that came from outside: a line is kept to some 250
-const CLASS_MOST: usize = 11; // characters of a class's name in a status line, which has the most fields
 const NAME_MOST: usize = 18; // characters of a name beside which there are many fields
 
 /// One event.
@@ -98,7 +95,7 @@
 }
 
 /// The beginning of a text from outside, in signs that no form of the log has to escape.
-fn beginning(text: &str, most: usize) -> String {
+pub(crate) fn beginning(text: &str, most: usize) -> String {
     let plain = |sign: char| (sign == ' ' || sign.is_ascii_graphic()) && !matches!(sign, '"' | '\\');
     text.chars().take(most).map(|sign| if plain(sign) { sign } else { '?' }).collect()
 }
@@ -113,7 +110,7 @@
     beginning(name, NAME_MOST)
 }
 
-fn millis(span: Nanos) -> u64 {
+pub(crate) fn millis(span: Nanos) -> u64 {
     span.0 / 1_000_000
 }
 
@@ -208,98 +205,6 @@
     );
 }
 
-/// Figures of the process, beside those of the coordinator.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ProcessFigures {
-    /// Connections that stand, dialled ones included.
-    pub connections: usize,
-    /// System calls that failed for a moment and were made again.
-    pub system_calls_retried: u64,
-    /// Log lines that were not written, since standard error did not take them.
-    pub log_lines_dropped: u64,
-}
-
-/// The status lines: what may be broken first, then what is under way, then who is there.
-pub fn write_status(status: &Status, process: ProcessFigures) {
-    let ProcessFigures { connections, system_calls_retried, log_lines_dropped } = process;
-    let Violations { closed_unanswered, orders_forbidden, orders_overtaken, .. } = status.violations;
-    info!(
-        uncovered = status.coverage.uncovered,
-        uncovered_longest_ms = millis(status.coverage.longest),
-        uncovered_over_limit = status.coverage.over_limit,
-        violations = status.violations.total(),
-        proxies = status.proxies,
-        servers = status.servers,
-        orders_waiting = status.orders_waiting,
-        "status"
-    );
-    write_worst("status of the longest lack", status.worst.as_ref(), status.coverage.uncovered);
-    if status.worst_bare.is_empty() {
-        write_worst("status of the longest bare", None, status.coverage.bare);
-    }
-    for worst in &status.worst_bare {
-        write_worst("status of the longest bare", Some(worst), status.coverage.bare);
-    }
-    info!(
-        orders = status.orders,
-        orders_rejected = status.orders_rejected,
-        orders_forbidden,
-        orders_overtaken,
-        calls_retried = status.calls_retried,
-        "status of orders"
-    );
-    info!(
-        collectors = status.collectors,
-        unidentified = status.unidentified,
-        clients_pending = status.clients_pending,
-        closed_unanswered,
-        connections,
-        system_calls_retried,
-        "status of clients"
-    );
-    info!(
-        reports = status.reports,
-        reports_malformed = status.reports_malformed,
-        news_malformed = status.news_malformed,
-        event_streams = status.event_streams,
-        log_lines_dropped,
-        "status of input"
-    );
-}
-
-/// The last lines of a process: the longest that a proxy was without a line, and what is left undone.
-pub fn write_end(status: &Status, violations: Violations) {
-    let longest = status.worst_bare.iter().max_by_key(|worst| worst.worst.lapse.lasted);
-    let lapse = longest.map(|longest| &longest.worst.lapse);
-    let (bare_longest_ms, bare_now) = (lapse.map_or(0, |lapse| millis(lapse.lasted)), status.coverage.bare);
-    let supply = lapse.map(|lapse| format!("{:?}", lapse.supply));
-    let class = longest.map(|longest| beginning(&longest.class, CLASS_MOST));
-    let over_limit = status.coverage.over_limit;
-    info!(over_limit, bare_now, bare_longest_ms, class, supply, "ended");
-    if violations.total() > 0 {
-        let Violations { closed_unanswered, orders_dropped, orders_forbidden, orders_overtaken } = violations;
-        warn!(closed_unanswered, orders_dropped, orders_forbidden, orders_overtaken, "ended with this owed");
-    } else {
-        info!("ended with nothing owed");
-    }
-}
-
-/// The longest since the start, in each status line anew: readers keep a log's beginning and end only. `now`: how many
-/// proxies and classes are without a line now.
-fn write_worst(kind: &str, worst: Option<&NamedWorst>, now: usize) {
-    let lapse = worst.map(|worst| &worst.worst.lapse);
-    info!(
-        now,
-        longest_ms = lapse.map_or(0, |lapse| millis(lapse.lasted)),
-        after_s = worst.map(|worst| millis(worst.since_start) / 1_000),
-        proxy = lapse.map(|lapse| lapse.proxy.0),
-        class = worst.map(|worst| beginning(&worst.class, CLASS_MOST)),
-        waiting_for = lapse.map(|lapse| format!("{:?}", lapse.waiting_for)),
-        supply = lapse.map(|lapse| format!("{:?}", lapse.supply)),
-        "{kind}"
-    );
-}
-
 /// Writes events, up to so many of a kind between two status lines.
 #[derive(Debug, Default)]
 pub struct EventLog {
--- a/crates/craneknot-node/src/shell.rs
+++ b/crates/craneknot-node/src/shell.rs
@@ -24,8 +24,9 @@
 use crate::coordinator::{Coordinator, Todo};
 use crate::descriptors::Descriptors;
 use crate::link::{Act, LinkId};
-use crate::log_event::{cut, write_end, write_status, EventLog, LogEvent, ProcessFigures};
+use crate::log_event::{cut, EventLog, LogEvent};
 use crate::pending::CloseReason;
+use crate::status::{write_end, write_status, ProcessFigures};
 
 const INPUT: usize = 256 * 1024; // bytes read ahead of a peer that has joined, or was dialled
 const OUTPUT: usize = 512 * 1024; // bytes waiting for a peer: a call carries far less, a client gets single lines
--- a/crates/craneknot-node/tests/observability.rs
+++ b/crates/craneknot-node/tests/observability.rs
@@ -7,11 +7,11 @@
 use craneknot::interface::*;
 use craneknot::{Load, Sign, State, Transition};
 use craneknot_node::clients::ClientId;
-use craneknot_node::coordinator::{NamedWorst, Status};
 use craneknot_node::coverage::{BareWarning, Coverage, CoverageFigures, Lapse, Supply, WaitingFor, Worst};
-use craneknot_node::log_event::{write_end, write_status, EventLog, LogEvent, ProcessFigures};
+use craneknot_node::log_event::{EventLog, LogEvent};
 use craneknot_node::order_queue::Outcome;
 use craneknot_node::pending::Violations;
+use craneknot_node::status::{write_end, write_status, NamedWorst, ProcessFigures, Status};
 use craneknot_node::takeover::Takeover;
 use tracing_subscriber::fmt::MakeWriter;
 
--- a/crates/craneknot-rehearsal/src/trial/deployment.rs
+++ b/crates/craneknot-rehearsal/src/trial/deployment.rs
@@ -6,7 +6,6 @@
 use rand_pcg::Pcg32;
 use serde_json::{json, Value};
 
-use super::script::LOST_ZONE;
 use crate::workload::{Admission, ClassSpec, Semantics, ServerSpec, WorkloadSettings};
 
 /// The coordinators of the fleet.
@@ -19,6 +18,8 @@
 pub const ZONES: [&str; 2] = ["pier", "yard"];
 /// One server in so many stands in the second zone, which is the one that is lost.
 pub const SECOND_ZONE_EVERY: usize = 3;
+/// The zone that is lost.
+pub const LOST_ZONE: usize = 1;
 /// The classes of operations.
 pub const CLASSES: [&str; 3] = ["quote", "track", "book"];
 
--- a/crates/craneknot-rehearsal/src/trial/release.rs
+++ b/crates/craneknot-rehearsal/src/trial/release.rs
@@ -7,8 +7,8 @@
 use rand::Rng;
 use rand_pcg::Pcg32;
 
-use super::deployment::{zone_of_server, SERVERS};
-use super::script::{Planned, Step, LOST_ZONE};
+use super::deployment::{zone_of_server, LOST_ZONE, SERVERS};
+use super::script::{Planned, Step};
 
 const STEP_MILLIS: Range<u64> = 610..641; // between two versions of the list
 const RESTARTS_MOST: usize = 2; // that begin with one version
--- a/crates/craneknot-rehearsal/src/trial/script.rs
+++ b/crates/craneknot-rehearsal/src/trial/script.rs
@@ -5,7 +5,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 
-use super::deployment::confined_zone;
+use super::deployment::{confined_zone, LOST_ZONE};
 use super::overlay::Overlay;
 use super::release::{self, ServerChange};
 
@@ -22,8 +22,6 @@
 pub const LOST_WITH_ZONE: usize = 1;
 /// The coordinator that is killed first, gets all proxies, and is restarted as planned.
 pub const LOADED: usize = 2;
-/// The zone that is lost.
-pub const LOST_ZONE: usize = 1;
 
 /// How a coordinator is absent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
