--- a/crates/craneknot-node/tests/helpers/mod.rs
+++ b/crates/craneknot-node/tests/helpers/mod.rs
@@ -4,6 +4,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use craneknot::interface::{Nanos, Order, ProxyId};
+use craneknot_node::link::{Act, LinkId};
 use craneknot_node::order_queue::EncodedOrder;
 use craneknot_platform::config::Config;
 use serde_json::{json, Value};
@@ -40,6 +41,16 @@
     EncodedOrder { order: Order::Mark { mark: 0 }, text, proxy, subject }
 }
 
+/// What the call that was just made carries.
+pub fn called(acts: &[Act]) -> (LinkId, String) {
+    match acts.last() {
+        Some(Act::Dial { link, request, .. } | Act::Send { link, request }) => {
+            (*link, String::from_utf8_lossy(request).into_owned())
+        }
+        Some(Act::Drop { .. }) | None => panic!("no call in {acts:?}"),
+    }
+}
+
 pub mod collectors;
 pub mod judge;
 pub mod peers;
--- a/crates/craneknot-rehearsal/src/auditor.rs
+++ b/crates/craneknot-rehearsal/src/auditor.rs
@@ -578,7 +578,7 @@
         }
     }
 
-    /// For each joined proxy and class: how long it has had no line though an open warm server was listed.
+    /// For each joined proxy and class: how long it has had no line though an open server was listed, cold or warm.
     fn look_for_bare(&mut self) {
         self.look_for_bare_among(0..self.proxies.len());
     }
@@ -586,12 +586,8 @@
     /// The same for some proxies: what concerns one alone changes nothing for the others.
     fn look_for_bare_among(&mut self, places: std::ops::Range<usize>) {
         let now = self.now;
-        let (warm, limit) = (self.terms.warm_after, self.terms.bare_limit);
-        let is_open = |told: &Told| {
-            told.listed
-                && told.lost.is_none()
-                && told.started.is_none_or(|(started, _)| now - started >= warm)
-        };
+        let limit = self.terms.bare_limit;
+        let is_open = |told: &Told| told.listed && told.lost.is_none();
         let open: Vec<usize> = self
             .list
             .iter()
