Levels for cold servers alone heed that each proxy lets one operation pass at once

What callers would have seen: a cold server pushed over (rule on cold servers) as its zone comes back one by one.

Cause: cold_levels bounded the rates, 1.28 a second in all here, but a proxy that has let nothing pass lets its next operation pass whatever its rate: 43 at once, where 5.7 in the window are the limit.

Change: safe_rate: what may come within one window (what arrives, or one and the rate for each proxy) stays under three quarters of the budget; where one of each is too much the level is 0, which is no lack of a line.

--- a/src/cold_placements.rs
+++ b/src/cold_placements.rs
@@ -12,6 +12,8 @@
 const SURE: f64 = 0.75; // share counted on of the best that servers have shown lately: the best of noisy sums
 const UNPROVEN: f64 = 0.5; // share counted on of what usual traffic tells, before servers have shown what they can do
 const MARGIN: f64 = 0.5; // share of the multiple at which a cold server falls that all proxies at their levels may reach
+const BURST: f64 = 0.75; // the same of what may come within one window: each proxy lets one operation pass at once
+const RATE_STEPS: usize = 20; // halvings of the span in which a safe rate is looked for
 
 impl Controller {
     /// Finds the placements that have servers listed as ready, none of which is in use or may be warm.
@@ -65,11 +67,7 @@
         let arrivals = self.table_arrivals(self.table_of(group, place));
         let level = |class: usize, share: f64| match self.settings.level_unit {
             LevelUnit::Share => share.min(1.0),
-            LevelUnit::Rate => {
-                let proxies = arrivals[class].len() as f64;
-                let most = able * MARGIN * self.settings.fall_multiple / proxies;
-                even_cap(&arrivals[class], share).min(most)
-            }
+            LevelUnit::Rate => even_cap(&arrivals[class], share).min(self.safe_rate(able, &arrivals[class])),
             LevelUnit::Ignored => 1.0,
         };
         let shares = self.shares_within(able, &arrivals);
@@ -77,6 +75,32 @@
         levels.map(|(class, level)| (class, (level, FurtherTries::Never))).collect()
     }
 
+    /// The highest rate at each proxy at which cold servers do not fall, neither by what passes steadily nor by what passes
+    /// at once: a proxy that has let nothing pass for a while lets its next operation pass whatever its rate.
+    fn safe_rate(&self, able: f64, arrivals: &[f64]) -> f64 {
+        let (multiple, window) = (self.settings.fall_multiple, self.settings.fall_window.secs());
+        let budget = BURST * multiple * able * window;
+        let at_once = |rate: f64| -> f64 {
+            arrivals.iter().map(|arrived| (arrived * window).min(1.0 + rate * window)).sum()
+        };
+        let (mut safe, mut unsafe_rate) = (0.0, MARGIN * multiple * able / arrivals.len() as f64);
+        if at_once(unsafe_rate) <= budget {
+            return unsafe_rate;
+        }
+        if at_once(0.0) > budget {
+            return 0.0;
+        }
+        for _ in 0..RATE_STEPS {
+            let middle = (safe + unsafe_rate) / 2.0;
+            if at_once(middle) <= budget {
+                safe = middle;
+            } else {
+                unsafe_rate = middle;
+            }
+        }
+        safe
+    }
+
     /// By class: what comes to each proxy that is bound to a table, per second.
     fn table_arrivals(&self, table: TableId) -> Vec<Vec<f64>> {
         let mut arrivals = vec![Vec::new(); self.classes.len()];
--- a/tests/plain.rs
+++ b/tests/plain.rs
@@ -467,3 +467,26 @@
         assert!(level.is_some() && level < line, "{:?}", world.orders);
     }
 }
+
+#[test]
+fn a_lone_cold_server_is_not_sent_one_operation_of_each_of_many_proxies_at_once() {
+    let mut world = World::new(settings(LevelUnit::Rate), 7, 10);
+    let proxies = 60;
+    world.step(0.1, &(0..proxies).map(World::join).collect::<Vec<_>>());
+    for _ in 0..16 {
+        let mut events: Vec<Event> = (0..10).map(|k| World::heard(k, 8, 0, 0.3, Some(0.5))).collect();
+        events.extend((0..proxies).flat_map(|proxy| [0, 1, 2].map(|class| demand(proxy, class, 1))));
+        world.step(0.5, &events);
+        world.step(0.5, &[Event::Woken]);
+    }
+    let gone = (0..5).map(|k| World::change(2 * k, None, Readiness::Removed));
+    world.step(0.1, &gone.collect::<Vec<_>>());
+    let start = world.now;
+    world.step(0.1, &[World::change(0, Some(start), Readiness::Ready)]);
+    assert_eq!(world.lines(0, 2).len(), 1);
+    let (capacity, window) = (16.0, world.settings.fall_window.secs());
+    let level = world.levels[&(world.bound[&(ProxyId(0), 2)], 2)].0;
+    let at_once = f64::from(proxies) * window.min(1.0 + level * window);
+    let most = world.settings.fall_multiple * capacity * warmed(&world, start) * window;
+    assert!(level == 0.0 || at_once <= most, "{level}: {at_once} may come at once, {most} push it over");
+}
