--- a/src/sender.rs
+++ b/src/sender.rs
@@ -126,16 +126,11 @@
         let under_way = self.settings.channel_lines_per_second * WAY.secs();
         let queued = self.channel.queued.max(self.channel.unapplied(self.now, MARK_LOST) - under_way);
         let (mut cost, mut touched) = (0.0, BTreeSet::new());
-        let tunes = self.now - self.channel.tuned_at >= TURN + TURN;
         for (rank, order) in ranked {
             let spent = cost + touched.len() as f64 * self.settings.lines_per_message;
-            let is_tuning = rank >= 3;
-            if queued + spent > limit * QUEUE_SHARES[usize::from(rank)] || is_tuning && !tunes {
+            if queued + spent > limit * QUEUE_SHARES[usize::from(rank)] || rank >= 3 && rested < TURN + TURN {
                 break;
             }
-            if is_tuning {
-                self.channel.tuned_at = self.now;
-            }
             let (lines, reached) = self.note_sent(&order, &mut users);
             cost += (lines * reached.len()) as f64;
             touched.extend(reached);
--- a/src/state/channel.rs
+++ b/src/state/channel.rs
@@ -9,8 +9,6 @@
 pub struct Channel {
     pub queued: f64,
     pub sent_at: Nanos,
-    /// When weights or levels were last sent, which may wait for each other but for nothing else.
-    pub tuned_at: Nanos,
     at: Nanos,
     /// Lines sent since the last mark, and the marks not answered by all yet.
     unmarked: f64,
@@ -31,15 +29,7 @@
 impl Channel {
     pub fn new(now: Nanos) -> Self {
         let (marks, last_mark) = (VecDeque::new(), 0);
-        Channel {
-            queued: 0.0,
-            sent_at: Nanos(0),
-            tuned_at: Nanos(0),
-            at: now,
-            unmarked: 0.0,
-            marks,
-            last_mark,
-        }
+        Channel { queued: 0.0, sent_at: Nanos(0), at: now, unmarked: 0.0, marks, last_mark }
     }
 
     /// Keeps what is sent; once it is enough, gives the number to mark it with, which costs a line a message.
