Walk over the decisions: the grace on line weights holds on a small channel alone

It excused a line's weight within the grace whenever anything waited, and right after a step something nearly always does, on wide channels too. All traces (43.2 to 101 lines waiting) are of the channel of 180 lines.

Also the module comment of coverage.rs, which still said that a bare proxy among cold servers breaks no rule.

--- a/crates/craneknot-node/src/coverage.rs
+++ b/crates/craneknot-node/src/coverage.rs
@@ -5,9 +5,8 @@
 //! is listed ready and which the class may use; and again from the moment at which that ceases to hold. While no such
 //! server is listed that is warm, nobody lacks anything. What is on its way from the relay to the proxy is not seen here.
 //!
-//! A proxy is bare where it has no such line though a server that it may use is listed ready, cold or warm. That breaks no
-//! rule while all of them are cold, but all that comes to the proxy is refused; and as soon as one of them is warm it has
-//! lacked a line for as long as it was bare.
+//! A proxy is bare where it has no such line though a server that it may use is listed ready, cold or warm. The platform's
+//! page holds this no break while all of them are cold; the users hold it one beyond the same limit.
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -7,6 +7,8 @@
 use craneknot::interface::*;
 use craneknot::Controller;
 
+const SMALL_CHANNEL: f64 = 180.0; // lines of its limit, which the bindings of six proxies fill
+
 pub fn server(number: usize) -> ServerId {
     ServerId(Arc::from(format!("server-{number:02}").as_str()))
 }
@@ -285,9 +287,10 @@
                     let able = self.settings.cold_share + (1.0 - self.settings.cold_share) * warmth;
                     // Lines are let stand while they are off by little.
                     let most = able * entry.weight.unwrap_or(1.0) * 1.15;
-                    // The rule counts from when the start is known for the grace; until then lines that wait may hold it up.
-                    let is_held_up =
-                        self.queued > 0.0 && self.now - self.start_told[server] <= self.settings.drain_grace;
+                    // The rule counts from when the start is known for the grace; until then a small channel may hold it up.
+                    let is_held_up = self.settings.channel_lines_limit <= SMALL_CHANNEL
+                        && self.queued > 0.0
+                        && self.now - self.start_told[server] <= self.settings.drain_grace;
                     assert!(
                         *weight <= most || is_held_up,
                         "rule 4: {server:?} can do {most} and has {weight}, {} lines wait",
