Review case 3: calls made again break the limit of messages to one proxy

Cause: order_queue.rs makes a call in doubt again after 20 to 320 ms, whatever the limit of messages; the sender that keeps the pace is not told.

Done: the case: for 6 s the relay carries calls out and resets their connections. Nothing is mended.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+here=$(cd "$(dirname "$0")" && pwd)
+exec "$here/../play.sh" repeat "$here"
