Review stand-in: proxies report, heed levels and try again as their routes say

Need: stand-ins have to behave like sound proxies; those of case 1 sent no reports, and none heeded levels or further tries. One run of case 1 could not start, since a neighbour had taken a port that it had picked.

Done: one proxy for cases 1 and 2 that follows all three of its files and reports to its agent; addresses that programs are told to listen on are picked below the system's own range.

--- a/review/standin/files.rs
+++ b/review/standin/files.rs
@@ -2,9 +2,9 @@
 //! agent swaps. `craneknot run` and `craneknot agent` are started as separate processes.
 
 use crate::{answer, http_head, note_pid};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::fs::{self, File};
-use std::io::{BufReader, Read, Write};
+use std::io::{BufReader, Write};
 use std::net::{TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -39,7 +39,7 @@
 }
 
 #[derive(Default, Clone)]
-struct Sums {
+pub struct Sums {
     ok: u64,
     failed: u64,
     seconds: f64,
@@ -51,7 +51,6 @@
     sent: Vec<(f64, usize, usize, String, bool)>,
     /// Operations that backends received: time, address, class.
     run: Vec<(f64, String, String)>,
-    sums: BTreeMap<(usize, usize, String), Sums>,
     record: Vec<String>,
     over: bool,
 }
@@ -128,55 +127,207 @@
     }
 }
 
-/// The text after each `"key":"`, up to the closing quote, in order.
-fn texts<'a>(text: &'a str, key: &str) -> Vec<(usize, &'a str)> {
+/// The text after the first `"key":"`, up to the closing quote.
+pub fn text_of<'a>(text: &'a str, key: &str) -> Option<&'a str> {
     let mark = format!("\"{key}\":\"");
-    text.match_indices(&mark)
-        .filter_map(|(at, _)| {
-            let rest = &text[at + mark.len()..];
-            Some((at, &rest[..rest.find('"')?]))
-        })
-        .collect()
+    let rest = &text[text.find(&mark)? + mark.len()..];
+    Some(&rest[..rest.find('"')?])
+}
+
+/// The whole number after the first `"key":`.
+fn number_of(text: &str, key: &str) -> Option<f64> {
+    let mark = format!("\"{key}\":");
+    let rest = &text[text.find(&mark)? + mark.len()..];
+    rest[..rest.find(|c: char| !c.is_ascii_digit())?].parse().ok()
 }
 
-/// The lines of the table that a class is bound to, from the files as they stand.
-fn lines(folder: &str, class: &str) -> Vec<(String, f64)> {
-    let clusters = fs::read_to_string(format!("{folder}/clusters.json")).unwrap_or_default();
-    let tables = fs::read_to_string(format!("{folder}/endpoints.json")).unwrap_or_default();
-    table_lines(&clusters, &tables, class).1
+/// What a proxy's files say of one class, as they stand together at one moment.
+pub struct Rules {
+    pub table: String,
+    pub lines: Vec<(String, f64)>,
+    /// Tokens that the class's bucket holds at most, and gets each second.
+    rate: Option<(f64, f64)>,
+    /// Share that is refused at once.
+    refused: f64,
+    /// One further try at another server where none could be connected to.
+    retries: bool,
 }
 
-/// The table that a class is bound to, and its lines.
-pub fn table_lines(clusters: &str, tables: &str, class: &str) -> (String, Vec<(String, f64)>) {
+/// Reads the files that the agent swaps; each resource stands on a line of its own.
+pub fn rules(folder: &str, class: &str) -> Rules {
+    let read = |kind: &str| fs::read_to_string(format!("{folder}/{kind}.json")).unwrap_or_default();
+    let (mut clusters, mut tables, mut routes) = (read("clusters"), read("endpoints"), read("routes"));
+    loop {
+        let again = read("clusters");
+        if again == clusters {
+            break;
+        }
+        (clusters, tables, routes) = (again, read("endpoints"), read("routes"));
+    }
     let bound = clusters.lines().find(|line| line.contains(&format!("\"name\":\"{class}\"")));
-    let Some(table) = bound.and_then(|line| texts(line, "service_name").first().map(|(_, name)| name.to_string()))
-    else {
-        return (String::new(), Vec::new());
-    };
-    let name = table.clone();
-    let Some(table) = tables.lines().find(|line| line.contains(&format!("\"cluster_name\":\"{table}\""))) else {
-        return (name, Vec::new());
+    let table = bound.and_then(|line| text_of(line, "service_name")).unwrap_or_default().to_owned();
+    let lines = tables.lines().find(|line| line.contains(&format!("\"cluster_name\":\"{table}\"")));
+    let line = |part: &str| {
+        let (address, port) = (text_of(part, "address")?, number_of(part, "port_value")?);
+        Some((format!("{address}:{port}"), number_of(part, "load_balancing_weight")?))
     };
-    let number = |text: &str, key: &str| -> Option<f64> {
-        let rest = &text[text.find(key)? + key.len()..];
-        rest[..rest.find(|c: char| !c.is_ascii_digit())?].parse().ok()
+    let lines = lines.map_or(Vec::new(), |text| text.split("\"endpoint\":{").skip(1).filter_map(line).collect());
+    let route = routes.lines().find(|line| line.contains(&format!("\"name\":\"{table}\"")));
+    let of_class = |line: &'_ str| {
+        let part = line.split("{\"match\":").find(|part| part.contains(&format!("\"cluster\":\"{class}\"")));
+        part.unwrap_or_default().to_owned()
     };
-    let lines = table
-        .split("\"endpoint\":{")
-        .skip(1)
-        .filter_map(|part| {
-            let address = part.split("\"address\":\"").nth(1)?.split('"').next()?;
-            let port = number(part, "\"port_value\":")?;
-            Some((format!("{address}:{port}"), number(part, "\"load_balancing_weight\":")?))
-        })
-        .collect();
-    (name, lines)
+    let route = route.map(of_class).unwrap_or_default();
+    let interval = text_of(&route, "fill_interval").and_then(|text| text.strip_suffix('s')?.parse::<f64>().ok());
+    let rate = number_of(&route, "max_tokens").zip(interval);
+    Rules {
+        table,
+        lines,
+        rate: rate.map(|(tokens, interval)| (tokens, tokens / interval.max(1e-3))),
+        refused: number_of(&route, "numerator").unwrap_or(0.0) / 1e6,
+        retries: number_of(&route, "num_retries").is_some_and(|retries| retries >= 1.0),
+    }
+}
+
+/// A plain proxy: it follows its files as they stand.
+pub struct Proxy {
+    folder: String,
+    random: u64,
+    buckets: BTreeMap<usize, (f64, Instant)>,
+}
+
+/// One try of an operation.
+pub struct Try {
+    pub table: String,
+    pub server: String,
+    pub answered: bool,
+    pub seconds: f64,
+}
+
+impl Proxy {
+    pub fn new(number: usize, folder: String) -> Self {
+        Proxy { folder, random: 0x9E37_79B9u64.wrapping_mul(number as u64 + 7) | 1, buckets: BTreeMap::new() }
+    }
+
+    fn chance(&mut self) -> f64 {
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        (self.random >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    fn admits(&mut self, class: usize, rules: &Rules) -> bool {
+        if self.chance() < rules.refused {
+            return false;
+        }
+        let Some((most, a_second)) = rules.rate else { return true };
+        let (tokens, at) = self.buckets.get(&class).copied().unwrap_or((most, Instant::now()));
+        let tokens = (tokens + at.elapsed().as_secs_f64() * a_second).min(most.max(1.0));
+        let admitted = tokens >= 1.0;
+        self.buckets.insert(class, (if admitted { tokens - 1.0 } else { tokens }, Instant::now()));
+        admitted
+    }
+
+    /// Sends one operation, and once more to another server if it could not connect and its routes say so.
+    pub fn operate(&mut self, class: usize, name: &str) -> Vec<Try> {
+        let rules = rules(&self.folder, name);
+        let mut tries: Vec<Try> = Vec::new();
+        if !self.admits(class, &rules) {
+            return tries;
+        }
+        let mut lines = rules.lines.clone();
+        loop {
+            let total: f64 = lines.iter().map(|(_, weight)| weight).sum();
+            let mut point = self.chance() * total;
+            let picked = lines.iter().position(|(_, weight)| {
+                point -= weight;
+                point <= 0.0
+            });
+            let Some(index) = picked.or(lines.len().checked_sub(1)) else { return tries };
+            let (server, _) = lines.swap_remove(index);
+            let (began, stream) = (Instant::now(), TcpStream::connect(&server));
+            let connected = stream.is_ok();
+            let exchange = |mut stream: TcpStream| -> Option<()> {
+                let _ = stream.set_nodelay(true);
+                stream.set_read_timeout(Some(Duration::from_millis(500))).ok()?;
+                stream
+                    .write_all(format!("GET /operation/{class} HTTP/1.1\r\nHost: backend\r\n\r\n").as_bytes())
+                    .ok()?;
+                http_head(&mut BufReader::new(stream)).map(|_| ())
+            };
+            let answered = stream.ok().and_then(exchange).is_some();
+            let seconds = began.elapsed().as_secs_f64();
+            tries.push(Try { table: rules.table.clone(), server, answered, seconds });
+            if connected || !rules.retries || tries.len() > 1 {
+                return tries;
+            }
+        }
+    }
+}
+
+/// The sums of a proxy's tries since its last report, by class and server.
+pub type Tries = BTreeMap<(usize, String), Sums>;
+
+pub fn count(tries: &mut Tries, class: usize, result: &Try) {
+    let sums = tries.entry((class, result.server.clone())).or_default();
+    if result.answered {
+        sums.ok += 1;
+        sums.seconds += result.seconds;
+    } else {
+        sums.failed += 1;
+    }
+}
+
+/// Sends a proxy's load report of the last `seconds` to its agent; false: the agent did not take it.
+pub fn report(
+    agent: &str,
+    proxy: usize,
+    seconds: f64,
+    classes: &[&str],
+    tries: Tries,
+    zone_of: &dyn Fn(&str) -> &'static str,
+) -> bool {
+    let mut clusters = Vec::new();
+    for (class, name) in classes.iter().enumerate() {
+        let mut zones: BTreeMap<&str, (Vec<String>, u64, u64)> = BTreeMap::new();
+        for ((_, server), sums) in tries.iter().filter(|((of, _), _)| *of == class) {
+            let (ip, port) = server.split_once(':').unwrap();
+            let zone = zones.entry(zone_of(server)).or_default();
+            (zone.1, zone.2) = (zone.1 + sums.ok, zone.2 + sums.failed);
+            zone.0.push(format!(
+                "{{\"address\":{{\"socket_address\":{{\"address\":\"{ip}\",\"port_value\":{port}}}}},\"total_successful_requests\":\"{}\",\"total_error_requests\":\"{}\",\"total_issued_requests\":\"{}\",\"load_metric_stats\":[{{\"metric_name\":\"latency_ms\",\"num_requests_finished_with_metric\":\"{}\",\"total_metric_value\":{:.3}}}]}}",
+                sums.ok, sums.failed, sums.ok + sums.failed, sums.ok, sums.seconds * 1e3
+            ));
+        }
+        let localities: Vec<String> = zones
+            .iter()
+            .map(|(zone, (servers, ok, failed))| {
+                format!(
+                    "{{\"locality\":{{\"zone\":\"{zone}\"}},\"total_successful_requests\":\"{ok}\",\"total_error_requests\":\"{failed}\",\"total_issued_requests\":\"{}\",\"upstream_endpoint_stats\":[{}]}}",
+                    ok + failed,
+                    servers.join(",")
+                )
+            })
+            .collect();
+        clusters.push(format!(
+            "{{\"cluster_name\":\"{name}\",\"upstream_locality_stats\":[{}],\"load_report_interval\":\"{seconds:.3}s\"}}",
+            localities.join(",")
+        ));
+    }
+    let body = format!("{{\"node\":{{\"id\":\"proxy-{proxy}\"}},\"cluster_stats\":[{}]}}", clusters.join(","));
+    let Ok(mut stream) = TcpStream::connect(agent) else { return false };
+    let _ = stream.set_read_timeout(Some(Duration::from_millis(500)));
+    let text = format!(
+        "POST /envoy.service.load_stats.v3.LoadReportingService/StreamLoadStats HTTP/1.1\r\nHost: agent\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let _ = stream.write_all(text.as_bytes());
+    http_head(&mut BufReader::new(stream)).is_some_and(|(first, _)| first.contains("200"))
 }
 
-fn run_proxy(shared: Shared, proxy: usize, folder: String) {
-    let mut random = 0x9E37_79B9u64.wrapping_mul(proxy as u64 + 7) | 1;
-    let mut connections: HashMap<String, BufReader<TcpStream>> = HashMap::new();
-    let mut class = proxy;
+fn run_proxy(shared: Shared, number: usize, folder: String, agent: String) {
+    let (mut proxy, mut tries, mut reported) = (Proxy::new(number, folder), Tries::new(), Instant::now());
+    let mut class = number;
     loop {
         class = (class + 1) % CLASSES.len();
         let now = {
@@ -186,102 +337,21 @@
             }
             state.start.elapsed().as_secs_f64()
         };
-        let lines = lines(&folder, CLASSES[class]);
-        let total: f64 = lines.iter().map(|(_, weight)| weight).sum();
-        random ^= random << 13;
-        random ^= random >> 7;
-        random ^= random << 17;
-        let mut point = (random >> 11) as f64 / (1u64 << 53) as f64 * total;
-        let picked = lines.iter().find(|(_, weight)| {
-            point -= weight;
-            point <= 0.0
-        });
-        if let Some((server, _)) = picked.or(lines.last()).cloned() {
-            let began = Instant::now();
-            let mut exchange = || -> Option<()> {
-                if !connections.contains_key(&server) {
-                    let stream = TcpStream::connect(&server).ok()?;
-                    let _ = stream.set_nodelay(true);
-                    stream.set_read_timeout(Some(Duration::from_millis(500))).ok()?;
-                    connections.insert(server.clone(), BufReader::new(stream));
-                }
-                let connection = connections.get_mut(&server)?;
-                let request = format!("GET /operation/{class} HTTP/1.1\r\nHost: backend\r\n\r\n");
-                connection.get_mut().write_all(request.as_bytes()).ok()?;
-                let (_, length) = http_head(connection)?;
-                connection.read_exact(&mut vec![0; length]).ok()
-            };
-            let ok = exchange().is_some();
-            if !ok {
-                connections.remove(&server);
-            }
-            let mut state = shared.lock().unwrap();
-            let sums = state.sums.entry((proxy, class, server.clone())).or_default();
-            if ok {
-                sums.ok += 1;
-                sums.seconds += began.elapsed().as_secs_f64();
-            } else {
-                sums.failed += 1;
-            }
-            state.sent.push((now, proxy, class, server, ok));
-        }
-        thread::sleep(Duration::from_millis(40));
-    }
-}
-
-/// Sends a proxy's load report to its agent each second.
-fn run_reports(shared: Shared, proxy: usize, agent: String) {
-    loop {
-        thread::sleep(Duration::from_secs(1));
-        let mut state = shared.lock().unwrap();
-        if state.over {
-            return;
+        for result in proxy.operate(class, CLASSES[class]) {
+            count(&mut tries, class, &result);
+            shared.lock().unwrap().sent.push((now, number, class, result.server, result.answered));
         }
-        let mut clusters = Vec::new();
-        for (class, name) in CLASSES.iter().enumerate() {
-            let keys: Vec<_> = state.sums.keys().filter(|key| key.0 == proxy && key.1 == class).cloned().collect();
-            let mut halls: BTreeMap<&str, (Vec<String>, u64, u64)> = BTreeMap::new();
-            for key in keys {
-                let sums = state.sums.remove(&key).unwrap();
-                let hall = state.backends.iter().find(|b| b.address == key.2).map_or("hall-a", |b| b.hall);
-                let (ip, port) = key.2.split_once(':').unwrap();
-                let of_hall = halls.entry(hall).or_default();
-                of_hall.1 += sums.ok;
-                of_hall.2 += sums.failed;
-                of_hall.0.push(format!(
-                    "{{\"address\":{{\"socket_address\":{{\"address\":\"{ip}\",\"port_value\":{port}}}}},\"total_successful_requests\":\"{}\",\"total_error_requests\":\"{}\",\"total_issued_requests\":\"{}\",\"load_metric_stats\":[{{\"metric_name\":\"latency_ms\",\"num_requests_finished_with_metric\":\"{}\",\"total_metric_value\":{:.3}}}]}}",
-                    sums.ok, sums.failed, sums.ok + sums.failed, sums.ok, sums.seconds * 1e3
-                ));
-            }
-            let localities: Vec<String> = halls
-                .iter()
-                .map(|(hall, (servers, ok, failed))| {
-                    format!(
-                        "{{\"locality\":{{\"zone\":\"{hall}\"}},\"total_successful_requests\":\"{ok}\",\"total_error_requests\":\"{failed}\",\"total_issued_requests\":\"{}\",\"upstream_endpoint_stats\":[{}]}}",
-                        ok + failed,
-                        servers.join(",")
-                    )
-                })
-                .collect();
-            clusters.push(format!(
-                "{{\"cluster_name\":\"{name}\",\"upstream_locality_stats\":[{}],\"load_report_interval\":\"1s\"}}",
-                localities.join(",")
-            ));
-        }
-        drop(state);
-        let body = format!("{{\"node\":{{\"id\":\"proxy-{proxy}\"}},\"cluster_stats\":[{}]}}", clusters.join(","));
-        if let Ok(mut stream) = TcpStream::connect(&agent) {
-            let _ = stream.set_read_timeout(Some(Duration::from_millis(500)));
-            let text = format!(
-                "POST /envoy.service.load_stats.v3.LoadReportingService/StreamLoadStats HTTP/1.1\r\nHost: agent\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
-                body.len()
-            );
-            let _ = stream.write_all(text.as_bytes());
-            let first = http_head(&mut BufReader::new(stream));
-            if !first.as_ref().is_some_and(|(first, _)| first.contains("200")) {
-                shared.lock().unwrap().note(format!("the agent's answer to a report: {first:?}"));
+        if reported.elapsed().as_secs_f64() >= 1.0 {
+            let halls: BTreeMap<String, &'static str> =
+                shared.lock().unwrap().backends.iter().map(|b| (b.address.clone(), b.hall)).collect();
+            let zone_of = |server: &str| halls.get(server).copied().unwrap_or(HALLS[0]);
+            let seconds = reported.elapsed().as_secs_f64();
+            reported = Instant::now();
+            if !report(&agent, number, seconds, &CLASSES, std::mem::take(&mut tries), &zone_of) {
+                shared.lock().unwrap().note(format!("the agent did not take a report of proxy {number}"));
             }
         }
+        thread::sleep(Duration::from_millis(40));
     }
 }
 
@@ -309,7 +379,7 @@
     children.push(child);
     for _ in 0..400 {
         if let Ok(text) = fs::read_to_string(&ready) {
-            return texts(&text, "address").first().map(|(_, address)| address.to_string());
+            return text_of(&text, "address").map(str::to_owned);
         }
         thread::sleep(Duration::from_millis(25));
     }
@@ -322,7 +392,6 @@
         backends: Vec::new(),
         sent: Vec::new(),
         run: Vec::new(),
-        sums: BTreeMap::new(),
         record: Vec::new(),
         over: false,
     }));
@@ -391,17 +460,15 @@
     let Some(agent) = start(program, root, folder, "agent", &settings, children) else { return 2 };
     let ready = (0..400).any(|_| {
         thread::sleep(Duration::from_millis(25));
-        (0..6).all(|proxy| CLASSES.iter().all(|class| !lines(&format!("{folder}/proxy-{proxy}"), class).is_empty()))
+        (0..6)
+            .all(|proxy| CLASSES.iter().all(|class| !rules(&format!("{folder}/proxy-{proxy}"), class).lines.is_empty()))
     });
     if !ready {
         return 2;
     }
     for proxy in 0..6 {
-        let (held, agent) = (shared.clone(), agent.clone());
-        let path = format!("{folder}/proxy-{proxy}");
-        thread::spawn(move || run_proxy(held, proxy, path));
-        let held = shared.clone();
-        thread::spawn(move || run_reports(held, proxy, agent));
+        let (held, agent, path) = (shared.clone(), agent.clone(), format!("{folder}/proxy-{proxy}"));
+        thread::spawn(move || run_proxy(held, proxy, path, agent));
     }
     thread::sleep(Duration::from_secs(8));
     match case {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::fs::{self, File};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream, UdpSocket};
 use std::os::fd::AsRawFd;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Condvar, Mutex};
@@ -900,6 +900,22 @@
     }
 }
 
+/// A free loopback address for a program that is told where to listen, below the ports that the system hands out by
+/// itself, so that no socket of a stand-in takes it meanwhile.
+pub fn free_address() -> String {
+    let nanos = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos() as u64;
+    let mut random = (nanos ^ u64::from(std::process::id()) << 32) | 1;
+    loop {
+        random ^= random << 13;
+        random ^= random >> 7;
+        random ^= random << 17;
+        let address = format!("127.0.0.1:{}", 11_000 + random % 20_000);
+        if TcpListener::bind(&address).is_ok() && UdpSocket::bind(&address).is_ok() {
+            return address;
+        }
+    }
+}
+
 /// Notes a started process, so that `run.sh` can end it if this program is ended itself.
 pub fn note_pid(folder: &str, pid: u32) {
     if let Ok(mut file) = File::options().create(true).append(true).open(format!("{folder}/pids")) {
@@ -992,7 +1008,7 @@
         let discovery = listen(move |stream| serve_discovery(held.clone(), coordinator, stream));
         let held = shared.clone();
         let relay = listen(move |stream| serve_relay(held.clone(), coordinator, stream));
-        let free = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
+        let free = free_address();
         shared.0.lock().unwrap().coordinators.push(Coordinator {
             listen: free,
             discovery,
--- a/review/standin/shared.rs
+++ b/review/standin/shared.rs
@@ -1,11 +1,12 @@
 //! A shared fleet: three coordinators (`craneknot run` with `shared`), agents, proxies that follow their files, and a
 //! link between agents and coordinators on which a message takes as long as the brief says.
 
-use crate::files::table_lines;
-use crate::{answer, http_head, note_pid};
+use crate::files::{count, report, rules, text_of, Proxy, Tries};
+use crate::{answer, free_address, http_head, note_pid};
+use std::collections::BTreeMap;
 use std::fs::{self, File};
 use std::io::{BufReader, Read, Write};
-use std::net::{Shutdown, TcpListener, TcpStream, UdpSocket};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::{mpsc, Arc, Mutex};
 use std::thread;
@@ -148,21 +149,9 @@
     address
 }
 
-/// The table that a class is bound to and its lines, as the files stand together at one moment.
-fn lines(folder: &str, class: &str) -> (String, Vec<(String, f64)>) {
-    loop {
-        let clusters = fs::read_to_string(format!("{folder}/clusters.json")).unwrap_or_default();
-        let tables = fs::read_to_string(format!("{folder}/endpoints.json")).unwrap_or_default();
-        if clusters != fs::read_to_string(format!("{folder}/clusters.json")).unwrap_or_default() {
-            continue;
-        }
-        return table_lines(&clusters, &tables, class);
-    }
-}
-
-fn run_proxy(shared: Shared, proxy: usize, folder: String) {
-    let mut random = 0x9E37_79B9u64.wrapping_mul(proxy as u64 + 7) | 1;
-    let mut class = proxy;
+fn run_proxy(shared: Shared, number: usize, folder: String, agent: String) {
+    let (mut proxy, mut tries, mut reported) = (Proxy::new(number, folder), Tries::new(), Instant::now());
+    let mut class = number;
     loop {
         class = (class + 1) % CLASSES.len();
         let now = {
@@ -172,28 +161,20 @@
             }
             state.now()
         };
-        let (table, lines) = lines(&folder, CLASSES[class]);
-        let total: f64 = lines.iter().map(|(_, weight)| weight).sum();
-        random ^= random << 13;
-        random ^= random >> 7;
-        random ^= random << 17;
-        let mut point = (random >> 11) as f64 / (1u64 << 53) as f64 * total;
-        let picked = lines.iter().find(|(_, weight)| {
-            point -= weight;
-            point <= 0.0
-        });
-        if let Some((server, _)) = picked.or(lines.last()).cloned() {
-            let exchange = || -> Option<()> {
-                let mut stream = TcpStream::connect(&server).ok()?;
-                let _ = stream.set_nodelay(true);
-                stream.set_read_timeout(Some(Duration::from_millis(500))).ok()?;
-                stream
-                    .write_all(format!("GET /operation/{class} HTTP/1.1\r\nHost: backend\r\n\r\n").as_bytes())
-                    .ok()?;
-                http_head(&mut BufReader::new(stream)).map(|_| ())
-            };
-            let answered = exchange().is_some();
-            shared.lock().unwrap().sent.push(Sent { at: now, proxy, class, table, server, answered });
+        for result in proxy.operate(class, CLASSES[class]) {
+            count(&mut tries, class, &result);
+            let (table, server, answered) = (result.table, result.server, result.answered);
+            shared.lock().unwrap().sent.push(Sent { at: now, proxy: number, class, table, server, answered });
+        }
+        if reported.elapsed().as_secs_f64() >= 0.5 {
+            let zones: BTreeMap<String, &'static str> =
+                shared.lock().unwrap().backends.iter().map(|b| (b.address.clone(), b.zone)).collect();
+            let zone_of = |server: &str| zones.get(server).copied().unwrap_or(ZONES[0]);
+            let seconds = reported.elapsed().as_secs_f64();
+            reported = Instant::now();
+            if !report(&agent, number, seconds, &CLASSES, std::mem::take(&mut tries), &zone_of) {
+                shared.lock().unwrap().note(format!("the agent did not take a report of proxy {number}"));
+            }
         }
         thread::sleep(PAUSE);
     }
@@ -261,10 +242,8 @@
         start_backend(shared, ZONES[number % 2], None);
     }
     write_list(&mut shared.lock().unwrap(), folder, 1);
-    let listen: Vec<String> =
-        (0..3).map(|_| TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string()).collect();
-    let datagrams: Vec<String> =
-        (0..3).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string()).collect();
+    let listen: Vec<String> = (0..3).map(|_| free_address()).collect();
+    let datagrams: Vec<String> = (0..3).map(|_| free_address()).collect();
     let members: Vec<String> =
         (0..3).map(|index| format!("{{\"name\":\"c{index}\",\"datagrams\":\"{}\"}}", datagrams[index])).collect();
     for index in 0..3 {
@@ -301,7 +280,7 @@
             })
             .collect();
         let settings = format!(
-            r#"{{"nodes":[{}],"coordinators":[{}],"listen":"127.0.0.1:0"}}"#,
+            r#"{{"nodes":[{}],"coordinators":[{}],"listen":"127.0.0.1:0","ready_file":"a{agent}.ready.json"}}"#,
             nodes.join(","),
             coordinators.join(",")
         );
@@ -314,15 +293,17 @@
     let ready = (0..800).any(|_| {
         thread::sleep(Duration::from_millis(25));
         (0..PROXIES)
-            .all(|proxy| CLASSES.iter().all(|class| !lines(&format!("{folder}/proxy-{proxy}"), class).1.is_empty()))
+            .all(|proxy| CLASSES.iter().all(|class| !rules(&format!("{folder}/proxy-{proxy}"), class).lines.is_empty()))
     });
     if !ready {
         shared.lock().unwrap().note("not all proxies got tables".into());
         return 2;
     }
     for proxy in 0..PROXIES {
+        let ready = fs::read_to_string(format!("{folder}/a{}.ready.json", proxy / (PROXIES / 4))).unwrap_or_default();
+        let Some(agent) = text_of(&ready, "address").map(str::to_owned) else { return 2 };
         let (held, path) = (shared.clone(), format!("{folder}/proxy-{proxy}"));
-        thread::spawn(move || run_proxy(held, proxy, path));
+        thread::spawn(move || run_proxy(held, proxy, path, agent));
     }
     let begin = shared.lock().unwrap().now() + 4.0;
     // The fleet grows to twice its size within 10 s.
