Count calls made again towards the limit of messages to one proxy

Cause: the only part that knows the limit is the sender (src/sender.rs, `publish`), which leaves `message_span / message_limit` between two steps. A message is written for each call that the relay carries out, and the order queue makes calls that are no step of the sender: it repeats a call in doubt at once and after 20, 40, 80, 160, 320 ms (order_queue.rs, `lost` and `fail`), divides one step over calls of 60,000 bytes, and calls again after each refused order. None of these was counted by anyone.

Change: the account is kept where calls are made. `relay_state` mirrors which proxies the relay may write to for an order, `call_limits` asks for each of them whether a message is allowed and sends the queue as far as it is, `src/message_pace.rs` holds the pace: a token bucket for each proxy, a sixth of the limit at once, the rest evenly, so that the sum of both within the span is the limit. A call in doubt counts as carried out; one that the relay turned away does not. A proxy that is told as left keeps its account, since a gap in the news tells those who stand as left and joined anew. Without a limit nothing changes.

--- a/crates/craneknot-node/src/coordinator.rs
+++ b/crates/craneknot-node/src/coordinator.rs
@@ -14,6 +14,7 @@
 use craneknot_settings::instance::InstanceNames;
 use http::{Response, StatusCode};
 
+use crate::call_limits::CallLimits;
 use crate::clients::{ClientAction, ClientId, Clients};
 use crate::coverage::{Coverage, LongestGap};
 use crate::descriptors::Descriptors;
@@ -83,6 +84,7 @@
             proxy_count: config.settings.proxies,
             coverage: Coverage::new(&config.settings),
             repeats: config.settings.classes.iter().map(|class| class.repeats).collect(),
+            order_queue: OrderQueue::new(config.relay, CallLimits::new(&config.settings), now),
             controller: Controller::new(config.settings, config.seed, now),
             names: config.names,
             listed: BTreeMap::new(),
@@ -92,7 +94,6 @@
             server_starts: ServerStarts::default(),
             takeovers: TakeoverWatch::default(),
             event_streams: EventStreams::new(config.relay, now),
-            order_queue: OrderQueue::new(config.relay, now),
             list_watch: ListWatch::new(config.discovery, revision),
             probes: Probes::new(descriptors.probes),
             started_at: now,
@@ -220,6 +221,7 @@
             self.events.push(match relay_event {
                 RelayEvent::Joined { proxy, zone, usual_rate } => {
                     self.takeovers.proxy_joined(now, proxy);
+                    self.order_queue.proxy_joined(proxy);
                     self.coverage.proxy_joined(now, proxy, zone);
                     self.actions.log_events.push(LogEvent::ProxyJoined { proxy, zone });
                     Event::ProxyJoined { proxy, zone, usual_rate }
--- a/crates/craneknot-node/src/order_queue.rs
+++ b/crates/craneknot-node/src/order_queue.rs
@@ -2,7 +2,8 @@
 //! call is repeated until it is known to have been carried out.
 //!
 //! A call whose connection broke, or whose answer can't be read, may or may not have been carried out. Orders
-//! are idempotent, so the call is repeated from its first order.
+//! are idempotent, so the call is repeated from its first order. What it may have written counts towards the
+//! limits of the channel, as does each repetition; a call waits until they allow it.
 
 use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -12,7 +13,9 @@
 use craneknot_platform::relay::{self, Answer, Rejection};
 use http::{header, Method};
 
+use crate::call_limits::{Admission, CallLimits};
 use crate::link::{backoff, LinkAction, LinkId, LinkIds, PeerConnection};
+use crate::relay_state::Execution;
 
 // the relay answers within 50 ms or never; the rest allows for delays on our side
 const ANSWER_TIMEOUT: Nanos = Nanos::from_millis(200);
@@ -58,9 +61,9 @@
 enum CallState {
     /// No call is in flight; the next one may be made from `call_from`.
     Idle { call_from: Nanos },
-    /// The first `orders` of the queue have been sent. `reused`: on a connection that had carried a call
-    /// before.
-    InFlight { deadline: Nanos, orders: usize, reused: bool },
+    /// The first `orders` of the queue were sent at `called_at`. `reused`: on a connection that had carried a
+    /// call before.
+    InFlight { called_at: Nanos, deadline: Nanos, orders: usize, reused: bool },
 }
 
 /// An order in the queue.
@@ -95,6 +98,7 @@
     /// The length at which the queue is compacted next.
     compact_at: usize,
     state: CallState,
+    limits: CallLimits,
     /// Consecutive failed calls.
     failures: u32,
     /// The last answer said that the relay accepts no calls for now.
@@ -133,7 +137,7 @@
 
 impl OrderQueue {
     /// An empty queue for the relay at this address.
-    pub fn new(address: SocketAddr, now: Nanos) -> Self {
+    pub fn new(address: SocketAddr, limits: CallLimits, now: Nanos) -> Self {
         OrderQueue {
             relay: PeerConnection::new(address),
             queue: VecDeque::new(),
@@ -142,6 +146,7 @@
             refusals_in_row: 0,
             compact_at: COMPACT_MIN_ORDERS,
             state: CallState::Idle { call_from: now },
+            limits,
             failures: 0,
             is_throttled: false,
             rejected: 0,
@@ -217,9 +222,15 @@
         self.relay.has(link)
     }
 
+    /// A proxy has joined.
+    pub fn proxy_joined(&mut self, proxy: ProxyId) {
+        self.limits.proxy_joined(proxy);
+    }
+
     /// A proxy has left: orders that depend on it are dropped. Orders in flight stay until their call has
     /// ended, because its answer counts them.
     pub fn proxy_left(&mut self, proxy: ProxyId) {
+        self.limits.proxy_left(proxy);
         let deferred = self.deferred.remove(&proxy);
         self.record_outcome(
             deferred.into_iter().flat_map(|deferred| deferred.orders),
@@ -248,10 +259,24 @@
         self.drop_cancelled(0);
     }
 
+    /// Ends the call in flight, which may have been carried out.
+    fn end_in_doubt(&mut self, call_from: Nanos) {
+        if let CallState::InFlight { called_at, orders, .. } = self.state {
+            self.record_execution(called_at, orders, Execution::Possible);
+        }
+        self.end_call(call_from);
+    }
+
+    /// Records that the relay has carried out the first `count` orders of the queue, or may have.
+    fn record_execution(&mut self, called_at: Nanos, count: usize, execution: Execution) {
+        let orders = self.queue.iter().take(count).map(|queued| &queued.order.order);
+        self.limits.record(called_at, orders, execution);
+    }
+
     /// The relay has a new address.
     pub fn move_to(&mut self, now: Nanos, address: SocketAddr, link_actions: &mut Vec<LinkAction>) {
         if self.relay.move_to(address, link_actions) {
-            self.end_call(now);
+            self.end_in_doubt(now);
         }
     }
 
@@ -274,14 +299,32 @@
             return;
         }
         self.move_suspects_back();
-        let (mut orders, mut bytes) = (0, 0);
-        for queued in &self.queue {
-            bytes += queued.order.text.len() + ORDER_OVERHEAD_BYTES;
-            if bytes > relay::MAX_CALL_BYTES && orders > 0 {
-                break;
-            }
-            orders += 1;
+        let next_orders = self.queue.iter().take(self.orders_per_call()).map(|queued| &queued.order.order);
+        match self.limits.admit(now, next_orders) {
+            Admission::Orders(orders) => self.make_call(now, orders, links, link_actions),
+            Admission::NotBefore(call_from) => self.state = CallState::Idle { call_from },
         }
+    }
+
+    /// How many orders of the queue fit into one call.
+    fn orders_per_call(&self) -> usize {
+        let mut bytes = 0;
+        let fits = |queued: &&Queued| {
+            let is_first = bytes == 0;
+            bytes += queued.order.text.len() + ORDER_OVERHEAD_BYTES;
+            is_first || bytes <= relay::MAX_CALL_BYTES
+        };
+        self.queue.iter().take_while(fits).count()
+    }
+
+    /// Sends the first orders of the queue.
+    fn make_call(
+        &mut self,
+        now: Nanos,
+        orders: usize,
+        links: &mut LinkIds,
+        link_actions: &mut Vec<LinkAction>,
+    ) {
         let texts: Vec<&str> =
             self.queue.iter().take(orders).map(|queued| queued.order.text.as_str()).collect();
         let (host, body) = (self.relay.host(), relay::call_body(&texts));
@@ -289,14 +332,27 @@
         let request = request(&Method::POST, relay::PATH, &host, &headers, body.as_bytes());
         let reused = !self.relay.call(request, links, link_actions);
         let deadline = now + if reused { ANSWER_TIMEOUT } else { DIAL_TIMEOUT };
-        self.state = CallState::InFlight { deadline, orders, reused };
+        self.state = CallState::InFlight { called_at: now, deadline, orders, reused };
     }
 
+    /// The call in flight has failed and may have been carried out.
     fn fail(&mut self, now: Nanos) {
+        let call_from = self.count_failure(now);
+        self.end_in_doubt(call_from);
+    }
+
+    /// The call in flight was rejected: it was not carried out.
+    fn fail_unexecuted(&mut self, now: Nanos) {
+        let call_from = self.count_failure(now);
+        self.end_call(call_from);
+    }
+
+    /// Counts a failed call. Returns from when on it may be repeated.
+    fn count_failure(&mut self, now: Nanos) -> Nanos {
         let wait = backoff(self.failures, INITIAL_BACKOFF, MAX_BACKOFF);
         self.failures += 1;
         self.retried += 1;
-        self.end_call(now + wait);
+        now + wait
     }
 
     /// The connection has ended.
@@ -308,7 +364,7 @@
             // the relay.
             CallState::InFlight { reused: true, .. } => {
                 self.retried += 1;
-                self.end_call(now);
+                self.end_in_doubt(now);
             }
             CallState::InFlight { reused: false, .. } => self.fail(now),
         }
@@ -326,7 +382,7 @@
         if !keep_alive {
             self.relay.close(link_actions);
         }
-        let CallState::InFlight { orders, .. } = self.state else {
+        let CallState::InFlight { orders, called_at, .. } = self.state else {
             self.relay.close(link_actions);
             return Err("the relay sent an answer without a request".into());
         };
@@ -335,6 +391,7 @@
         match answer {
             Ok(Answer::Accepted(accepted)) => {
                 self.failures = 0;
+                self.record_execution(called_at, accepted, Execution::Certain);
                 self.acknowledge(accepted);
                 self.refusals_in_row = if accepted < orders { self.refusals_in_row } else { 0 };
                 // The relay refuses the next order, unless that was cancelled in the meantime.
@@ -349,11 +406,11 @@
                 Ok(())
             }
             Ok(Answer::Rejected(Rejection::Transient)) => {
-                self.fail(now);
+                self.fail_unexecuted(now);
                 Ok(())
             }
             Ok(Answer::Rejected(Rejection::Invalid)) => {
-                self.fail(now);
+                self.fail_unexecuted(now);
                 Err("the relay rejected a call as invalid".into())
             }
             Err(cause) => {
--- a/crates/craneknot-node/tests/helpers/mod.rs
+++ b/crates/craneknot-node/tests/helpers/mod.rs
@@ -4,6 +4,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use craneknot::interface::{Nanos, Order, ProxyId};
+use craneknot_node::call_limits::CallLimits;
 use craneknot_node::link::{LinkAction, LinkId};
 use craneknot_node::order_queue::EncodedOrder;
 use craneknot_platform::config::Config;
@@ -36,6 +37,11 @@
     Config::parse(configuration(6).to_string().as_bytes()).unwrap()
 }
 
+/// The limits on calls of the configuration.
+pub fn call_limits() -> CallLimits {
+    CallLimits::new(&config().settings)
+}
+
 /// An order as the relay reads it; its kind does not matter to the queue.
 pub fn encoded(text: String, proxy: Option<ProxyId>, subject: Option<String>) -> EncodedOrder {
     EncodedOrder { order: Order::Mark { mark: 0 }, text, proxy, subject }
@@ -51,6 +57,7 @@
     }
 }
 
+pub mod channel;
 pub mod collectors;
 pub mod invariants;
 pub mod peers;
--- a/crates/craneknot-node/tests/helpers/platform.rs
+++ b/crates/craneknot-node/tests/helpers/platform.rs
@@ -14,6 +14,7 @@
 use rand_pcg::Pcg32;
 use serde_json::{json, Value};
 
+use super::channel::{ChannelChecker, ChannelSettings};
 use super::invariants::{InvariantChecker, PlatformView};
 use super::peers::orders;
 use super::relay::{Change, Table};
@@ -70,11 +71,25 @@
 }
 
 enum Link {
-    EventStream { in_transit: VecDeque<(u64, String)>, is_open: bool, next_keepalive: u64 },
-    Call { answer: Option<(u64, String)> },
-    List { asked: Option<(Option<u64>, u64)>, due: Option<u64> },
-    Probe { server: String, due: u64 },
+    EventStream {
+        in_transit: VecDeque<(u64, String)>,
+        is_open: bool,
+        next_keepalive: u64,
+    },
+    Call {
+        answer: Option<(u64, String)>,
+    },
+    List {
+        asked: Option<(Option<u64>, u64)>,
+        due: Option<u64>,
+    },
+    Probe {
+        server: String,
+        due: u64,
+    },
     Refused,
+    /// Reset after the call was carried out.
+    Reset,
 }
 
 /// Faults between a coordinator and its peers. Times are the moments at which the faults end, unless stated
@@ -89,6 +104,8 @@
     pub first_stream_lag: u64,
     /// Calls are executed, but their answers are lost.
     pub answers_lost: u64,
+    /// Calls are executed, and their connections are reset in place of the answer.
+    pub calls_reset: u64,
     /// Calls are neither executed nor answered.
     pub calls_lost: u64,
     /// New connections to the relay are refused.
@@ -122,6 +139,9 @@
     pub proxies: Vec<Proxy>,
     pub slots: Vec<CoordinatorSlot>,
     pub checker: InvariantChecker,
+    /// The channel of each coordinator; to be set before the first one starts.
+    pub channel: ChannelSettings,
+    pub channel_checker: ChannelChecker,
     /// The only zone in which the confined class may run.
     pub confined_to: &'static str,
     pub(super) rng: Pcg32,
@@ -181,6 +201,8 @@
             proxies,
             slots: (0..coordinators).map(|_| new_slot()).collect(),
             checker: InvariantChecker::default(),
+            channel: ChannelSettings::default(),
+            channel_checker: ChannelChecker::default(),
             confined_to: "a",
             rng,
             seed,
@@ -201,7 +223,13 @@
         let settings = &mut value["settings"];
         settings["balancers"] = self.slots.len().into();
         settings["profiles"][1]["only-zones"] = json!([self.confined_to]);
-        settings["extra"]["data-plane-size"] = self.proxies.len().into();
+        let extra = &mut settings["extra"];
+        extra["data-plane-size"] = self.proxies.len().into();
+        extra["egress-per-s"] = (self.channel.lines_per_ms * 1e3).into();
+        extra["queue-cap"] = self.channel.lines_limit.into();
+        extra["envelope"] = self.channel.message_overhead.into();
+        extra["update-cap"] = self.channel.message_limit.into();
+        extra["reload-span"] = (self.channel.message_span_ms as f64 / 1e3).into();
         self.seed += 1;
         value["seed"] = format!("{:016x}", self.seed).into();
         let members: Vec<Value> = known.iter().map(|(id, server)| listed(id, server)).collect();
@@ -260,6 +288,7 @@
         (proxy.joined_to, proxy.joined_at) = (Some(slot_index), self.now);
         let event = attach(number, proxy.zone);
         self.slots[slot_index].joined.insert(number);
+        self.channel_checker.proxy_joined(number);
         self.broadcast(slot_index, &event);
     }
 
@@ -267,7 +296,7 @@
         let (now, slot) = (self.now, &mut self.slots[slot_index]);
         let streams = slot.links.values_mut().filter_map(|link| match link {
             Link::EventStream { in_transit, .. } => Some(in_transit),
-            Link::Call { .. } | Link::List { .. } | Link::Probe { .. } | Link::Refused => None,
+            Link::Call { .. } | Link::List { .. } | Link::Probe { .. } | Link::Refused | Link::Reset => None,
         });
         for (number, in_transit) in streams.enumerate() {
             let lag = if number == 0 { slot.faults.first_stream_lag } else { 0 };
@@ -334,6 +363,10 @@
                     coordinator.link_lost(ms(now), *id, "refused");
                     ended.push(*id);
                 }
+                Link::Reset => {
+                    coordinator.link_lost(ms(now), *id, "reset");
+                    ended.push(*id);
+                }
                 Link::EventStream { in_transit, is_open, next_keepalive } => {
                     let first = stream == 0;
                     stream += 1;
@@ -457,6 +490,10 @@
                 let text = std::str::from_utf8(request).unwrap().replace("%2B", "+");
                 let count = self.execute_call(slot_index, &orders(&text));
                 self.slots[slot_index].calls += 1;
+                if now < faults.calls_reset {
+                    self.slots[slot_index].links.insert(link, Link::Reset);
+                    return;
+                }
                 if now < faults.answers_lost {
                     return;
                 }
--- a/crates/craneknot-node/tests/helpers/relay.rs
+++ b/crates/craneknot-node/tests/helpers/relay.rs
@@ -7,8 +7,6 @@
 use super::platform::{Followed, Platform, Proxy, CLASSES};
 
 const TRANSIT: (u64, u64) = (100, 452); // ms; time of a message from the channel to its proxy
-const LINES_PER_MS: f64 = 14.8; // capacity of a coordinator's channel
-const MESSAGE_OVERHEAD: f64 = 3.0; // cost of a message in lines, besides the lines it carries
 
 /// A table in the relay or a proxy.
 #[derive(Clone, Debug, Default)]
@@ -50,8 +48,11 @@
                 })
                 .sum();
             let slot = &mut self.slots[slot_index];
-            let cost = (MESSAGE_OVERHEAD + lines as f64) / LINES_PER_MS;
+            let cost = (self.channel.message_overhead + lines as f64) / self.channel.lines_per_ms;
             slot.channel_free = slot.channel_free.max(self.now as f64) + cost;
+            let lines_waiting = (slot.channel_free - self.now as f64) * self.channel.lines_per_ms;
+            self.channel_checker.lines_waiting(lines_waiting);
+            self.channel_checker.message_written(&self.channel, self.now, number);
             let due = slot.channel_free as u64 + self.rng.random_range(TRANSIT.0..TRANSIT.1);
             let inbox = &mut self.proxies[usize::from(number)].inbox;
             let due = inbox.back().map_or(due, |(last, _)| due.max(*last));
--- a/crates/craneknot-node/tests/order_queue.rs
+++ b/crates/craneknot-node/tests/order_queue.rs
@@ -8,7 +8,7 @@
 
 mod helpers;
 use helpers::peers::orders as called_orders;
-use helpers::{called, encoded, ms, ADDRESS, OTHER};
+use helpers::{call_limits, called, encoded, ms, ADDRESS, OTHER};
 
 fn orders(count: usize) -> Vec<EncodedOrder> {
     (0..count).map(|k| encoded(format!("clear,{k}"), None, None)).collect()
@@ -27,7 +27,7 @@
 impl Harness {
     fn new() -> Self {
         Harness {
-            order_queue: OrderQueue::new(ADDRESS, ms(0)),
+            order_queue: OrderQueue::new(ADDRESS, call_limits(), ms(0)),
             links: LinkIds::default(),
             link_actions: Vec::new(),
         }
--- a/crates/craneknot-node/tests/walks.rs
+++ b/crates/craneknot-node/tests/walks.rs
@@ -17,7 +17,7 @@
 
 mod helpers;
 use helpers::peers::orders;
-use helpers::{config, encoded, ms, ADDRESS, OTHER};
+use helpers::{call_limits, config, encoded, ms, ADDRESS, OTHER};
 
 const PROXIES: u16 = 6;
 
@@ -116,7 +116,7 @@
 fn no_order_is_lost_or_overtaken_however_calls_end() {
     for seed in 0..300 {
         let mut rng = Pcg32::seed_from_u64(seed);
-        let order_queue = OrderQueue::new(ADDRESS, ms(0));
+        let order_queue = OrderQueue::new(ADDRESS, call_limits(), ms(0));
         let mut calls = Calls {
             order_queue,
             links: LinkIds::default(),
