craneknot run: what is sent again after a rejection goes through the channel

Seen: on the engine with 500 agents that reject what they are sent for 12 s (a full disk), each gets its whole state 0.5 to 2 s after each rejection: 11,208 lines wait for a channel of 1,000 lines a second, where `/channel/lines_limit` allows 2,000. With 20 agents and `/channel/message_limit` 12 within 10 s, one gets 14 messages.

Cause: the same as in `craneknot node`, on the path beside it: a full state after a rejection (session.rs, `responses` with `resend_all`) is sent besides the channel that paces all other messages. Neither the channel nor the decisions count its lines, and the pause between the sender's steps does not know of it.

Change: the full state is a message like any other. After its delay a session asks for it once (`requests_full_state`), the engine puts it into the channel with its cost, tells the decisions what waits (`Event::ChannelLoad`), and the session sends nothing until it has left the channel (state `AwaitingFullState`). Where messages are limited, `MessagePace` says when the next one to a proxy may begin; what is due meanwhile is merged, as for a proxy that stands still.

The unit test of the session asks for the same steps as before, with the full state from the channel in place of a call. That agents reject at once in such numbers has not been seen in service.

--- a/crates/craneknot-coordinator/src/engine.rs
+++ b/crates/craneknot-coordinator/src/engine.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use craneknot::interface::*;
-use craneknot::Controller;
+use craneknot::{Controller, MessagePace};
 use craneknot_fleet::member::{self, Member, Ownership};
 use craneknot_fleet::raft::{PersistentState, Role};
 use craneknot_fleet::view::Epoch;
@@ -123,6 +123,8 @@
     proxy: ProxyId,
     zone: ZoneId,
     session: Session,
+    /// A message that is pending may not be sent before this time.
+    held_until: Option<Nanos>,
     /// Since when the coordinator responsible for its proxy is unknown.
     owner_unknown_since: Option<Nanos>,
     /// Fingerprints of the resources that the proxy held when it joined, each removed at the first order for
@@ -131,6 +133,11 @@
 }
 
 impl Stream {
+    /// When the stream must be processed again without any input.
+    fn next_at(&self) -> Option<Nanos> {
+        self.session.next_at().into_iter().chain(self.held_until).min()
+    }
+
     /// Whether the proxy already holds that text. Checked only once, since afterwards it holds what we sent.
     fn already_holds(&mut self, table: &str, kind: Kind, print: impl FnOnce() -> String) -> bool {
         let Some(prints) = self.held_prints.get_mut(table) else { return false };
@@ -207,6 +214,7 @@
     proxy_ids: ProxyIds,
     resources: ResourceCache,
     channel: Channel<(StreamId, Message)>,
+    message_pace: MessagePace,
     reports: ReportAggregator,
     ledger: Option<Ledger>,
     weight_tuner: Option<WeightTuner>,
@@ -274,6 +282,7 @@
             proxy_ids: ProxyIds::default(),
             resources,
             channel,
+            message_pace: MessagePace::new(decisions.message_limit, decisions.message_span),
             reports: ReportAggregator::new(names.classes.clone()),
             ledger: settings.ledger.as_ref().map(|_| Ledger::new(Header::of(settings, now))),
             roster: RosterValidator::new(decisions.drain_grace),
@@ -531,7 +540,14 @@
         self.resources.join(proxy);
         self.streams.insert(
             id,
-            Stream { proxy, zone, session: Session::new(now), owner_unknown_since: None, held_prints },
+            Stream {
+                proxy,
+                zone,
+                session: Session::new(now),
+                held_until: None,
+                owner_unknown_since: None,
+                held_prints,
+            },
         );
         self.stream_by_proxy.insert(proxy, id);
         self.events.push(Event::ProxyJoined { proxy, zone, usual_rate });
@@ -602,12 +618,13 @@
             self.wake_at = None;
             self.events.push(Event::Woken);
         }
+        self.queue_full_states(now);
         if !self.events.is_empty() {
             self.step(now);
         }
         while let Some((id, message)) = self.channel.pop_sent(now) {
             if let Some(stream) = self.streams.get_mut(&id) {
-                stream.session.enqueue(message);
+                stream.session.enqueue(now, message);
                 self.ready_streams.insert(id);
             }
         }
@@ -647,10 +664,33 @@
                 self.events.extend(message.mark.map(|mark| Event::Applied { proxy: message.proxy, mark }));
                 continue;
             }
-            self.messages += 1;
-            self.lines += message.lines;
-            self.channel.push(now, message.lines, (id, message));
+            self.push_message(now, id, message);
+        }
+    }
+
+    fn push_message(&mut self, now: Nanos, id: StreamId, message: Message) {
+        self.messages += 1;
+        self.lines += message.lines;
+        self.channel.push(now, message.lines, (id, message));
+    }
+
+    /// Puts the full states of streams that have rejected a response into the channel, and tells the decisions what
+    /// waits there besides the messages of their own orders.
+    fn queue_full_states(&mut self, now: Nanos) {
+        let mut due: Vec<(StreamId, ProxyId)> = Vec::new();
+        for id in &self.ready_streams {
+            if let Some(stream) = self.streams.get_mut(id) {
+                due.extend(stream.session.requests_full_state(now).then_some((*id, stream.proxy)));
+            }
+        }
+        if due.is_empty() {
+            return;
+        }
+        for (id, proxy) in due {
+            let message = self.resources.full_state(now, proxy);
+            self.push_message(now, id, message);
         }
+        self.events.push(Event::ChannelLoad { lines: self.channel.lines(), is_held_back: false });
     }
 
     /// Removes from a message what the proxy already holds from a former coordinator of this fleet.
@@ -691,9 +731,16 @@
                 // The stream waits; every change of view or lease marks all streams as ready.
                 Some(Ownership::OwnedBy(_) | Ownership::Unknown) => continue,
             };
-            let (resources, proxy) = (&mut self.resources, stream.proxy);
-            let responses = stream.session.responses(now, || resources.full_state(proxy));
-            if stream.session.next_at().is_some() {
+            let begins_message = stream.session.has_new_message();
+            let allowed_at = self.message_pace.allowed_at(stream.proxy, false);
+            stream.held_until = (begins_message && allowed_at > now).then_some(allowed_at);
+            let responses =
+                if stream.held_until.is_none() { stream.session.responses(now) } else { Vec::new() };
+            let is_sent = responses.iter().any(|response| matches!(response, Response::Resources { .. }));
+            if begins_message && is_sent {
+                self.message_pace.record(now, stream.proxy);
+            }
+            if stream.next_at().is_some() {
                 self.ready_streams.insert(id);
             }
             let version = format!("{}/{}", source_with_epoch(epoch, &self.source), self.step_count);
@@ -724,7 +771,7 @@
 
     /// When the next turn is due without any input.
     pub fn next_at(&self) -> Nanos {
-        let streams = self.ready_streams.iter().filter_map(|id| self.streams.get(id)?.session.next_at());
+        let streams = self.ready_streams.iter().filter_map(|id| self.streams.get(id)?.next_at());
         let fleet = self.fleet.as_ref().map(Member::next_at);
         let times = [fleet, self.wake_at, self.channel.next_at(), self.roster.next_at(), Some(self.flush_at)];
         times.into_iter().flatten().chain(streams).min().unwrap_or(self.flush_at)
@@ -792,7 +839,7 @@
             source: self.source.clone(),
             streams: self.streams.len(),
             owing: count(crate::session::State::AwaitingAck),
-            refusing: count(crate::session::State::BackingOff),
+            refusing: sessions().filter(|session| session.is_refused()).count(),
             servers: self.roster.servers(),
             roster_version: self.roster.version(),
             tables,
--- a/crates/craneknot-coordinator/src/resource_cache.rs
+++ b/crates/craneknot-coordinator/src/resource_cache.rs
@@ -68,11 +68,13 @@
     }
 }
 
-/// The message to one proxy from the orders of one step.
+/// A message to one proxy: what the orders of one step change, or its full state.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Message {
     pub proxy: ProxyId,
     pub parts: ResourceUpdate,
+    /// The parts are everything that the proxy should hold.
+    pub is_full_state: bool,
     pub mark: Option<u16>,
     /// Its size in the channel.
     pub lines: f64,
@@ -224,21 +226,27 @@
                 routes: changes.routes.iter().map(|table| (*table, self.routes(*table))).collect(),
                 clusters: changes.clusters.then(|| self.bindings(proxy)),
             };
-            Message { proxy, parts, mark, lines: changes.lines + message_overhead, decided: now }
+            let lines = changes.lines + message_overhead;
+            Message { proxy, parts, is_full_state: false, mark, lines, decided: now }
         });
         messages.collect()
     }
 
     /// Everything that a proxy should hold by the orders so far, for a stream that must be sent its state
-    /// again.
-    pub fn full_state(&mut self, proxy: ProxyId) -> ResourceUpdate {
+    /// again. Each table costs as much as a binding to it.
+    pub fn full_state(&mut self, now: Nanos, proxy: ProxyId) -> Message {
         let tables: BTreeSet<TableId> =
             self.bound_tables.get(&proxy).into_iter().flatten().flatten().copied().collect();
-        ResourceUpdate {
+        let table_lines = |table: &TableId| {
+            1.0 + self.line_count(Kind::Endpoints, *table) + self.line_count(Kind::Routes, *table)
+        };
+        let lines = self.lines_per_message + tables.iter().map(table_lines).sum::<f64>();
+        let parts = ResourceUpdate {
             endpoints: tables.iter().map(|table| (*table, self.endpoints(*table))).collect(),
             routes: tables.iter().map(|table| (*table, self.routes(*table))).collect(),
             clusters: Some(self.bindings(proxy)),
-        }
+        };
+        Message { proxy, parts, is_full_state: true, mark: None, lines, decided: now }
     }
 
     /// The number of lines of one part of a table.
--- a/crates/craneknot-coordinator/src/session.rs
+++ b/crates/craneknot-coordinator/src/session.rs
@@ -29,6 +29,8 @@
     AwaitingAck,
     /// The agent rejected a response; the full state is sent again after a delay.
     BackingOff,
+    /// The full state waits in the channel, as any message does.
+    AwaitingFullState,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,6 +42,8 @@
     Rejected,
     /// The delay after a rejection has elapsed.
     BackoffElapsed,
+    /// The full state has left the channel.
+    FullStateArrived,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,8 +53,8 @@
     Commit,
     /// Wait, twice as long after each consecutive rejection.
     BackOff,
-    /// Send the full state again.
-    ResendAll,
+    /// Put the full state into the channel.
+    RequestFullState,
 }
 
 /// The transition table: state, trigger, next state, effect.
@@ -59,7 +63,8 @@
     (State::AwaitingAck, Trigger::Sent, State::AwaitingAck, Effect::Nothing),
     (State::AwaitingAck, Trigger::Accepted, State::Synced, Effect::Commit),
     (State::AwaitingAck, Trigger::Rejected, State::BackingOff, Effect::BackOff),
-    (State::BackingOff, Trigger::BackoffElapsed, State::Synced, Effect::ResendAll),
+    (State::BackingOff, Trigger::BackoffElapsed, State::AwaitingFullState, Effect::RequestFullState),
+    (State::AwaitingFullState, Trigger::FullStateArrived, State::Synced, Effect::Nothing),
 ];
 
 /// The response to one open request.
@@ -99,7 +104,8 @@
     unacked_decided_at: Option<Nanos>,
     consecutive_rejections: u32,
     retry_at: Option<Nanos>,
-    resend_all: bool,
+    /// Some of the pending parts belong to a message of which none has been sent yet.
+    has_new_message: bool,
     next_nonce: u64,
     last_activity: Nanos,
 }
@@ -138,7 +144,7 @@
             unacked_decided_at: None,
             consecutive_rejections: 0,
             retry_at: None,
-            resend_all: false,
+            has_new_message: false,
             next_nonce: 1,
             last_activity: now,
         }
@@ -148,6 +154,11 @@
         self.state
     }
 
+    /// Whether the agent rejected a response and has not been sent the full state since.
+    pub fn is_refused(&self) -> bool {
+        matches!(self.state, State::BackingOff | State::AwaitingFullState)
+    }
+
     /// Lines that have left the channel and wait for the proxy. They stay bounded by the full state even if
     /// the proxy stalls.
     pub fn held_lines(&self) -> f64 {
@@ -167,10 +178,7 @@
                 self.consecutive_rejections += 1;
                 self.retry_at = Some(now + wait);
             }
-            Effect::ResendAll => {
-                self.retry_at = None;
-                self.resend_all = true;
-            }
+            Effect::RequestFullState => self.retry_at = None,
         }
         *effect
     }
@@ -187,8 +195,21 @@
         self.pending.has(kind) && (kind != Kind::Clusters || self.unmet_dependencies.is_empty())
     }
 
+    /// Whether the full state has to be put into the channel now. Each rejection asks for it once.
+    pub fn requests_full_state(&mut self, now: Nanos) -> bool {
+        self.retry_at.is_some_and(|at| at <= now)
+            && self.transition(now, Trigger::BackoffElapsed) == Effect::RequestFullState
+    }
+
     /// Adds a message that has left the channel to the pending resources.
-    pub fn enqueue(&mut self, message: Message) {
+    pub fn enqueue(&mut self, now: Nanos, message: Message) {
+        if message.is_full_state {
+            self.transition(now, Trigger::FullStateArrived);
+            // A former dependency may not be in the full state, and so would never be acknowledged.
+            self.unmet_dependencies.clear();
+            self.pending = ResourceUpdate::default();
+        }
+        self.has_new_message = true;
         self.add_dependencies(&message.parts);
         self.pending.merge(message.parts);
         self.pending_lines += message.lines;
@@ -243,23 +264,17 @@
         Some(Outcome::Applied { marks, decided })
     }
 
-    /// The responses to send now. `full_state` returns everything that the proxy should hold; it is called
-    /// after a rejection.
-    pub fn responses(&mut self, now: Nanos, full_state: impl FnOnce() -> ResourceUpdate) -> Vec<Response> {
-        if self.retry_at.is_some_and(|at| at <= now) {
-            self.transition(now, Trigger::BackoffElapsed);
-        }
-        // Until the delay has elapsed, further responses would be rejected too.
-        if self.state == State::BackingOff {
+    /// Whether the next responses begin a message; otherwise they complete one.
+    pub fn has_new_message(&self) -> bool {
+        self.has_new_message
+    }
+
+    /// The responses to send now.
+    pub fn responses(&mut self, now: Nanos) -> Vec<Response> {
+        // Until the full state has arrived, further responses would be rejected too.
+        if matches!(self.state, State::BackingOff | State::AwaitingFullState) {
             return Vec::new();
         }
-        if std::mem::take(&mut self.resend_all) {
-            // A former dependency may not be in the full state, and so would never be acknowledged.
-            let pending = full_state();
-            self.unmet_dependencies.clear();
-            self.add_dependencies(&pending);
-            self.pending = pending;
-        }
         let last = self.open_requests.iter().rposition(|kind| self.may_send(*kind));
         let Some(last) = last else { return Vec::new() };
         let mut responses = Vec::new();
@@ -276,6 +291,7 @@
                 None => responses.push(Response::Unchanged { kind }),
             }
         }
+        self.has_new_message = false;
         if self.pending.is_empty() {
             // All parts of these messages are sent; their marks are answered once all are accepted.
             self.pending_lines = 0.0;
@@ -306,7 +322,7 @@
             routes: BTreeMap::new(),
             clusters: clusters.then(|| vec![Bytes::from_static(b"cluster")]),
         };
-        Message { proxy: ProxyId(0), parts, mark, lines: 4.0, decided: Nanos(1) }
+        Message { proxy: ProxyId(0), parts, is_full_state: false, mark, lines: 4.0, decided: Nanos(1) }
     }
 
     fn request(
@@ -327,15 +343,15 @@
     #[test]
     fn a_mark_is_answered_only_when_every_part_is_accepted() {
         let mut session = session_with_open_requests();
-        session.enqueue(message(1, Some(7), true));
-        let responses = session.responses(Nanos(3), ResourceUpdate::default);
+        session.enqueue(Nanos(3), message(1, Some(7), true));
+        let responses = session.responses(Nanos(3));
         assert!(matches!(&responses[..], [Response::Resources { kind: Kind::Endpoints, nonce: 1, .. }]));
         assert_eq!(session.state(), State::AwaitingAck);
-        assert!(session.responses(Nanos(3), ResourceUpdate::default).is_empty());
+        assert!(session.responses(Nanos(3)).is_empty());
         let accepted = request(&mut session, Kind::Endpoints, Some(1), None);
         assert!(matches!(accepted, Some(Outcome::Applied { marks, .. }) if marks.is_empty()));
         // Only now the binding to that table; the earlier request for routes is answered as unchanged.
-        let responses = session.responses(Nanos(3), ResourceUpdate::default);
+        let responses = session.responses(Nanos(3));
         assert!(matches!(
             &responses[..],
             [
@@ -353,14 +369,14 @@
     #[test]
     fn pending_updates_of_a_stalled_proxy_do_not_grow() {
         let mut session = session_with_open_requests();
-        session.enqueue(message(1, None, false));
-        assert_eq!(session.responses(Nanos(3), ResourceUpdate::default).len(), 1);
+        session.enqueue(Nanos(3), message(1, None, false));
+        assert_eq!(session.responses(Nanos(3)).len(), 1);
         for _ in 0..1000 {
-            session.enqueue(message(1, None, false));
-            assert!(session.responses(Nanos(4), ResourceUpdate::default).is_empty());
+            session.enqueue(Nanos(3), message(1, None, false));
+            assert!(session.responses(Nanos(4)).is_empty());
         }
         request(&mut session, Kind::Endpoints, Some(1), None);
-        let responses = session.responses(Nanos(5), ResourceUpdate::default);
+        let responses = session.responses(Nanos(5));
         // The requests for routes and clusters are still open, ahead of the one for endpoints.
         assert_eq!(responses.len(), 3);
         assert!(matches!(&responses[2], Response::Resources { resources, .. } if resources.len() == 1));
@@ -370,8 +386,8 @@
     #[test]
     fn a_rejection_is_followed_by_a_delay_and_the_full_state() {
         let mut session = session_with_open_requests();
-        session.enqueue(message(1, Some(3), false));
-        session.responses(Nanos(3), ResourceUpdate::default);
+        session.enqueue(Nanos(3), message(1, Some(3), false));
+        session.responses(Nanos(3));
         let rejected = request(&mut session, Kind::Endpoints, Some(1), Some("disk full"));
         let expected_retry = Nanos(2) + MIN_RETRY_DELAY;
         assert_eq!(
@@ -382,10 +398,16 @@
                 retry_at: expected_retry
             })
         );
-        session.enqueue(message(2, None, false));
-        assert!(session.responses(expected_retry - Nanos(1), ResourceUpdate::default).is_empty());
-        let full_state = || message(9, None, true).parts;
-        let responses = session.responses(expected_retry, full_state);
+        session.enqueue(Nanos(3), message(2, None, false));
+        assert!(session.responses(expected_retry - Nanos(1)).is_empty());
+        assert!(!session.requests_full_state(expected_retry - Nanos(1)));
+        assert!(session.requests_full_state(expected_retry) && !session.requests_full_state(expected_retry));
+        assert!(
+            session.responses(expected_retry).is_empty() && session.is_refused(),
+            "it waits in the channel"
+        );
+        session.enqueue(expected_retry, Message { is_full_state: true, ..message(9, None, true) });
+        let responses = session.responses(expected_retry);
         assert!(matches!(&responses[0], Response::Unchanged { kind: Kind::Routes }));
         assert!(matches!(&responses[2], Response::Resources { kind: Kind::Endpoints, nonce: 2, .. }));
         assert!(responses.len() == 3 && session.state() == State::AwaitingAck);
@@ -395,7 +417,7 @@
         // The mark of the rejected message is answered by the response that replaced it.
         let outcome = request(&mut session, Kind::Endpoints, Some(2), None);
         assert!(matches!(outcome, Some(Outcome::Applied { marks, .. }) if marks == [3]));
-        let responses = session.responses(expected_retry, ResourceUpdate::default);
+        let responses = session.responses(expected_retry);
         assert!(matches!(responses.last(), Some(Response::Resources { kind: Kind::Clusters, nonce: 3, .. })));
         request(&mut session, Kind::Clusters, Some(3), None);
         assert_eq!(session.state(), State::Synced);
