Move totals and records of reports to state, and cut the sender's publish into steps

Change: what only adds up (traffic of proxies, outcomes and load of groups, loads by group) stands in `state/totals.rs`, what a report records in `state/reports.rs`. `publish` is five functions with named ranks. No decision and no constant has changed its value.

--- a/src/cold_placements.rs
+++ b/src/cold_placements.rs
@@ -120,17 +120,4 @@
         }
         safe
     }
-
-    /// Returns, by class, the arrivals per second at each proxy that is bound to a table.
-    fn table_arrivals(&self, table: TableId) -> Vec<Vec<f64>> {
-        let mut arrivals = vec![Vec::new(); self.classes.len()];
-        for proxy in self.proxies.values() {
-            for (class, binding) in proxy.bindings.iter().enumerate() {
-                if binding.group.is_some_and(|group| self.table_id(group, binding.placement) == table) {
-                    arrivals[class].push(self.arrival_rate(proxy, class));
-                }
-            }
-        }
-        arrivals
-    }
 }
--- a/src/health.rs
+++ b/src/health.rs
@@ -2,10 +2,7 @@
 //! each server within its group.
 
 use crate::interface::*;
-use crate::policy::{
-    DEFAULT_BUSY_SHARE, MIN_REPORT_WEIGHT, MIN_TRIES, REBALANCE_ROUNDS, SETTLING_PERIOD,
-    SUSPECT_FAILURE_SHARE,
-};
+use crate::policy::{MIN_TRIES, REBALANCE_ROUNDS, SETTLING_PERIOD, SUSPECT_FAILURE_SHARE};
 use crate::state::ServerState::{Away, Cold, Doubted, Open, Out};
 use crate::state::*;
 
@@ -38,10 +35,6 @@
 const WEIGHT_FACTOR_EXPONENT: f64 = 0.2;
 /// Waits reflect queues more than speed, so weights follow them only within these bounds.
 const WEIGHT_FACTOR_RANGE: (f64, f64) = (0.2, 1.8);
-/// Lower bound of the busy share: a nearly idle server says nothing about capacity.
-const MIN_BUSY: f64 = 0.3;
-/// The capacity of servers changes slowly.
-const THROUGHPUT_HALF_LIFE: Nanos = Nanos::from_millis(30_000);
 /// A server that returns after it was removed for this long counts as new.
 const FORGET_AFTER: Nanos = Nanos::from_millis(60_000);
 
@@ -243,50 +236,6 @@
         }
     }
 
-    /// Updates the totals of each group, and the best recent throughput of a unit of listed weight.
-    pub(crate) fn evaluate_groups(&mut self) {
-        let now = self.now;
-        let (mut handled, mut busy_weight) = (0.0, 0.0);
-        for group in &mut self.groups {
-            let members = || group.members.iter().map(|id| &self.servers[id]);
-            let in_use = || members().filter(|s| s.in_use());
-            let busy = |s: &Server| Some(s.listed_weight() * s.busy.mean(now, MIN_REPORT_WEIGHT)?);
-            let busy: Option<f64> = in_use().map(busy).sum();
-            let weight_in_use: f64 = in_use().map(Server::listed_weight).sum();
-            let listed_weight = members().filter(|s| s.is_ready()).map(Server::listed_weight).sum();
-            let mut member_outcomes: Vec<Outcomes> = in_use().map(|s| s.all_outcomes(now)).collect();
-            let outcomes = member_outcomes.iter().copied().fold(Outcomes::default(), Outcomes::plus);
-            member_outcomes.sort_by(|a, b| a.failed_share().total_cmp(&b.failed_share()));
-            let half = member_outcomes.len().div_ceil(2);
-            let better = member_outcomes.into_iter().take(half).fold(Outcomes::default(), Outcomes::plus);
-            group.better_half_failed_share = (better.failed + 1.0) / (better.tries + MIN_TRIES);
-            group.cold_outcomes =
-                members().filter(|s| s.state == Cold).map(|s| s.all_outcomes(now)).reduce(Outcomes::plus);
-            (group.outcomes, group.weight_in_use, group.listed_weight) =
-                (outcomes, weight_in_use, listed_weight);
-            let in_flight = members()
-                .filter(|s| s.in_use() || s.state == Cold)
-                .filter_map(|s| s.in_flight.mean(now, MIN_REPORT_WEIGHT));
-            group.in_flight = in_flight.sum();
-            group.busy =
-                busy.filter(|_| weight_in_use > 0.0).map(|busy| (busy / weight_in_use).clamp(MIN_BUSY, 1.0));
-            handled += outcomes.handled_rate;
-            busy_weight += weight_in_use * group.busy.unwrap_or(DEFAULT_BUSY_SHARE);
-        }
-        self.max_listed_weight =
-            self.groups.iter().map(|group| group.listed_weight).sum::<f64>().max(self.max_listed_weight);
-        let throughput_per_weight = handled / busy_weight.max(1e-9) / self.own_proxy_share();
-        // Totals say too little until they cover enough time.
-        let throughput_per_weight =
-            if now - self.started_at < SETTLING_PERIOD { 0.0 } else { throughput_per_weight };
-        let best = self.best_throughput_per_weight.read(now);
-        self.best_throughput_per_weight.add(
-            now,
-            THROUGHPUT_HALF_LIFE,
-            (throughput_per_weight - best).max(0.0),
-        );
-    }
-
     /// Adjusts each server's weight towards equal waits within its group. This compensates for whatever makes
     /// a server slower than the others: a wrong listed weight, a slow machine, or failures too few to eject
     /// it.
--- a/src/levels.rs
+++ b/src/levels.rs
@@ -3,10 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::interface::*;
-use crate::policy::{
-    DEFAULT_BUSY_SHARE, DEMAND_HALF_LIFE, MIN_RATE_AGE, MIN_REPORT_WEIGHT, MIN_SHARE, MIN_TRIES,
-    SETTLING_PERIOD,
-};
+use crate::policy::{DEFAULT_BUSY_SHARE, MIN_REPORT_WEIGHT, MIN_SHARE, MIN_TRIES};
 use crate::state::*;
 
 /// Mean wait, in latency goals, from which a group is overloaded; well below 1, since waits vary and many operations
@@ -107,41 +104,6 @@
         }
     }
 
-    /// Returns the share of all proxies that belong to this controller.
-    pub(crate) fn own_proxy_share(&self) -> f64 {
-        (self.proxies.len().max(1) as f64 / f64::from(self.settings.proxies.max(1))).min(1.0)
-    }
-
-    /// Updates the arrivals per second of each class and proxy for its group. A proxy that joined recently and has no
-    /// reports counts with its expected demand; otherwise many proxies joining at once would count for nothing.
-    pub(crate) fn update_arrivals(&mut self) {
-        let mut arrivals = vec![vec![Vec::new(); self.classes.len()]; self.groups.len()];
-        let mut settled = vec![0.0; self.groups.len()];
-        for proxy in self.proxies.values() {
-            for (class, binding) in proxy.bindings.iter().enumerate() {
-                let Some(group) = binding.group else { continue };
-                let rate = self.arrival_rate(proxy, class);
-                settled[group] += if self.now - proxy.joined_at >= SETTLING_PERIOD { rate } else { 0.0 };
-                arrivals[group][class].push(rate);
-            }
-        }
-        for (group, (arrivals, settled)) in self.groups.iter_mut().zip(arrivals.into_iter().zip(settled)) {
-            group.settled_share = settled / arrivals.iter().flatten().sum::<f64>().max(1e-9);
-            group.arrivals = arrivals;
-        }
-        self.usual_rate = self.proxies.values().map(|proxy| proxy.usual_rate).sum();
-    }
-
-    /// Returns the arrivals per second of a class at a proxy; the expected demand for a proxy that joined recently and
-    /// has no reports.
-    pub(crate) fn arrival_rate(&self, proxy: &Proxy, class: usize) -> f64 {
-        let binding = &proxy.bindings[class];
-        let age = self.now - proxy.joined_at;
-        let has_reports = !binding.recent_demand.is_empty() || age >= DEMAND_HALF_LIFE;
-        let rate = has_reports.then(|| binding.recent_demand.rate(self.now, age.max(MIN_RATE_AGE)));
-        rate.unwrap_or_else(|| self.demand(proxy, class))
-    }
-
     /// Returns the limit of admitted load while the servers of a group hold operations for long. The held operations
     /// and the throughput show a queue before its answers are late. An operation rejected at once has its answer,
     /// whereas one that waits may get none in time.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -24,7 +24,7 @@
 /// Interval between evaluations without a trigger; well under the delay of a report.
 pub(crate) const EVALUATION_INTERVAL: Nanos = Nanos::from_millis(250);
 /// Half-life of observed outcomes, unless the span of a report is longer.
-const REPORT_HALF_LIFE: Nanos = Nanos::from_millis(2_000);
+pub(crate) const REPORT_HALF_LIFE: Nanos = Nanos::from_millis(2_000);
 /// Half-life of the traffic averages that bindings are decided on.
 pub(crate) const DEMAND_HALF_LIFE: Nanos = Nanos::from_millis(8_000);
 /// Time for which a joined server stays at half weight, and interval between rounds of binding moves.
@@ -59,6 +59,10 @@
 const LAST_RESORT_WEIGHT_SHARE: f64 = 0.3;
 /// Typical busy share, assumed for servers that don't report theirs.
 pub(crate) const DEFAULT_BUSY_SHARE: f64 = 0.6;
+/// Lower bound of the busy share: a nearly idle server says nothing about capacity.
+pub(crate) const MIN_BUSY: f64 = 0.3;
+/// The capacity of servers changes slowly.
+pub(crate) const THROUGHPUT_HALF_LIFE: Nanos = Nanos::from_millis(30_000);
 /// Smallest share of a weight or a level: some traffic must remain to judge a server or class by.
 pub(crate) const MIN_SHARE: f64 = 0.02;
 /// Shortest delay before the list is requested again, doubled with each further failure.
@@ -114,75 +118,30 @@
         match event {
             Event::List { scope, entries } => self.apply_list(*scope, entries),
             Event::ProxyJoined { proxy, zone, usual_rate } => {
-                let placements = (0..self.classes.len()).map(|class| self.placement_index(class, *zone));
-                let bindings =
-                    placements.map(|index| Binding { placement: index, ..Binding::default() }).collect();
-                self.refusals.remove(&Subject::Bind(*proxy));
-                let joined = Proxy { zone: *zone, usual_rate: *usual_rate, joined_at: now, bindings };
-                self.proxies.insert(*proxy, joined);
+                self.add_proxy(*proxy, *zone, *usual_rate);
                 self.binding_steps_left = REBALANCE_ROUNDS;
             }
+            // A takeover is not a membership change, so existing bindings are kept.
             Event::ExistingBinding { proxy, class, table } => {
-                // A takeover is not a membership change, so existing bindings are kept.
-                let group =
-                    Some(usize::from(table.0) / TABLES_PER_GROUP).filter(|group| *group < self.groups.len());
-                let bindings = self.proxies.get_mut(proxy).map(|proxy| &mut proxy.bindings);
-                if let Some(binding) = bindings.and_then(|all| all.get_mut(usize::from(class.0))) {
-                    binding.group = group;
-                }
+                let group = usize::from(table.0) / TABLES_PER_GROUP;
+                self.keep_binding(*proxy, *class, group);
             }
             Event::ProxyLeft { proxy } => {
                 self.proxies.remove(proxy);
                 self.binding_steps_left = REBALANCE_ROUNDS;
             }
             Event::TriesReported { server, zone, tries, unanswered, latency, report, span } => {
-                let Some(server) = self.servers.get_mut(server) else { return };
-                // With queued lines a report covers a longer span and must remain valid until the next one.
-                let half_life = (*span).clamp(REPORT_HALF_LIFE, DEMAND_HALF_LIFE);
-                server.busy.add(now, half_life, report.busy);
-                server.in_flight.add(now, half_life, report.in_flight);
-                // An unanswered try counts as a wait of the longest latency goal.
-                let (tries, failed) = (*tries as f64, *tries.min(unanswered) as f64);
-                let answer_secs = (tries - failed) * latency.secs();
-                let wait_secs = answer_secs + failed * self.latency_goal_range.1;
-                let outcomes =
-                    if *zone == server.listing.zone { &mut server.own_zone } else { &mut server.other_zones };
-                outcomes.add(
-                    now,
-                    half_life,
-                    Outcomes {
-                        tries,
-                        failed,
-                        waited_secs: wait_secs,
-                        answered_secs: answer_secs,
-                        ..Outcomes::default()
-                    },
-                );
+                let tries =
+                    TryReport { tries: *tries, unanswered: *unanswered, latency: *latency, span: *span };
+                self.record_tries(server, *zone, tries, report);
             }
             Event::Demand { proxy, class, arrived, span, .. } => {
-                let Some(proxy) = self.proxies.get_mut(proxy) else { return };
-                let Some(binding) = proxy.bindings.get_mut(usize::from(class.0)) else { return };
-                binding.long_term_demand.add(now, DEMAND_HALF_LIFE, *arrived as f64);
-                binding.recent_demand.add(
-                    now,
-                    (*span).clamp(REPORT_HALF_LIFE, DEMAND_HALF_LIFE),
-                    *arrived as f64,
-                );
                 // A join is complete once the proxy's own traffic has been measured.
-                if !binding.is_demand_known && now - proxy.joined_at > SETTLING_PERIOD {
-                    binding.is_demand_known = true;
+                if self.record_demand(*proxy, *class, *arrived, *span) {
                     self.binding_steps_left = REBALANCE_ROUNDS;
                 }
             }
-            Event::Probed { server, outcome, report, .. } => {
-                let Some(server) = self.servers.get_mut(server) else { return };
-                server.busy.add(now, REPORT_HALF_LIFE, report.busy);
-                (server.probes_answered, server.probes_failed) = match outcome {
-                    ProbeOutcome::Answered => (server.probes_answered + 1, 0),
-                    ProbeOutcome::TurnedAway => (server.probes_answered, server.probes_failed),
-                    ProbeOutcome::Failed => (0, server.probes_failed + 1),
-                };
-            }
+            Event::Probed { server, outcome, report, .. } => self.record_probe(server, *outcome, report),
             Event::OrderRefused { order } => {
                 self.record_refusal(order);
                 if let Some(subject) = Subject::of(order) {
@@ -321,15 +280,6 @@
         self.server_weights(group, placement).iter().map(|(_, weight)| weight).sum()
     }
 
-    /// Returns the long-term traffic of a proxy and class in operations per second. Until it has been measured, this
-    /// is the proxy's usual rate divided evenly among the classes.
-    pub(crate) fn demand(&self, proxy: &Proxy, class: usize) -> f64 {
-        let binding = &proxy.bindings[class];
-        let age = (self.now - proxy.joined_at).max(MIN_RATE_AGE);
-        let measured = binding.is_demand_known.then(|| binding.long_term_demand.rate(self.now, age));
-        measured.unwrap_or(proxy.usual_rate / self.classes.len() as f64).max(0.01)
-    }
-
     /// Binds unbound classes to the least loaded group and, in a rebalancing round, moves bindings off overloaded
     /// groups: those of the most loaded group first and, within a group, the busiest binding first.
     fn assign_bindings(&mut self) {
@@ -404,33 +354,4 @@
             }
         }
     }
-
-    fn move_candidates(&self, is_open: &dyn Fn(usize, usize) -> bool) -> Vec<Candidate> {
-        let bindings = self
-            .proxies
-            .iter()
-            .flat_map(|(id, proxy)| (0..proxy.bindings.len()).map(move |class| (id, proxy, class)));
-        let candidate = |(id, proxy, class): (&ProxyId, &Proxy, usize)| {
-            let Binding { placement, group, .. } = proxy.bindings[class];
-            let (from, demand) =
-                (group.filter(|group| is_open(placement, *group)), self.demand(proxy, class));
-            Candidate { proxy: *id, zone: proxy.zone, class, demand, placement, from }
-        };
-        bindings.map(candidate).collect()
-    }
-
-    /// Returns the load of each group in operations per second. The proxies of other controllers are assumed to load
-    /// the groups in proportion to their weights.
-    fn loads(&self, weights: &[f64], candidates: &[Candidate]) -> Vec<f64> {
-        let mut loads = vec![0.0; weights.len()];
-        for candidate in candidates {
-            candidate.from.into_iter().for_each(|from| loads[from] += candidate.demand);
-        }
-        let own_load: f64 = loads.iter().sum();
-        let total_weight = weights.iter().sum::<f64>().max(1e-9);
-        for (load, weight) in loads.iter_mut().zip(weights) {
-            *load += own_load * (1.0 / self.own_proxy_share() - 1.0) * weight / total_weight;
-        }
-        loads
-    }
 }
--- a/src/sender.rs
+++ b/src/sender.rs
@@ -14,6 +14,13 @@
 pub(crate) const CHANNEL_RATE_SHARE: f64 = 0.5;
 /// Time for which a refusal is remembered after its retry delay.
 const REFUSAL_RETENTION: Nanos = Nanos::from_millis(10_000);
+/// Ranks of orders, the most urgent first: lines of lost servers and lines for empty tables.
+const LOST_LINE_RANK: u8 = 0;
+/// Bindings of proxies that have no usable line.
+const URGENT_BINDING_RANK: u8 = 1;
+const BINDING_RANK: u8 = 2;
+const WEIGHT_RANK: u8 = 3;
+const LEVEL_RANK: u8 = 4;
 /// Share of the channel's line limit that may be filled, by rank of the order.
 const QUEUE_SHARE_BY_RANK: [f64; 5] = [0.7, 0.5, 0.3, 0.3, 0.3];
 /// Share of the channel's line limit sent between marks; a mark costs one line per message.
@@ -72,95 +79,127 @@
     pub(crate) fn publish(&mut self, orders: &mut Vec<Order>) {
         self.channel.queue.drain(self.now);
         let min_interval = self.settings.message_span.0.checked_div(u64::from(self.settings.message_limit));
-        let since_sent = self.now - self.channel.sent_at;
-        if since_sent < Nanos(min_interval.unwrap_or(0)) {
+        if self.now - self.channel.sent_at < Nanos(min_interval.unwrap_or(0)) {
             return;
         }
         let mut users = self.table_users();
+        let mut ranked = self.binding_changes();
+        let bound_tables = self.bound_tables();
+        for table in self.tables.keys().chain(&bound_tables).copied().collect::<BTreeSet<TableId>>() {
+            let is_bound = bound_tables.contains(&table);
+            ranked.extend(self.table_changes(table, is_bound, users.contains_key(&table)));
+        }
+        // Kept for a while after the retry delay, so that a repeated refusal is recognised.
+        self.refusals.retain(|_, refusal| refusal.retry_at + REFUSAL_RETENTION > self.now);
+        let must_wait =
+            |subject: Subject| self.refusals.get(&subject).is_some_and(|refusal| refusal.retry_at > self.now);
+        ranked.retain(|(_, order)| !Subject::of(order).is_some_and(must_wait));
+        ranked.sort_by_key(|(rank, _)| *rank);
+        self.send_ranked(ranked, &mut users, orders);
+    }
+
+    /// Whether no proxy can use a line to a server.
+    fn is_unusable(&self, server: &ServerId) -> bool {
+        !self.servers[server].is_ready() || self.servers[server].state == Cold
+    }
+
+    /// The tables that proxies should be bound to.
+    fn bound_tables(&self) -> BTreeSet<TableId> {
+        let bindings = self.proxies.values().flat_map(|proxy| &proxy.bindings);
+        bindings.filter_map(|binding| Some(self.table_id(binding.group?, binding.placement))).collect()
+    }
+
+    /// The bindings to be sent, with their ranks.
+    fn binding_changes(&self) -> Vec<(u8, Order)> {
+        let has_no_usable_line =
+            |table: &TableId| self.tables[table].lines.keys().all(|server| self.is_unusable(server));
         let mut binds: BTreeMap<(ProxyId, TableId), (u8, ClassSet)> = BTreeMap::new();
-        let mut bound_tables: BTreeSet<TableId> = BTreeSet::new();
-        let is_lost = |id: &ServerId| !self.servers[id].is_ready() || self.servers[id].state == Cold;
-        let has_no_usable_line = |table: &TableId| self.tables[table].lines.keys().all(is_lost);
         for (id, proxy) in &self.proxies {
             for (class, binding) in proxy.bindings.iter().enumerate() {
                 let Some(group) = binding.group else { continue };
                 let table = self.table_id(group, binding.placement);
-                bound_tables.insert(table);
-                if binding.sent_table != Some(table) {
-                    let bind = binds.entry((*id, table)).or_insert((2, ClassSet(0)));
-                    let urgent = binding.sent_table.as_ref().is_none_or(has_no_usable_line);
-                    *bind = (bind.0.min(if urgent { 1 } else { 2 }), bind.1.with(ClassId(class as u8)));
+                if binding.sent_table == Some(table) {
+                    continue;
                 }
+                let is_urgent = binding.sent_table.as_ref().is_none_or(has_no_usable_line);
+                let rank = if is_urgent { URGENT_BINDING_RANK } else { BINDING_RANK };
+                let bind = binds.entry((*id, table)).or_insert((BINDING_RANK, ClassSet(0)));
+                *bind = (bind.0.min(rank), bind.1.with(ClassId(class as u8)));
             }
         }
-        // Ranks: lost servers and lines for empty tables, proxies that have no usable line, bindings, weights, levels.
         let bind = |((proxy, table), (rank, classes))| (rank, Order::Bind { proxy, classes, table });
-        let mut ranked: Vec<(u8, Order)> = binds.into_iter().map(bind).collect();
-        for table in self.tables.keys().chain(&bound_tables).copied().collect::<BTreeSet<TableId>>() {
-            let current = self.tables.get(&table).cloned().unwrap_or_default();
-            let (group, placement_index) =
-                (usize::from(table.0) / TABLES_PER_GROUP, usize::from(table.0) % TABLES_PER_GROUP);
-            let is_cold = bound_tables.contains(&table) && self.is_cold_table(group, placement_index);
-            let (desired, levels) = match bound_tables.contains(&table) {
-                true if is_cold => {
-                    (self.desired_lines(group, placement_index), self.cold_levels(group, placement_index))
-                }
-                true => (self.desired_lines(group, placement_index), self.desired_levels(group)),
-                false => (current.without(is_lost), BTreeMap::new()),
-            };
-            let is_kept =
-                |(id, weight): (&ServerId, &f64)| *weight > MIN_LINE_WEIGHT && desired.contains_key(id);
-            let has_no_kept_line = !current.lines.iter().any(is_kept);
-            let rank = |usual_rank: u8| match has_no_kept_line || !users.contains_key(&table) {
-                // Lines to cold servers are sent after the bindings that leave their table.
-                true if is_cold => 1,
-                true => 0,
-                false => usual_rank,
-            };
-            let line = |(server, weight): (ServerId, f64)| {
-                let decreases = current.lines.get(&server).is_some_and(|old| weight < *old);
-                let rank = if decreases && is_lost(&server) { 0 } else { rank(3) };
-                (rank, Order::Line { table, server, weight })
-            };
-            let lines = current.changes(&desired, MIN_RELATIVE_CHANGE).into_iter().map(line);
-            let level = |(class, (level, retry)): (usize, (f64, Retries))| {
-                let old = current.levels.get(&class);
-                let differs =
-                    |old: &(f64, _)| retry != old.1 || (level - old.0).abs() > MIN_RELATIVE_CHANGE * old.0;
-                let is_lower = old.is_none_or(|old| level < old.0);
-                let rank = if is_cold && is_lower { 1 } else { rank(4) };
-                let classes = ClassSet::of(ClassId(class as u8));
-                old.is_none_or(differs)
-                    .then_some((rank, Order::Level { table, classes, level, retries: retry }))
-            };
-            let levels = levels.into_iter().filter_map(level);
-            // Levels that limit the load to what cold servers can handle are sent before the lines to them.
-            if is_cold {
-                ranked.extend(levels.chain(lines));
-            } else {
-                ranked.extend(lines.chain(levels));
+        binds.into_iter().map(bind).collect()
+    }
+
+    /// The lines and levels of a table to be sent, with their ranks. `is_bound`: proxies should be bound to it;
+    /// `has_users`: some were sent it.
+    fn table_changes(&self, table: TableId, is_bound: bool, has_users: bool) -> Vec<(u8, Order)> {
+        let current = self.tables.get(&table).cloned().unwrap_or_default();
+        let (group, placement_index) =
+            (usize::from(table.0) / TABLES_PER_GROUP, usize::from(table.0) % TABLES_PER_GROUP);
+        let is_cold = is_bound && self.is_cold_table(group, placement_index);
+        let (desired, levels) = match is_bound {
+            true if is_cold => {
+                (self.desired_lines(group, placement_index), self.cold_levels(group, placement_index))
             }
+            true => (self.desired_lines(group, placement_index), self.desired_levels(group)),
+            false => (current.without(|server| self.is_unusable(server)), BTreeMap::new()),
+        };
+        let is_kept = |(id, weight): (&ServerId, &f64)| *weight > MIN_LINE_WEIGHT && desired.contains_key(id);
+        let has_no_kept_line = !current.lines.iter().any(is_kept);
+        let rank = |usual_rank: u8| match has_no_kept_line || !has_users {
+            // Lines to cold servers are sent after the bindings that leave their table.
+            true if is_cold => URGENT_BINDING_RANK,
+            true => LOST_LINE_RANK,
+            false => usual_rank,
+        };
+        let line = |(server, weight): (ServerId, f64)| {
+            let decreases = current.lines.get(&server).is_some_and(|old| weight < *old);
+            let is_removal = decreases && self.is_unusable(&server);
+            let rank = if is_removal { LOST_LINE_RANK } else { rank(WEIGHT_RANK) };
+            (rank, Order::Line { table, server, weight })
+        };
+        let lines = current.changes(&desired, MIN_RELATIVE_CHANGE).into_iter().map(line);
+        let level = |(class, (level, retry)): (usize, (f64, Retries))| {
+            let old = current.levels.get(&class);
+            let differs =
+                |old: &(f64, _)| retry != old.1 || (level - old.0).abs() > MIN_RELATIVE_CHANGE * old.0;
+            let is_lower = old.is_none_or(|old| level < old.0);
+            let rank = if is_cold && is_lower { URGENT_BINDING_RANK } else { rank(LEVEL_RANK) };
+            let classes = ClassSet::of(ClassId(class as u8));
+            old.is_none_or(differs).then_some((rank, Order::Level { table, classes, level, retries: retry }))
+        };
+        let levels = levels.into_iter().filter_map(level);
+        // Levels that limit the load to what cold servers can handle are sent before the lines to them.
+        if is_cold {
+            levels.chain(lines).collect()
+        } else {
+            lines.chain(levels).collect()
         }
-        // Kept for a while after the retry delay, so that a repeated refusal is recognised.
-        self.refusals.retain(|_, refusal| refusal.retry_at + REFUSAL_RETENTION > self.now);
-        let must_wait =
-            |subject: Subject| self.refusals.get(&subject).is_some_and(|refusal| refusal.retry_at > self.now);
-        ranked.retain(|(_, order)| !Subject::of(order).is_some_and(must_wait));
-        ranked.sort_by_key(|(rank, _)| *rank);
+    }
+
+    /// Sends ranked orders as far as the channel's limit allows for each rank.
+    fn send_ranked(
+        &mut self,
+        ranked: Vec<(u8, Order)>,
+        users: &mut BTreeMap<TableId, BTreeSet<ProxyId>>,
+        orders: &mut Vec<Order>,
+    ) {
         // Lines not applied yet are still queued if the channel runs slower than assumed.
         let limit = self.settings.channel_lines_limit;
         let in_flight = self.settings.channel_lines_per_second * MAX_ROUND_TRIP.secs();
         let unapplied = self.channel.unapplied_lines(self.now, MARK_TIMEOUT) - in_flight;
         let queued = self.channel.queue.lines(self.now).max(unapplied);
+        let has_paused = self.now - self.channel.sent_at >= EVALUATION_INTERVAL + EVALUATION_INTERVAL;
         let (mut cost, mut receivers) = (0.0, BTreeSet::new());
         for (rank, order) in ranked {
             let sent_lines = cost + receivers.len() as f64 * self.settings.lines_per_message;
             if queued + sent_lines > limit * QUEUE_SHARE_BY_RANK[usize::from(rank)]
-                || rank >= 3 && since_sent < EVALUATION_INTERVAL + EVALUATION_INTERVAL
+                || rank >= WEIGHT_RANK && !has_paused
             {
                 break;
             }
-            let (lines, reached) = self.record_sent(&order, &mut users);
+            let (lines, reached) = self.record_sent(&order, users);
             cost += (lines * reached.len()) as f64;
             receivers.extend(reached);
             orders.push(order);
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -7,8 +7,10 @@
 mod holdings;
 mod placement;
 mod queue_estimate;
+mod reports;
 mod server;
 mod table;
+mod totals;
 
 use std::collections::BTreeMap;
 
@@ -24,6 +26,7 @@
 pub use group::{Group, GroupStatus, LimitChange, LoadState, LoadTrigger};
 pub use placement::{ClassRules, Placement};
 pub use queue_estimate::QueueEstimate;
+pub use reports::TryReport;
 pub use server::{Effect, Server, ServerState, ServerTrigger};
 pub use table::{Refusal, Subject, Table};
 
