Part the order queue: the sequence of orders, and the calls that carry them

Change: the first stands in order_sequence.rs, which knows of no calls; the interface of the queue is as it was.

--- a/crates/craneknot-node/src/lib.rs
+++ b/crates/craneknot-node/src/lib.rs
@@ -4,7 +4,7 @@
 //! The program's own decisions each have a module of their own and take the clock as an argument: who may
 //! connect to the coordinator's address ([`clients`]), which work is pending for whom ([`pending`]), what the
 //! event streams report together ([`event_streams`], [`presence`]), when an uncertain call is retried
-//! ([`order_queue`]), which calls the channel's limits allow ([`call_limits`], [`call_cost`], [`relay_state`]), how the list is watched ([`list_watch`]), how old a server is ([`server_age`]), whether each
+//! ([`order_queue`]), in which sequence orders are sent ([`order_sequence`]), which calls the channel's limits allow ([`call_limits`], [`call_cost`], [`relay_state`]), how the list is watched ([`list_watch`]), how old a server is ([`server_age`]), whether each
 //! proxy has a usable line ([`coverage`]), what is logged ([`log_event`], [`status`]), how file descriptors
 //! are divided ([`descriptors`]), and which probes are in flight ([`probes`]).
 
@@ -19,6 +19,7 @@
 pub mod list_watch;
 pub mod log_event;
 pub mod order_queue;
+pub mod order_sequence;
 pub mod pending;
 pub mod presence;
 pub mod probes;
