Count each order that was overtaken, not only the first of a row

Change: the highest number stands. The test asks for two orders overtaken in a row; the second was not counted before.

--- a/crates/craneknot-node/src/order_sequence.rs
+++ b/crates/craneknot-node/src/order_sequence.rs
@@ -85,7 +85,7 @@
     pub fn record(&mut self, proxy: Option<ProxyId>, number: u64) -> bool {
         let last = self.0.entry(proxy).or_default();
         let in_order = number >= *last;
-        *last = number;
+        *last = number.max(*last);
         in_order
     }
 
--- a/crates/craneknot-node/tests/order_queue.rs
+++ b/crates/craneknot-node/tests/order_queue.rs
@@ -309,7 +309,8 @@
             && acknowledged.record(None, 2)
             && acknowledged.record(Some(proxy), 4)
     );
-    assert!(!acknowledged.record(Some(proxy), 3), "it was overtaken");
+    assert!(!acknowledged.record(Some(proxy), 2), "it was overtaken");
+    assert!(!acknowledged.record(Some(proxy), 3), "so was this one, though it follows the other");
     acknowledged.forget(proxy);
     assert!(acknowledged.record(Some(proxy), 1), "it has left and joined again");
 }
