A probe repeats the last mark that was sent: marks must not decrease

Cause: a probe (order_queue.rs, `call_body`) carried a fixed mark, 0. Marks count up, and the soak's relay takes one that is lower than an earlier one for an order that was overtaken. No proxy is sent a probe's mark, so none could acknowledge it; but 0 is a mark of the decisions, too, once they have counted through.

Checked and ruled out: an order that was really overtaken. The queue's own count (`overtaken`) is zero in these runs, and the mark comes alone in its call.

Change: the queue keeps the last mark that it has sent, and a probe repeats it, as the repetition of a call does.

Result: `a_probe_repeats_the_last_mark_that_was_sent`, and the model of the platform counts marks that go back (`calls_around_an_outage_keep_the_limit_of_lines_that_wait`): both red before, green after.

--- a/crates/craneknot-node/src/order_queue.rs
+++ b/crates/craneknot-node/src/order_queue.rs
@@ -26,9 +26,7 @@
 const INITIAL_BACKOFF: Nanos = Nanos::from_millis(20);
 const MAX_BACKOFF: Nanos = Nanos::from_millis(320); // longest wait: proxies are waiting for their lines
 const THROTTLED_WAIT: Nanos = Nanos::from_millis(100); // after the relay has answered that it is throttling
-/// The mark that a probe carries. Without other orders no proxy is sent it.
-const PROBE_MARK: u16 = 0;
-// upper bound per order: the bytes added by escaping its special characters, and its separator
+/// Upper bound per order: the bytes added by escaping its special characters, and its separator.
 const ORDER_OVERHEAD_BYTES: usize = 8;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,7 +42,7 @@
 enum CallContent {
     /// The first orders of the queue.
     Orders(usize),
-    /// A mark that no proxy is sent.
+    /// The last mark again. Without other orders no proxy is sent it.
     Probe,
 }
 
@@ -72,6 +70,8 @@
     orders: OrderSequence,
     state: CallState,
     limits: CallLimits,
+    /// The last mark that was sent. A probe repeats it, since marks must not decrease.
+    last_mark: u16,
     /// The last call may have been carried out, and its orders are still queued.
     is_in_doubt: bool,
     /// The limits have delayed orders of the queue.
@@ -95,6 +95,7 @@
             orders: OrderSequence::default(),
             state: CallState::Idle { call_from: now },
             limits,
+            last_mark: 0,
             is_in_doubt: false,
             is_limited: false,
             failures: 0,
@@ -257,6 +258,7 @@
         link_actions: &mut Vec<LinkAction>,
     ) {
         let (host, body) = (self.relay.host(), self.call_body(content));
+        self.last_mark = self.last_mark_of(content).unwrap_or(self.last_mark);
         let headers = [(header::CONTENT_TYPE, relay::CONTENT_TYPE)];
         let request = request(&Method::POST, relay::PATH, &host, &headers, body.as_bytes());
         let reused = !self.relay.call(request, links, link_actions);
@@ -270,10 +272,20 @@
                 let next_orders = self.orders.next_orders().take(orders);
                 relay::call_body(&next_orders.map(|next| next.text.as_str()).collect::<Vec<&str>>())
             }
-            CallContent::Probe => relay::call_body(&[&relay::encode_mark(PROBE_MARK)]),
+            CallContent::Probe => relay::call_body(&[&relay::encode_mark(self.last_mark)]),
         }
     }
 
+    /// The last of the queue's marks that a call carries.
+    fn last_mark_of(&self, content: CallContent) -> Option<u16> {
+        let called = self.orders.next_orders().take(content.queued_orders());
+        let marks = called.filter_map(|next| match next.order {
+            Order::Mark { mark } => Some(mark),
+            _ => None,
+        });
+        marks.last()
+    }
+
     /// The call in flight has failed and may have been carried out.
     fn fail(&mut self, now: Nanos) {
         let call_from = self.count_failure(now);
--- a/crates/craneknot-node/tests/channel_limits.rs
+++ b/crates/craneknot-node/tests/channel_limits.rs
@@ -82,5 +82,7 @@
         assert!(most <= lines_limit, "{outage:?}: {most} lines wait");
         let no_line = platform.checker.longest(Violation::NoLineToAny);
         assert!(no_line <= MAX_NO_LINE_MS, "{outage:?}: no line for {no_line} ms");
+        let reversed = platform.channel_checker.reversed_marks;
+        assert_eq!(reversed, 0, "{outage:?}: marks lower than an earlier one");
     }
 }
--- a/crates/craneknot-node/tests/helpers/channel.rs
+++ b/crates/craneknot-node/tests/helpers/channel.rs
@@ -37,6 +37,8 @@
     pub most_messages: usize,
     /// The most lines that waited in one channel.
     pub most_lines: f64,
+    /// Marks that were lower than an earlier one of the same process.
+    pub reversed_marks: usize,
 }
 
 impl ChannelChecker {
@@ -56,4 +58,10 @@
     pub fn lines_waiting(&mut self, lines: f64) {
         self.most_lines = self.most_lines.max(lines);
     }
+
+    /// A process has sent a mark; `last_mark` is its mark before.
+    pub fn mark_sent(&mut self, last_mark: Option<u16>, mark: u16) {
+        let is_reversed = last_mark.is_some_and(|last| mark.wrapping_sub(last) > u16::MAX / 2);
+        self.reversed_marks += usize::from(is_reversed);
+    }
 }
--- a/crates/craneknot-node/tests/helpers/platform.rs
+++ b/crates/craneknot-node/tests/helpers/platform.rs
@@ -129,6 +129,8 @@
     pub(super) joined: BTreeSet<u16>,
     pub(super) tables: BTreeMap<u16, Table>,
     pub(super) channel_free: f64,
+    /// The last mark that the present process has sent.
+    pub(super) last_mark: Option<u16>,
     pub(super) reports_at: u64,
 }
 
@@ -192,6 +194,7 @@
             joined: BTreeSet::new(),
             tables: BTreeMap::new(),
             channel_free: 0.0,
+            last_mark: None,
             reports_at: 0,
         };
         Platform {
@@ -251,6 +254,7 @@
         slot.known_servers =
             known.iter().map(|(id, server)| (id.clone(), (server.clone(), self.now))).collect();
         (slot.channel_free, slot.reports_at) = (self.now as f64, self.now + REPORT_INTERVAL);
+        slot.last_mark = None;
     }
 
     /// Kills a coordinator: its streams end, and everything queued or in transit is lost.
--- a/crates/craneknot-node/tests/helpers/relay.rs
+++ b/crates/craneknot-node/tests/helpers/relay.rs
@@ -114,6 +114,7 @@
             }
             ["mark", mark, _] => {
                 let mark = mark.parse().unwrap();
+                self.channel_checker.mark_sent(slot.last_mark.replace(mark), mark);
                 messages.values_mut().for_each(|changes| changes.push(Change::Mark(mark)));
             }
             other => panic!("unknown order: {other:?}"),
--- a/crates/craneknot-node/tests/order_queue.rs
+++ b/crates/craneknot-node/tests/order_queue.rs
@@ -256,6 +256,22 @@
     assert!(harness.order_queue.is_idle() && !harness.order_queue.is_held_back());
 }
 
+/// Guards against marks that go back: a probe had a fixed number, lower than those of the calls before it, which the
+/// soak's relay reported as an order that was overtaken.
+#[test]
+fn a_probe_repeats_the_last_mark_that_was_sent() {
+    let mark = |mark: u16| EncodedOrder {
+        order: Order::Mark { mark },
+        ..encoded(format!("mark,{mark},0"), None, None)
+    };
+    let mut harness = Harness::with_small_channel();
+    harness.order_queue.enqueue([mark(7)].into_iter().chain(bindings(10)).chain([mark(8)]));
+    harness.turn(0).unwrap();
+    harness.order_queue.enqueue([mark(9)]);
+    harness.order_queue.lost(ms(5));
+    assert!(harness.turn(30).unwrap().1.ends_with("ops=mark%2C8%2C0"));
+}
+
 /// A call on a connection that was not established was not carried out, and costs nothing.
 #[test]
 fn calls_that_were_not_sent_are_not_counted() {
