Race tests: a channel that never fills only where many large calls are repeated

Change: these two alone have it; the nine others run with the limits of the configuration again. What the tests assert is as it was before. Without the wide channel the two fail as they must: the next call is a probe (`mark` alone) and not the repetition.

--- a/crates/craneknot-node/tests/connection_races.rs
+++ b/crates/craneknot-node/tests/connection_races.rs
@@ -9,6 +9,7 @@
 use craneknot_node::shell::{ExitReason, Shell};
 use craneknot_reactor::SteadyClock;
 use rustix::process::{getpid, kill_process, Signal};
+use serde_json::Value;
 
 mod helpers;
 use helpers::configuration;
@@ -27,12 +28,21 @@
 }
 
 fn start_peers(name: &str, end_signals: &[i32]) -> Peers {
-    let (relay, discovery) = (listener(), listener());
+    start_peers_with(name, end_signals, configuration(6))
+}
+
+/// With a channel that never fills: many large calls in a row are repeated completely. What is repeated on a channel
+/// that is full has tests of its own (`call_limits`).
+fn start_peers_with_wide_channel(name: &str) -> Peers {
     let mut value = configuration(6);
+    value["settings"]["extra"]["queue-cap"] = 1e9.into();
+    start_peers_with(name, &[], value)
+}
+
+fn start_peers_with(name: &str, end_signals: &[i32], mut value: Value) -> Peers {
+    let (relay, discovery) = (listener(), listener());
     value["distributor"]["address"] = relay.local_addr().unwrap().to_string().into();
     value["discovery"] = discovery.local_addr().unwrap().to_string().into();
-    // The limits of the channel, which have tests of their own, must not delay any call here.
-    value["settings"]["extra"]["queue-cap"] = 1e9.into();
     let file = std::env::temp_dir().join(format!("craneknot-crossing-{name}-{}.json", std::process::id()));
     std::fs::write(&file, value.to_string()).unwrap();
     let shell = Shell::new(&file, Arc::new(SteadyClock::new()), end_signals).unwrap();
@@ -158,7 +168,7 @@
 /// An answer cut off at any byte is invalid: the call is repeated from its first order, and no order is lost.
 #[test]
 fn a_relay_that_resets_at_any_byte_of_its_answer_loses_no_order() {
-    let Peers { shell, relay, .. } = start_peers("resets", &[]);
+    let Peers { shell, relay, .. } = start_peers_with_wide_channel("resets");
     let calls = relay_with_event_stream(relay, 140);
     run(shell);
     let (mut stream, mut body) = calls.recv().unwrap();
@@ -194,7 +204,7 @@
 /// A call cut off at any byte may or may not have been carried out: it is repeated unchanged.
 #[test]
 fn a_call_reset_by_the_relay_is_repeated_completely() {
-    let Peers { shell, relay, .. } = start_peers("cut-calls", &[]);
+    let Peers { shell, relay, .. } = start_peers_with_wide_channel("cut-calls");
     let (sender, calls) = channel();
     std::thread::spawn(move || loop {
         let mut stream = accept(&relay);
