Part the engine of `craneknot run`: the shared fleet and the status in modules of their own

Change: `engine/shared_fleet.rs` and `engine/status.rs`; who may be sent to (`sendable_epoch`), what is sent at the pace of messages (`Stream::responses`) and what goes out (`output_responses`) are functions. No behaviour changes.

--- a/crates/craneknot-coordinator/src/engine.rs
+++ b/crates/craneknot-coordinator/src/engine.rs
@@ -1,6 +1,9 @@
 //! The coordinator without I/O: passes events to the decisions, and their orders to the resource cache, the
 //! channel and the streams. The owner passes in what its sockets received, calls [`Engine::turn`], and
-//! carries out the outputs.
+//! carries out the outputs. [`shared_fleet`] has its part in a fleet of several coordinators, [`status`] its figures.
+
+mod shared_fleet;
+mod status;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -8,17 +11,14 @@
 use bytes::Bytes;
 use craneknot::interface::*;
 use craneknot::{Controller, MessagePace};
-use craneknot_fleet::member::{self, Member, Ownership};
-use craneknot_fleet::raft::{PersistentState, Role};
+use craneknot_fleet::member::{Member, Ownership};
+use craneknot_fleet::raft::PersistentState;
 use craneknot_fleet::view::Epoch;
-use craneknot_fleet::wire::Datagram;
-use craneknot_fleet::MemberId;
 use craneknot_settings::{CoordinatorSettings, Names};
 use craneknot_solver::explain::{explain, Explanation};
 use craneknot_solver::tuner::{Change, WeightTuner};
 use craneknot_xds::discovery::{epoch_of, fingerprint, source_with_epoch, DiscoveryRequest, Kind, Node};
 use craneknot_xds::load::LoadStatsRequest;
-use serde::Serialize;
 
 use crate::channel::Channel;
 use crate::ledger::{Header, Ledger};
@@ -28,12 +28,10 @@
 use crate::roster::{RosterError, RosterValidator};
 use crate::session::{Outcome, Response, Session, StreamRequest};
 use crate::weights;
+pub use status::{Shared, Status};
 
 const MAX_RESOURCE_NAMES: usize = 1_024; // in one request; more than any proxy subscribes to
 const MAX_USUAL_RATE: f64 = 1e6; // operations a second, as reported by a proxy
-/// How long a stream may stay open without a coordinator known to be responsible for it; another one may
-/// serve its proxy.
-const OWNER_UNKNOWN_TIMEOUT: Nanos = Nanos::from_millis(1_000);
 const MAX_APPLY_DELAYS: usize = 65_536; // the newest ones, for the percentiles in the status
 
 /// A stream's id, assigned by the owner.
@@ -138,6 +136,22 @@
         self.session.next_at().into_iter().chain(self.held_until).min()
     }
 
+    /// The responses to send now, at the pace that the proxy may be sent messages.
+    fn responses(&mut self, now: Nanos, message_pace: &mut MessagePace) -> Vec<Response> {
+        let begins_message = self.session.has_new_message();
+        let allowed_at = message_pace.allowed_at(self.proxy, false);
+        self.held_until = (begins_message && allowed_at > now).then_some(allowed_at);
+        if self.held_until.is_some() {
+            return Vec::new();
+        }
+        let responses = self.session.responses(now);
+        let is_sent = responses.iter().any(|response| matches!(response, Response::Resources { .. }));
+        if begins_message && is_sent {
+            message_pace.record(now, self.proxy);
+        }
+        responses
+    }
+
     /// Whether the proxy already holds that text. Checked only once, since afterwards it holds what we sent.
     fn already_holds(&mut self, table: &str, kind: Kind, print: impl FnOnce() -> String) -> bool {
         let Some(prints) = self.held_prints.get_mut(table) else { return false };
@@ -150,60 +164,6 @@
     }
 }
 
-/// The figures of the status page.
-#[derive(Clone, Debug, Default, Serialize)]
-pub struct Status {
-    pub name: String,
-    pub source: String,
-    pub streams: usize,
-    pub owing: usize,
-    pub refusing: usize,
-    pub servers: usize,
-    pub roster_version: u64,
-    pub tables: usize,
-    /// Lines queued in the channel, their highest number so far, and the limit.
-    pub channel_lines: f64,
-    pub channel_most: f64,
-    pub channel_limit: f64,
-    /// Lines that have left the channel and wait for proxies with unacknowledged responses.
-    pub held_lines: f64,
-    pub messages: u64,
-    pub lines: f64,
-    /// Encoded texts of tables and levels, their bytes, and the bytes of all resources sent.
-    pub texts: u64,
-    pub bytes_made: u64,
-    pub bytes_sent: u64,
-    pub steps: u64,
-    pub refusals: u64,
-    pub reports_repeated: u64,
-    pub reports_left_out: u64,
-    /// From the decision to its acknowledgement, in ms: median, 99th percentile and maximum.
-    pub decided_to_swapped_ms: Option<(f64, f64, f64)>,
-    /// Present where coordinators share a fleet.
-    pub shared: Option<Shared>,
-}
-
-/// This coordinator's state in a shared fleet.
-#[derive(Clone, Debug, Default, Serialize)]
-pub struct Shared {
-    pub role: String,
-    pub term: u64,
-    pub leader: Option<String>,
-    /// The epoch of the newest committed view, and the members that share the proxies in it.
-    pub epoch: u64,
-    pub members: Vec<String>,
-    pub alive: Vec<String>,
-    /// The members that vote.
-    pub voters: Vec<String>,
-    /// The epoch of the lease, whether it is settled completely, and the lease's remaining time in ms.
-    pub lease: Option<(u64, bool, f64)>,
-    pub datagrams_sent: u64,
-    pub saves: u64,
-    pub sent_on: u64,
-    /// Not sent, since proxies already held it when they joined: parts, lines, bytes.
-    pub spared: (u64, f64, u64),
-}
-
 /// The coordinator's state, without sockets and files.
 pub struct Engine {
     decider: Box<dyn Decider>,
@@ -315,113 +275,6 @@
         }
     }
 
-    /// Shares the fleet with other coordinators from now on; `saved` is the state that an earlier process
-    /// saved.
-    pub fn join_fleet(
-        &mut self,
-        settings: &CoordinatorSettings,
-        saved: PersistentState,
-        seed: u64,
-        now: Nanos,
-    ) {
-        let Some(shared) = &settings.shared else { return };
-        let members = shared.members.iter().map(|member| MemberId::new(&member.name)).collect();
-        // Placements within a proxy's own zone are numbered in order of arrival, so coordinators number their
-        // tables differently.
-        if !settings.fleet.classes.iter().any(|class| class.home_only) {
-            self.resources.set_source("fleet".to_owned());
-        }
-        let timing = member::Timing::from_lease(shared.lease.0, shared.drift);
-        // The date in milliseconds: higher than that of any earlier process, and refuted by the members where
-        // it is not.
-        let incarnation = now.0 / 1_000_000;
-        let me = MemberId::new(&settings.name);
-        self.fleet = Some(Member::new(me, &members, timing, saved, incarnation, seed, now));
-    }
-
-    /// Sets the members that the settings name from now on.
-    pub fn set_members(&mut self, now: Nanos, names: impl Iterator<Item = String>) {
-        if let Some(fleet) = &mut self.fleet {
-            fleet.set_members(now, &names.map(|name| MemberId::new(&name)).collect());
-        }
-    }
-
-    /// Notes a version that a proxy followed according to the store: no order of ours may have an older
-    /// epoch.
-    pub fn note_followed_version(&mut self, version: &str) {
-        if let Some(fleet) = &mut self.fleet {
-            fleet.observe_epoch(Epoch(epoch_of(version)));
-        }
-    }
-
-    /// Handles a datagram from another coordinator.
-    pub fn handle_datagram(&mut self, now: Nanos, text: &[u8]) -> Result<(), String> {
-        let datagram = Datagram::decode(text)?;
-        let outputs = self.fleet.as_mut().map(|fleet| fleet.handle(now, datagram));
-        self.apply_fleet_outputs(outputs.unwrap_or_default());
-        Ok(())
-    }
-
-    fn apply_fleet_outputs(&mut self, outputs: Vec<member::Output>) {
-        for output in outputs {
-            match output {
-                member::Output::Save(saved) => {
-                    self.saves += 1;
-                    self.outputs.push(Output::SaveFleetState(saved));
-                }
-                member::Output::Send(to, datagram) => {
-                    self.datagrams += 1;
-                    self.outputs.push(Output::Datagram { to: to.to_string(), text: datagram.encode() });
-                }
-                // Which streams may be sent to has changed.
-                member::Output::OwnershipChanged => {
-                    self.checked_epoch = None;
-                    self.ready_streams.extend(self.streams.keys());
-                }
-            }
-        }
-    }
-
-    /// Who is responsible for a proxy now, and the epoch in which orders may be sent to it.
-    fn ownership(&self, now: Nanos, proxy: &str) -> Ownership {
-        self.fleet.as_ref().map_or(Ownership::Owned(Epoch(0)), |fleet| fleet.ownership(now, proxy))
-    }
-
-    /// Redirects streams of proxies that another coordinator is responsible for, and closes those whose
-    /// coordinator stays unknown.
-    fn check_stream_owners(&mut self, now: Nanos) {
-        let Some(fleet) = &mut self.fleet else { return };
-        let steps = fleet.tick(now);
-        self.apply_fleet_outputs(steps);
-        // Responsibility changes only with the view and the lease; each check costs a hash per stream.
-        let view = self.fleet.as_ref().map(|fleet| fleet.view().epoch);
-        if self.unowned_streams == 0 && view.is_some() && self.checked_epoch == view {
-            return;
-        }
-        (self.checked_epoch, self.unowned_streams) = (view, 0);
-        for id in self.streams.keys().copied().collect::<Vec<StreamId>>() {
-            let ownership = self.ownership(now, self.proxy_name(id));
-            let Some(stream) = self.streams.get_mut(&id) else { continue };
-            match ownership {
-                Ownership::Owned(_) => stream.owner_unknown_since = None,
-                Ownership::OwnedBy(to) => {
-                    self.sent_on += 1;
-                    self.outputs.push(Output::Redirect { stream: id, to: to.to_string() });
-                    self.end_stream(now, id);
-                }
-                Ownership::Unknown => {
-                    self.unowned_streams += 1;
-                    let since = *stream.owner_unknown_since.get_or_insert(now);
-                    if now - since >= OWNER_UNKNOWN_TIMEOUT {
-                        let cause = "no coordinator is known to be responsible for its proxy".to_owned();
-                        self.outputs.push(Output::CloseStream { stream: id, cause });
-                        self.end_stream(now, id);
-                    }
-                }
-            }
-        }
-    }
-
     /// Loads the server list that was saved before this start.
     pub fn load_saved_roster(&mut self, now: Nanos, text: &[u8]) -> Result<(), RosterError> {
         let validated = self.roster.load_saved(now, text, &mut self.names)?;
@@ -718,38 +571,37 @@
 
     fn send_responses(&mut self, now: Nanos) {
         for id in std::mem::take(&mut self.ready_streams) {
+            let Some(epoch) = self.sendable_epoch(now, id) else { continue };
             let Some(stream) = self.streams.get_mut(&id) else { continue };
-            // Clusters are always sent complete: an omitted class would lose its binding at the proxy.
-            if !self.resources.has_all_bindings(stream.proxy) {
-                continue;
-            }
-            let ownership =
-                self.fleet.as_ref().map(|fleet| fleet.ownership(now, self.proxy_ids.name(stream.proxy)));
-            let epoch = match ownership {
-                None => 0,
-                Some(Ownership::Owned(epoch)) => epoch.0,
-                // The stream waits; every change of view or lease marks all streams as ready.
-                Some(Ownership::OwnedBy(_) | Ownership::Unknown) => continue,
-            };
-            let begins_message = stream.session.has_new_message();
-            let allowed_at = self.message_pace.allowed_at(stream.proxy, false);
-            stream.held_until = (begins_message && allowed_at > now).then_some(allowed_at);
-            let responses =
-                if stream.held_until.is_none() { stream.session.responses(now) } else { Vec::new() };
-            let is_sent = responses.iter().any(|response| matches!(response, Response::Resources { .. }));
-            if begins_message && is_sent {
-                self.message_pace.record(now, stream.proxy);
-            }
+            let responses = stream.responses(now, &mut self.message_pace);
             if stream.next_at().is_some() {
                 self.ready_streams.insert(id);
             }
-            let version = format!("{}/{}", source_with_epoch(epoch, &self.source), self.step_count);
-            for response in responses {
-                if let Response::Resources { resources, .. } = &response {
-                    self.bytes_sent += resources.iter().map(|text| text.len() as u64).sum::<u64>();
-                }
-                self.outputs.push(Output::Respond { stream: id, response, version: version.clone() });
+            self.output_responses(id, epoch, responses);
+        }
+    }
+
+    /// The epoch in which a stream may be sent what is pending for it, or `None` if it has to wait.
+    fn sendable_epoch(&self, now: Nanos, id: StreamId) -> Option<u64> {
+        let stream = self.streams.get(&id)?;
+        // Clusters are always sent complete: an omitted class would lose its binding at the proxy.
+        if !self.resources.has_all_bindings(stream.proxy) {
+            return None;
+        }
+        match self.ownership(now, self.proxy_ids.name(stream.proxy)) {
+            Ownership::Owned(epoch) => Some(epoch.0),
+            // Every change of view or lease marks all streams as ready.
+            Ownership::OwnedBy(_) | Ownership::Unknown => None,
+        }
+    }
+
+    fn output_responses(&mut self, id: StreamId, epoch: u64, responses: Vec<Response>) {
+        let version = format!("{}/{}", source_with_epoch(epoch, &self.source), self.step_count);
+        for response in responses {
+            if let Response::Resources { resources, .. } = &response {
+                self.bytes_sent += resources.iter().map(|text| text.len() as u64).sum::<u64>();
             }
+            self.outputs.push(Output::Respond { stream: id, response, version: version.clone() });
         }
     }
 
@@ -811,73 +663,10 @@
         self.settings.report_period
     }
 
-    /// The term in which this coordinator leads a shared fleet, or `None` if it does not lead.
-    pub fn leader_term(&self) -> Option<u64> {
-        let fleet = self.fleet.as_ref()?;
-        (fleet.role() == Role::Leader).then(|| fleet.term())
-    }
-
     /// Discards the delays from decision to acknowledgement measured so far.
     pub fn reset_spans(&mut self) {
         self.apply_delays.clear();
     }
-
-    pub fn status(&self, now: Nanos) -> Status {
-        let (tables, texts, bytes_made) = self.resources.counts();
-        let sessions = || self.streams.values().map(|stream| &stream.session);
-        let count = |state| sessions().filter(|session| session.state() == state).count();
-        let (reports_repeated, reports_left_out) = self.reports.skip_counts();
-        let mut apply_delays: Vec<Nanos> = self.apply_delays.iter().copied().collect();
-        apply_delays.sort();
-        let at = |part: f64| {
-            apply_delays
-                .get(((apply_delays.len() as f64 - 1.0) * part) as usize)
-                .map(|span| span.secs() * 1e3)
-        };
-        Status {
-            name: self.name.clone(),
-            source: self.source.clone(),
-            streams: self.streams.len(),
-            owing: count(crate::session::State::AwaitingAck),
-            refusing: sessions().filter(|session| session.is_refused()).count(),
-            servers: self.roster.servers(),
-            roster_version: self.roster.version(),
-            tables,
-            channel_lines: self.channel.lines(),
-            channel_most: self.channel.max_lines(),
-            channel_limit: self.settings.channel_lines_limit,
-            held_lines: sessions().map(Session::held_lines).sum(),
-            messages: self.messages,
-            lines: self.lines,
-            texts,
-            bytes_made,
-            bytes_sent: self.bytes_sent,
-            steps: self.step_count,
-            refusals: self.rejections,
-            reports_repeated,
-            reports_left_out,
-            shared: self.fleet.as_ref().map(|fleet| Shared {
-                role: format!("{:?}", fleet.role()).to_lowercase(),
-                term: fleet.term(),
-                leader: fleet.leader().map(MemberId::to_string),
-                epoch: fleet.view().epoch.0,
-                members: fleet.view().members.iter().map(MemberId::to_string).collect(),
-                voters: fleet.voters().iter().map(MemberId::to_string).collect(),
-                alive: fleet.alive().iter().map(MemberId::to_string).collect(),
-                lease: fleet
-                    .lease()
-                    .map(|(epoch, settled, until)| (epoch.0, settled, (until - now).secs() * 1e3)),
-                datagrams_sent: self.datagrams,
-                saves: self.saves,
-                sent_on: self.sent_on,
-                spared: self.skipped,
-            }),
-            decided_to_swapped_ms: at(0.5)
-                .zip(at(0.99))
-                .zip(at(1.0))
-                .map(|((p50, p99), max)| (p50, p99, max)),
-        }
-    }
 }
 
 /// The body of a response in chunks; the resources' texts are shared, not copied.
