--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -18,7 +18,14 @@
     let held = match case {
         "list-outage" => list_outage(folder, &world, trouble),
         "numbering" => numbering(folder, &world, trouble),
-        "wrong-entry" => wrong_entry(folder, &world, trouble),
+        "wrong-entry" => {
+            let entry = r#"{"address":"127.0.0.1:0","zone":"north-wing","kind":"plain","cell":0,"weight":1.0,"state":"up"}"#;
+            wrong_entry(folder, &world, trouble.then_some(("that names port 0", entry)))
+        }
+        "entry-without-zone" => {
+            let entry = r#"{"address":"127.0.0.1:9","kind":"plain","cell":0,"weight":1.0,"state":"up"}"#;
+            wrong_entry(folder, &world, trouble.then_some(("whose zone is absent", entry)))
+        }
         "silent-stream" => silent_stream(folder, &world, trouble),
         other => Err(io::Error::other(format!("no case {other:?}"))),
     }?;
@@ -390,16 +397,13 @@
 }
 
 /// The list of servers has a wrong entry for a while, and a plan server drains meanwhile.
-fn wrong_entry(folder: &Path, world: &Arc<World>, trouble: bool) -> io::Result<bool> {
+fn wrong_entry(folder: &Path, world: &Arc<World>, wrong: Option<(&str, &str)>) -> io::Result<bool> {
     let mut fleet = Kyushu::start(folder, world, Duration::ZERO)?;
     let begin = world.now() + 8.0;
     world.wait_until(begin);
-    if trouble {
-        let zone = "north-wing";
-        world.tell("the list has a wrong entry: a server of north-wing that names port 0");
-        fleet.roster.wrong = Some(format!(
-            r#"{{"address":"127.0.0.1:0","zone":"{zone}","kind":"plain","cell":0,"weight":1.0,"state":"up"}}"#
-        ));
+    if let Some((what, entry)) = wrong {
+        world.tell(&format!("the list has a wrong entry, a server {what}: {entry}"));
+        fleet.roster.wrong = Some(entry.to_owned());
         fleet.roster.write(world)?;
     }
     fleet.drain(0, begin + 2.0, world)?;
