--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -249,13 +249,20 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64()
 }
 
-/// A free port of 127.0.0.1, for TCP or for UDP.
+/// A free port of 127.0.0.1, for TCP or for UDP. It is tried below the range from which systems usually take the ports of
+/// outgoing connections, so that none of these takes it before it is used.
 pub fn free_address(is_udp: bool) -> io::Result<SocketAddr> {
-    if is_udp {
-        UdpSocket::bind("127.0.0.1:0")?.local_addr()
-    } else {
-        TcpListener::bind("127.0.0.1:0")?.local_addr()
+    static TAKEN: AtomicU64 = AtomicU64::new(0);
+    for _ in 0..1_000 {
+        let count = TAKEN.fetch_add(1, Ordering::SeqCst) + 1;
+        let port = 12_000 + (u64::from(std::process::id()) * 131 + count * 17) % 18_000;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        let bound = if is_udp { UdpSocket::bind(address).map(drop) } else { TcpListener::bind(address).map(drop) };
+        if bound.is_ok() {
+            return Ok(address);
+        }
     }
+    Err(io::Error::other("no free port"))
 }
 
 /// A program of the project that runs; killed when dropped.
