--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Coordinators of a shared fleet, restarted one at a time during a deploy, number their tables differently.
+# Discovery is cut off from the real coordinator for 6.4 s while a node begins to drain.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
@@ -16,7 +16,7 @@
 }
 trap end_all EXIT
 trap 'exit 2' INT TERM
-timeout -k 2 115 "$standin" numbering "$folder" "$here/record.txt"
+timeout -k 2 115 "$standin" silent-discovery "$folder" "$here/record.txt"
 result=$?
 case $result in
   0 | 1) ;;
--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -11,6 +11,7 @@
 
 use crate::fleet::*;
 use crate::json::Json;
+use crate::platform::{wait_for_life, Platform};
 use crate::proxy::{self, ProxySpec};
 
 /// Runs a case; true if the rule held.
@@ -29,6 +30,7 @@
             wrong_entry(folder, &world, trouble.then_some(("whose zone is absent", entry)))
         }
         "majority" => majority(folder, &world, trouble),
+        "silent-discovery" => silent_discovery(folder, &world, trouble),
         "silent-stream" => silent_stream(folder, &world, trouble),
         other => Err(io::Error::other(format!("no case {other:?}"))),
     }?;
@@ -542,3 +544,73 @@
     ));
     count == 0
 }
+
+/// archive-campus: discovery is cut off from `craneknot node` while a node begins to drain.
+fn silent_discovery(folder: &Path, world: &Arc<World>, trouble: bool) -> io::Result<bool> {
+    const GRACE: f64 = 1.5 + 0.3; // rules.drain_grace_ms, and 300 ms on sockets
+    const SLACK: f64 = 0.1; // for this test: from the coordinator's call to the proxies
+    const CUT: f64 = 6.4; // BRIEF: the node list is out of reach for 6.1 to 22 s
+    const TOLD: f64 = 2.0; // PROTOCOL: for a call that may wait, 2 s after that wait is over
+    let halls = ["hall-a", "hall-b", "hall-c"];
+    let servers: Vec<Server> =
+        (0..18).map(|index| Server::start(halls[index % 3], None, world)).collect::<io::Result<_>>()?;
+    let classes = [("lookup", 34.0), ("register", 16.0)];
+    let platform = Platform::new(world, &halls, &classes, servers);
+    let (discovery, relay, listen) = (platform.discovery()?, platform.relay()?, free_address(false)?);
+    let settings = r#"{"localities":["hall-a","hall-b","hall-c"],"kinds":["plain"],"balancers":1,
+        "registry-mode":"on_request","reporting":{"how":"none","names":[]},
+        "profiles":[{"name":"lookup","aim":1.0,"deadline":2.5,"worth":1.0,"semantics":"free"},
+          {"name":"register","aim":0.8,"deadline":2.5,"worth":2.0,"semantics":"single_shot","only-zones":["hall-a","hall-b"]}],
+        "caps":{"probing":true},
+        "rules":{"ask-within":10.0,"cold-share":0.18,"fall":3.0,"fall-multiple":2.5,"ramp-time":12.0,"stop-sending-within":1.5},
+        "extra":{"data-plane-size":12,"bare":2.8,"admission":"ratio","egress-per-s":3500.0,"queue-cap":3500.0,"envelope":10.0,
+          "update-cap":0,"reload-span":10.0,"interval":1.0,"slices":0,"home-only":[false,false]}}"#;
+    let config = folder.join("config.json");
+    let text = format!(
+        r#"{{"name":"n1","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"distributor":{{"address":"{relay}"}},
+        "known":{},"settings":{settings}}}"#,
+        platform.whole_list()
+    );
+    fs::write(&config, text)?;
+    let _coordinator = Program::start("n1", &["node"], Some(&config), folder)?;
+    wait_for_life(listen, Duration::from_secs(10))?;
+    let mut threads = platform.open(12);
+    threads.push(platform.collect(listen));
+    world.tell("the coordinator is in use");
+    world.wait_until(world.now() + 6.0);
+
+    // The next call that may wait.
+    let after = world.now();
+    let (asked, wait) = loop {
+        let last = *platform.last_watch.lock().unwrap();
+        match last {
+            Some(watch) if watch.0 > after => break watch,
+            _ if world.now() > after + 30.0 => return Err(io::Error::other("the coordinator does not watch")),
+            _ => world.wait_until(world.now() + 0.005),
+        }
+    };
+    world.tell(&format!("a watch that may wait {wait} s began at {asked:.3}"));
+    if trouble {
+        *platform.cut.lock().unwrap() = Some((asked + 0.3, asked + 0.3 + CUT));
+    }
+    world.wait_until(asked + 0.5);
+    let address = platform.hosts.lock().unwrap()[0].server.address;
+    platform.list(0, Listed::Draining);
+    // Without the cut it is told at once; at the latest it counts as told 2 s after the wait.
+    let told = if trouble { asked + wait + TOLD } else { world.now() + 0.1 };
+    world.tell(&format!("{address} drains; told at {told:.3} at the latest"));
+    world.wait_until(asked + 14.0);
+    join_all(world, threads);
+    let (mut count, mut latest) = (0, 0.0f64);
+    for entry in world.tries.lock().unwrap().iter().filter(|entry| entry.server == address) {
+        if entry.at > told + GRACE + SLACK {
+            world.record(&format!("late: {} sent {} at {:.3}", entry.proxy, entry.class, entry.at));
+            (count, latest) = (count + 1, latest.max(entry.at - told));
+        }
+    }
+    let (answered, failed) = world.totals();
+    world.tell(&format!("{answered} operations answered, {failed} not"));
+    world.tell(&format!("{count} tries at the node that drains, later than {GRACE} s after it counts as told; the latest after {latest:.3} s"));
+    Ok(count == 0)
+}
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -6,7 +6,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{mpsc, Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -59,6 +59,8 @@
     zones: Mutex<BTreeMap<SocketAddr, String>>,
     answered: AtomicU64,
     failed: AtomicU64,
+    /// How many proxies of the platform have joined.
+    pub proxies: AtomicUsize,
 }
 
 impl World {
@@ -73,6 +75,7 @@
             zones: Mutex::default(),
             answered: AtomicU64::new(0),
             failed: AtomicU64::new(0),
+            proxies: AtomicUsize::new(0),
         }))
     }
 
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -6,6 +6,7 @@
 mod cases;
 mod fleet;
 mod json;
+mod platform;
 mod proxy;
 
 use std::process::exit;
--- a/review/standin-2/proxy.rs
+++ b/review/standin-2/proxy.rs
@@ -131,7 +131,7 @@
     Lost,
 }
 
-fn attempt(server: SocketAddr, class: &str, op: &str) -> Outcome {
+pub fn attempt(server: SocketAddr, class: &str, op: &str) -> Outcome {
     let Ok(mut stream) = TcpStream::connect_timeout(&server, CONNECT_TIMEOUT) else { return Outcome::NotConnected };
     let _ = stream.set_read_timeout(Some(ANSWER_TIMEOUT));
     let _ = stream.set_nodelay(true);
