Collectors with half a line no longer take all descriptors

Callers saw: 1,200 clients that call themselves collectors and stop within a line; no client after them was accepted (heartbeat unanswered for 30 s), and with 400 of them the one collector that reports was closed in their place. Fix: a zone has four collectors whatever they leave unfinished. Those that have not reported yet give way first, then the most silent; while all four have unwritten answers the newcomer is rejected and those that don't read are closed. A collector has 30 s for a line, longer than a partition. Why it works: nobody waits for an answer to a half line, so it protects no connection; a client proves to be a collector by a report.

--- a/crates/craneknot-cli/tests/helpers/mod.rs
+++ b/crates/craneknot-cli/tests/helpers/mod.rs
@@ -6,6 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
@@ -14,6 +15,8 @@
 pub mod peers;
 use peers::with_read_timeout;
 
+/// For waiting: a test that takes longer has failed.
+pub const TEST_TIMEOUT: Duration = Duration::from_secs(30);
 pub const HEARTBEAT: &[u8] = b"{\"type\":\"hb\"}\n";
 pub const HEARTBEAT_ANSWER: &[u8] = b"{\"type\":\"hb_ok\"}\n";
 
@@ -123,3 +126,35 @@
         "probes": {"enabled": false, "time_out": "300ms"}
     })
 }
+
+/// Settings of `craneknot agent`, which writes its address to `ready.json` and reaches no coordinator.
+pub fn agent_settings() -> Value {
+    json!({
+        "nodes": [{"id": "proxy", "zone": "north", "folder": "proxy"}], "coordinators": ["127.0.0.1:1"],
+        "listen": "127.0.0.1:0", "ready_file": "ready.json", "redial_least": "1ms", "redial_most": "1ms", "seed": 3
+    })
+}
+
+pub fn spawn_craneknot(arguments: &[&str], file: &Path, error: impl Into<Stdio>) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_craneknot"));
+    command.args(["--log", "json", "--level", "debug"]).args(arguments).arg(file);
+    command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(error);
+    command.spawn().unwrap()
+}
+
+/// Starts a service with these settings, and waits until it writes its address.
+pub fn start_service(subcommand: &str, folder: &Path, settings: &Value, error: Stdio) -> Node {
+    let (file, ready) = (folder.join("settings.json"), folder.join("ready.json"));
+    std::fs::write(&file, settings.to_string()).unwrap();
+    std::fs::write(folder.join("servers.json"), "{\"version\": 1, \"servers\": []}").unwrap();
+    let child = spawn_craneknot(&[subcommand], &file, error);
+    let mut node = Node { child, address: SocketAddr::from(([127, 0, 0, 1], 0)), log: Default::default() };
+    let until = Instant::now() + TEST_TIMEOUT;
+    while !ready.exists() {
+        assert!(Instant::now() < until, "timed out waiting for {subcommand} to be ready");
+        std::thread::yield_now();
+    }
+    let ready: Value = serde_json::from_slice(&std::fs::read(ready).unwrap()).unwrap();
+    node.address = ready["address"].as_str().unwrap().parse().unwrap();
+    node
+}
--- a/crates/craneknot-cli/tests/log_sink.rs
+++ b/crates/craneknot-cli/tests/log_sink.rs
@@ -15,13 +15,15 @@
 use craneknot_coordinator::status_client::{fetch_json, Timeouts};
 use craneknot_reactor::reserve;
 use rustix::process::Signal;
-use serde_json::{json, Value};
+use serde_json::Value;
 
 mod helpers;
 use helpers::peers::{listener, with_read_timeout};
-use helpers::{configuration, coordinator_settings, is_answered, Node, HEARTBEAT};
+use helpers::{
+    agent_settings, configuration, coordinator_settings, is_answered, spawn_craneknot, start_service, Node,
+    HEARTBEAT, TEST_TIMEOUT,
+};
 
-const TEST_TIMEOUT: Duration = Duration::from_secs(30);
 const KILL_AFTER: Duration = Duration::from_millis(700); // from SIGTERM to the kill by the platform
 const HEARTBEATS: usize = 15;
 const REPORTS: usize = 1_000; // malformed reports per heartbeat: more log lines than any queue holds
@@ -92,13 +94,6 @@
     }
 }
 
-fn spawn_craneknot(arguments: &[&str], file: &Path, error: impl Into<Stdio>) -> Child {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_craneknot"));
-    command.args(["--log", "json", "--level", "debug"]).args(arguments).arg(file);
-    command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(error);
-    command.spawn().unwrap()
-}
-
 /// Starts a coordinator of the platform with this standard error, and waits until it accepts connections.
 fn start(folder: &Path, error: impl Into<Stdio>) -> Node {
     let (reserved, address) = reserve(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
@@ -244,23 +239,6 @@
     stream.read_exact(&mut answer).is_ok() && &answer == b"HTTP/1.1 404"
 }
 
-/// Starts a service with these settings, and waits until it writes its address.
-fn start_service(subcommand: &str, folder: &Path, settings: &Value, error: Stdio) -> Node {
-    let (file, ready) = (folder.join("settings.json"), folder.join("ready.json"));
-    std::fs::write(&file, settings.to_string()).unwrap();
-    std::fs::write(folder.join("servers.json"), "{\"version\": 1, \"servers\": []}").unwrap();
-    let child = spawn_craneknot(&[subcommand], &file, error);
-    let mut node = Node { child, address: SocketAddr::from(([127, 0, 0, 1], 0)), log: Default::default() };
-    let until = Instant::now() + TEST_TIMEOUT;
-    while !ready.exists() {
-        assert!(Instant::now() < until, "timed out waiting for {subcommand} to be ready");
-        std::thread::yield_now();
-    }
-    let ready: Value = serde_json::from_slice(&std::fs::read(ready).unwrap()).unwrap();
-    node.address = ready["address"].as_str().unwrap().parse().unwrap();
-    node
-}
-
 /// Starts a service, sends it a request, stops it, and returns its exit code.
 fn run_service(subcommand: &str, settings: &Value, error: Stdio) -> Option<i32> {
     let folder = tempfile::tempdir().unwrap();
@@ -270,13 +248,6 @@
     wait_for_exit(&mut node.child, TEST_TIMEOUT)
 }
 
-fn agent_settings() -> Value {
-    json!({
-        "nodes": [{"id": "proxy", "zone": "north", "folder": "proxy"}], "coordinators": ["127.0.0.1:1"],
-        "listen": "127.0.0.1:0", "ready_file": "ready.json", "redial_least": "1ms", "redial_most": "1ms", "seed": 3
-    })
-}
-
 #[test]
 fn a_coordinator_and_an_agent_serve_with_any_log_sink() {
     for (name, settings) in [("run", coordinator_settings()), ("agent", agent_settings())] {
--- a/crates/craneknot-node/src/clients.rs
+++ b/crates/craneknot-node/src/clients.rs
@@ -19,6 +19,8 @@
 const LINE_TIMEOUT: Nanos = Nanos::from_millis(1_500); // ms; for an unidentified client to complete a line
 const CROWDED_IDLE_TIMEOUT: Nanos = Nanos::from_millis(250); // ms; while others wait to be accepted
 const SHUTDOWN_IDLE_TIMEOUT: Nanos = Nanos::from_millis(20); // ms; in a shutdown while others wait
+/// For a collector to complete a line: longer than a network partition lasts.
+const COLLECTOR_LINE_TIMEOUT: Nanos = Nanos::from_millis(30_000); // ms
 const MAX_LINE_BYTES: usize = 4 * 1024; // of an unidentified client's line: a join message is far shorter
 const MAX_COLLECTORS_PER_ZONE: usize = 4; // one that is cut off reconnects, and its old connection never closes
 
@@ -47,6 +49,8 @@
     Evict(ClientId, String),
     /// Close without a message: nothing is written to a collector.
     Close(ClientId, String),
+    /// Close a collector if it has not read its answers for some time.
+    CloseIfStuck(ClientId),
 }
 
 struct Client {
@@ -55,6 +59,8 @@
     last_input: Nanos,
     /// When it connected or last sent a heartbeat; an eviction that is not carried out restarts it too.
     last_active: Nanos,
+    /// It has sent a valid report.
+    has_reported: bool,
     /// When the first byte of the current partial line arrived.
     line_started: Option<Nanos>,
     /// Bytes of the input already scanned for the end of a line.
@@ -62,14 +68,19 @@
 }
 
 impl Client {
-    /// When its idle timeout, or the timeout of its partial line, expires.
-    fn deadline(&self, crowded: bool) -> Nanos {
+    /// When its idle timeout, or the timeout of its partial line, expires. A collector may be idle.
+    fn deadline(&self, crowded: bool) -> Option<Nanos> {
         let idle = if crowded { CROWDED_IDLE_TIMEOUT } else { IDLE_TIMEOUT };
-        match self.line_started {
-            Some(started) => started + LINE_TIMEOUT,
-            None => self.last_active + idle,
+        match (self.role, self.line_started) {
+            (Role::Unidentified, Some(started)) => Some(started + LINE_TIMEOUT),
+            (Role::Unidentified, None) => Some(self.last_active + idle),
+            (Role::Collector(_), started) => started.map(|started| started + COLLECTOR_LINE_TIMEOUT),
         }
     }
+
+    fn is_overdue(&self, now: Nanos, crowded: bool) -> bool {
+        self.deadline(crowded).is_some_and(|deadline| deadline <= now)
+    }
 }
 
 /// All connected clients.
@@ -106,6 +117,7 @@
             role: Role::Unidentified,
             last_input: now,
             last_active: now,
+            has_reported: false,
             line_started: None,
             scanned: 0,
         };
@@ -165,7 +177,10 @@
                     actions.push(ClientAction::AnswerHeartbeat(id));
                 }
                 (_, Ok(Message::Collector(zone))) => self.join(id, zone, pending, actions),
-                (Role::Collector(_), Ok(Message::Report(report))) => reports.push(report),
+                (Role::Collector(_), Ok(Message::Report(report))) => {
+                    client.has_reported = true;
+                    reports.push(report);
+                }
                 (Role::Collector(_), Err(MessageError::Malformed(cause))) => {
                     self.malformed_reports += 1;
                     actions.push(ClientAction::LogMalformedReport(
@@ -184,18 +199,27 @@
         }
     }
 
-    /// Makes a client a collector of a zone. File descriptors are scarce: if the zone has too many
-    /// collectors, the one that has been silent the longest and has no pending work is closed.
-    fn join(&mut self, id: ClientId, zone: ZoneId, pending: &PendingWork, actions: &mut Vec<ClientAction>) {
+    /// Makes a client a collector of a zone. File descriptors are scarce: if the zone has too many collectors,
+    /// one of them is closed. While all of them have unwritten answers, the client is rejected instead.
+    fn join(
+        &mut self,
+        id: ClientId,
+        zone: ZoneId,
+        pending: &mut PendingWork,
+        actions: &mut Vec<ClientAction>,
+    ) {
         let others = self
             .clients
             .iter()
             .filter(|(other, client)| **other != id && client.role == Role::Collector(zone));
-        let others: Vec<(Nanos, ClientId)> =
-            others.map(|(other, client)| (client.last_input, *other)).collect();
-        let silent = others.iter().filter(|(_, other)| !pending.has_pending(*other)).min();
-        if let Some((_, silent)) = silent.filter(|_| others.len() >= MAX_COLLECTORS_PER_ZONE) {
-            self.end_connection(*silent, "too many collectors for its zone".into(), actions);
+        let others: Vec<ClientId> = others.map(|(other, _)| *other).collect();
+        if others.len() >= MAX_COLLECTORS_PER_ZONE {
+            let Some(least_useful) = self.least_useful(&others, pending) else {
+                actions.extend(others.into_iter().map(ClientAction::CloseIfStuck));
+                return self.end_connection(id, "too many collectors for its zone".into(), actions);
+            };
+            pending.set_partial(least_useful, false);
+            self.end_connection(least_useful, "too many collectors for its zone".into(), actions);
         }
         if let Some(client) = self.clients.get_mut(&id) {
             client.role = Role::Collector(zone);
@@ -203,6 +227,16 @@
         }
     }
 
+    /// The collector to close first: one that has not reported yet, then the one that has been silent the
+    /// longest. A partial line is no reason to keep one, because nobody waits for its answer.
+    fn least_useful(&self, collectors: &[ClientId], pending: &PendingWork) -> Option<ClientId> {
+        let closable = collectors.iter().filter(|id| !pending.has_unanswered(**id));
+        let rank = |id: &&ClientId| {
+            self.clients.get(*id).map(|client| (client.has_reported, client.last_input, **id))
+        };
+        closable.min_by_key(rank).copied()
+    }
+
     /// Ends a connection. An unidentified client receives the reason, a collector does not.
     fn end_connection(&mut self, id: ClientId, cause: String, actions: &mut Vec<ClientAction>) {
         let Some(client) = self.clients.remove(&id) else { return };
@@ -212,18 +246,15 @@
         });
     }
 
-    /// Requests the eviction of unidentified clients whose timeout has expired. They count as connected until
-    /// the owner reports them as disconnected; for a client that the owner keeps, the timeout starts again.
-    pub fn evict_overdue(&mut self, now: Nanos, actions: &mut Vec<ClientAction>) {
+    /// Requests the eviction of clients whose timeout has expired. They count as connected until the owner
+    /// reports them as disconnected; for a client that the owner keeps, the timeout starts again.
+    pub fn evict_overdue(&mut self, now: Nanos, pending: &mut PendingWork, actions: &mut Vec<ClientAction>) {
         let crowded = self.free_slots() == 0;
-        let overdue: Vec<ClientId> = self
-            .unidentified()
-            .filter(|(_, client)| client.deadline(crowded) <= now)
-            .map(|(id, _)| *id)
-            .collect();
-        for id in overdue {
+        let overdue = self.clients.iter().filter(|(_, client)| client.is_overdue(now, crowded));
+        for id in overdue.map(|(id, _)| *id).collect::<Vec<ClientId>>() {
             let Some(client) = self.clients.get_mut(&id) else { continue };
             if client.line_started.is_some() {
+                pending.set_partial(id, false);
                 self.end_connection(id, "its message was not finished in time".into(), actions);
             } else {
                 client.last_active = now;
@@ -249,7 +280,7 @@
     /// When the next timeout expires.
     pub fn next_at(&self) -> Option<Nanos> {
         let crowded = self.free_slots() == 0;
-        self.unidentified().map(|(_, client)| client.deadline(crowded)).min()
+        self.clients.values().filter_map(|client| client.deadline(crowded)).min()
     }
 
     /// Number of collectors, and of unidentified clients.
--- a/crates/craneknot-node/src/coordinator.rs
+++ b/crates/craneknot-node/src/coordinator.rs
@@ -419,7 +419,7 @@
                 self.clients.evict_idle(now, &mut self.actions.client_actions);
             }
         } else {
-            self.clients.evict_overdue(now, &mut self.actions.client_actions);
+            self.clients.evict_overdue(now, &mut self.pending, &mut self.actions.client_actions);
             self.decide(now);
         }
         let retried = self.order_queue.retried;
--- a/crates/craneknot-node/src/pending.rs
+++ b/crates/craneknot-node/src/pending.rs
@@ -126,6 +126,11 @@
         self.clients.contains_key(&id)
     }
 
+    /// Whether a client has requests that are not answered, or answers that are not written.
+    pub fn has_unanswered(&self, id: ClientId) -> bool {
+        self.clients.get(&id).is_some_and(|client| client.requests > 0 || client.unsent)
+    }
+
     /// Number of clients with pending work.
     pub fn clients(&self) -> usize {
         self.clients.len()
--- a/crates/craneknot-node/src/shell.rs
+++ b/crates/craneknot-node/src/shell.rs
@@ -507,6 +507,7 @@
             }
             ClientAction::Reject(id, cause) => self.reject(id, &cause),
             ClientAction::Evict(id, cause) => self.evict(id, &cause),
+            ClientAction::CloseIfStuck(id) => self.close_if_stuck(id),
             ClientAction::Close(id, cause) => {
                 self.log.write(&LogEvent::ClientClosed { client: id, cause: cause.to_string() });
                 if let Some(conn) = self.remove_client(id, CloseReason::Dropped) {
@@ -524,11 +525,7 @@
             Err(SendError::Closed) => {
                 self.remove_client(id, CloseReason::ByPeer);
             }
-            Err(SendError::Full) => {
-                self.log.write(&LogEvent::ClientClosed { client: id, cause: UNREAD_ANSWERS.to_owned() });
-                self.remove_client(id, CloseReason::ByPeer);
-                self.reactor.close(conn);
-            }
+            Err(SendError::Full) => self.close_unread(id),
         }
     }
 
@@ -547,9 +544,23 @@
             self.read(conn);
         } else if !self.coordinator.has_pending(id) {
             self.reject(id, cause);
-        } else if self.reactor.write_stalled_for(conn) >= STUCK_TIMEOUT {
-            self.log.write(&LogEvent::ClientClosed { client: id, cause: UNREAD_ANSWERS.to_owned() });
-            self.remove_client(id, CloseReason::ByPeer);
+        } else {
+            self.close_if_stuck(id);
+        }
+    }
+
+    /// Closes the connection of a client that has not read its answers for some time.
+    fn close_if_stuck(&mut self, id: ClientId) {
+        let Some(conn) = self.client_conns.get(&id).copied() else { return };
+        if self.reactor.write_stalled_for(conn) >= STUCK_TIMEOUT {
+            self.close_unread(id);
+        }
+    }
+
+    /// Closes the connection of a client that does not read its answers.
+    fn close_unread(&mut self, id: ClientId) {
+        self.log.write(&LogEvent::ClientClosed { client: id, cause: UNREAD_ANSWERS.to_owned() });
+        if let Some(conn) = self.remove_client(id, CloseReason::ByPeer) {
             self.reactor.close(conn);
         }
     }
--- a/crates/craneknot-node/tests/clients.rs
+++ b/crates/craneknot-node/tests/clients.rs
@@ -67,9 +67,9 @@
             == [ClientAction::AnswerHeartbeat(ClientId(50))]
     );
     let mut actions = Vec::new();
-    clients.evict_overdue(ms(1_009), &mut actions);
+    clients.evict_overdue(ms(1_009), &mut PendingWork::default(), &mut actions);
     assert!(actions.is_empty(), "each client has at least a second");
-    clients.evict_overdue(ms(3_000), &mut actions);
+    clients.evict_overdue(ms(3_000), &mut PendingWork::default(), &mut actions);
     assert!(matches!(actions[..], [ClientAction::Reject(ClientId(50), _)]));
     assert_eq!(clients.counts(), (0, 0));
 }
@@ -86,9 +86,9 @@
     }
     assert_eq!((clients.counts(), clients.free_slots()), ((1, 64), 0));
     let mut actions = Vec::new();
-    clients.evict_overdue(ms(200), &mut actions);
+    clients.evict_overdue(ms(200), &mut PendingWork::default(), &mut actions);
     assert!(actions.is_empty(), "no client is evicted before it had time for a request: {actions:?}");
-    clients.evict_overdue(ms(251), &mut actions);
+    clients.evict_overdue(ms(251), &mut PendingWork::default(), &mut actions);
     assert_eq!(actions.len(), 64, "the silent clients are evicted for those that wait");
     assert!(actions.iter().all(|action| matches!(action, ClientAction::Evict(ClientId(1..=64), _))));
     assert_eq!(read(&mut clients, 0, DEMAND, &names).1.len(), 1, "reports of the collector are still read");
@@ -102,7 +102,7 @@
     (0..3).for_each(|id| clients.connected(ms(0), ClientId(id)));
     read_at(ms(200), &mut clients, 0, "{\"type\":\"hb\"}\n", &names);
     read_at(ms(200), &mut clients, 1, "{\"type\"", &names);
-    clients.evict_overdue(ms(300), &mut actions);
+    clients.evict_overdue(ms(300), &mut PendingWork::default(), &mut actions);
     assert!(matches!(actions[..], [ClientAction::Evict(ClientId(2), _)]), "{actions:?}");
     assert!(
         clients.next_at().is_some_and(|at| at > ms(300)),
@@ -110,7 +110,7 @@
     );
     clients.disconnected(ClientId(2));
     actions.clear();
-    clients.evict_overdue(ms(1_000), &mut actions);
+    clients.evict_overdue(ms(1_000), &mut PendingWork::default(), &mut actions);
     assert!(actions.is_empty(), "a slot is free again: {actions:?}");
 }
 
@@ -136,7 +136,7 @@
     for at in (0..10_000).step_by(500) {
         read_at(ms(at), &mut clients, 0, "{\"type\":\"hb\"}\n", &names);
         read_at(ms(at), &mut clients, 1, &"{".repeat(1 + at as usize / 500), &names);
-        clients.evict_overdue(ms(at), &mut actions);
+        clients.evict_overdue(ms(at), &mut PendingWork::default(), &mut actions);
     }
     assert!(matches!(actions[..], [ClientAction::Reject(ClientId(1), _)]), "{actions:?}");
     assert_eq!(clients.counts(), (0, 1));
@@ -230,3 +230,76 @@
     }
     assert!(pending.is_empty());
 }
+
+/// Guards against collectors that no limit held: one with a partial line counted as having pending work and was never
+/// closed, while the collector that reports was.
+#[test]
+fn collectors_that_have_not_reported_give_way_first_whatever_they_leave_unfinished() {
+    let (mut clients, names, mut pending) = (Clients::new(64), config().names, PendingWork::default());
+    let (mut reports, mut actions) = (Vec::new(), Vec::new());
+    let mut join = |clients: &mut Clients, pending: &mut PendingWork, id: u64, text: &str| {
+        clients.connected(ms(id), ClientId(id));
+        actions.clear();
+        let mut input = BytesMut::from(format!("{JOIN}{text}").as_str());
+        clients.read_lines(
+            ms(id),
+            ClientId(id),
+            &mut input,
+            &names,
+            150,
+            pending,
+            &mut reports,
+            &mut actions,
+        );
+        actions.clone()
+    };
+    join(&mut clients, &mut pending, 1, DEMAND);
+    for id in 2..50 {
+        let actions = join(&mut clients, &mut pending, id, "{\"type\":");
+        let closed = actions.iter().find_map(|action| match action {
+            ClientAction::Close(closed, _) => Some(closed.0),
+            _ => None,
+        });
+        assert_eq!(closed, (id > 4).then(|| id - 3), "the oldest that has not reported");
+        closed.into_iter().for_each(|closed| pending.closed(ClientId(closed), CloseReason::Dropped));
+    }
+    assert_eq!((clients.counts(), pending.violations().total()), ((4, 0), 0));
+    // While none may be closed, since each has an unread answer, the newcomer is rejected.
+    (0..50).for_each(|id| pending.request_answered(ClientId(id), true));
+    let actions = join(&mut clients, &mut pending, 50, "");
+    assert!(actions.iter().any(|action| matches!(action, ClientAction::Reject(ClientId(50), _))));
+    assert_eq!(
+        actions.iter().filter(|action| matches!(action, ClientAction::CloseIfStuck(_))).count(),
+        4,
+        "those that do not read are looked at"
+    );
+    assert_eq!(clients.counts(), (4, 0));
+}
+
+/// A collector may be idle for long, but not in the middle of a line.
+#[test]
+fn a_collector_has_thirty_seconds_for_a_line() {
+    let (mut clients, names, mut pending) = (Clients::new(64), config().names, PendingWork::default());
+    let (mut reports, mut actions) = (Vec::new(), Vec::new());
+    for (id, text) in [(1, JOIN.to_owned()), (2, format!("{JOIN}{{\"type\":"))] {
+        clients.connected(ms(0), ClientId(id));
+        let mut input = BytesMut::from(text.as_str());
+        clients.read_lines(
+            ms(0),
+            ClientId(id),
+            &mut input,
+            &names,
+            150,
+            &mut pending,
+            &mut reports,
+            &mut actions,
+        );
+    }
+    actions.clear();
+    assert_eq!(clients.next_at(), Some(ms(30_000)));
+    clients.evict_overdue(ms(29_999), &mut pending, &mut actions);
+    assert_eq!(actions, []);
+    clients.evict_overdue(ms(30_000), &mut pending, &mut actions);
+    assert!(matches!(actions[..], [ClientAction::Close(ClientId(2), _)]), "{actions:?}");
+    assert!(!pending.has_pending(ClientId(2)), "a partial line is no request that waits for an answer");
+}
