One budget for what all clients of a process leave unfinished or unread

Cause: input, unfinished requests and unread answers have a limit for each connection and none together, in node (1 MiB a collector), run and agent (4 MB a request). Fix: the reactor counts what accepted connections hold together (input, unfinished messages with their parsed heads, output that is not shared) and reads no more at the limit; at three quarters of it the shells close those that have held theirs the longest, told why. node: an eighth of limits.memory_mb; run: streams.buffered_bytes, 32 MiB; agent: 32 MiB, and 5 s for a request. Consumed input releases its memory. Why it works: memory no longer depends on the number of clients, and who sends whole messages holds nothing. Another status line, so that the test of line lengths expects 8 in place of 7.

--- a/crates/craneknot-agent/src/shell.rs
+++ b/crates/craneknot-agent/src/shell.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use craneknot::interface::Nanos;
 use craneknot_http::{request, response, Limits as HttpLimits, RequestReader, ResponseReader};
-use craneknot_reactor::{Clock, ConnId, Limits, Reactor, ReactorEvent, SignalFlags};
+use craneknot_reactor::{Clock, ConnId, Limits, Reactor, ReactorEvent, SignalFlags, Unfinished};
 use craneknot_settings::{AgentSettings, NodeSettings};
 use craneknot_store::{replace, Disk, RealDisk, TEMPORARY_SUFFIX};
 use craneknot_xds::discovery::{DiscoveryRequest, DiscoveryResponse, Kind, Locality, Node, Status};
@@ -29,6 +29,10 @@
 const REPORT_PERIOD_LIMITS: (Nanos, Nanos) = (Nanos::from_millis(50), Nanos::from_millis(60_000));
 const CONNECT_TIMEOUT: Nanos = Nanos::from_millis(2_000);
 const WARMING_TIMEOUT: Nanos = Nanos::from_millis(5_000); // bindings with missing tables are then rejected
+/// Of all proxies' connections together, in unfinished requests and unread answers.
+const MAX_BUFFERED_BYTES: usize = 32 * 1024 * 1024;
+/// For a proxy to complete a request.
+const REQUEST_TIMEOUT: Nanos = Nanos::from_millis(5_000);
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 
 /// A timer of the follower with this index.
@@ -37,6 +41,8 @@
     ConnectTimeout(usize, ConnId),
     Report(usize),
     WarmingTimeout(usize, u64),
+    /// Close the connections of proxies that send too slowly.
+    Sweep,
 }
 
 /// The purpose of a connection to a coordinator, for the follower with this index.
@@ -107,7 +113,8 @@
         clock: Arc<dyn Clock>,
         disk: Box<dyn Disk>,
     ) -> io::Result<Self> {
-        let mut reactor = Reactor::new(clock, Limits { input: 1024 * 1024, ..Limits::default() })?;
+        let limits = Limits { input: 1024 * 1024, buffered: MAX_BUFFERED_BYTES, ..Limits::default() };
+        let mut reactor = Reactor::new(clock, limits)?;
         let now = reactor.now();
         let seed = settings.seed.unwrap_or(now.0);
         let (base, max) = (settings.redial_least.0, settings.redial_most.0);
@@ -155,6 +162,7 @@
         let by_name =
             settings.nodes.iter().enumerate().map(|(index, node)| (node.id.clone(), index)).collect();
         let (_, address) = reactor.listen(settings.listen)?;
+        reactor.set_timer(now + REQUEST_TIMEOUT, Timer::Sweep);
         if let Some(path) = &settings.ready_file {
             let text = serde_json::json!({"address": address.to_string(), "pid": std::process::id()});
             replace(disk.as_ref(), &folder.join(path), text.to_string().as_bytes())?;
@@ -233,9 +241,40 @@
                 }
             }
         }
+        self.close_over_budget();
         Ok(true)
     }
 
+    /// Closes proxies' connections while all of them together leave too much unfinished or unread.
+    fn close_over_budget(&mut self) {
+        for conn in self.reactor.over_budget() {
+            if self.reactor.unsent_bytes(conn) > 0 {
+                self.proxies.remove(&conn);
+                self.reactor.close(conn);
+            } else {
+                let cause = "unfinished requests take too much memory";
+                self.reject_proxy(conn, StatusCode::SERVICE_UNAVAILABLE, cause);
+            }
+        }
+    }
+
+    /// Answers a proxy with an error and closes the connection.
+    fn reject_proxy(&mut self, conn: ConnId, status: StatusCode, cause: &str) {
+        let _ = self.reactor.send(conn, [response(status, &[], cause.as_bytes())]);
+        self.proxies.remove(&conn);
+        self.reactor.close_gracefully(conn);
+    }
+
+    /// Closes the connections of proxies whose requests are not complete in time.
+    fn sweep(&mut self, now: Nanos) {
+        let is_slow = |proxy: &ProxyConnection| proxy.reader.partial_message_age(now) >= REQUEST_TIMEOUT;
+        let slow = self.proxies.iter().filter(|(_, proxy)| is_slow(proxy)).map(|(conn, _)| *conn);
+        for conn in slow.collect::<Vec<ConnId>>() {
+            self.reject_proxy(conn, StatusCode::REQUEST_TIMEOUT, "the request did not come whole in time");
+        }
+        self.reactor.set_timer(now + REQUEST_TIMEOUT, Timer::Sweep);
+    }
+
     fn timer_fired(&mut self, timer: Timer) {
         let now = self.reactor.now();
         match timer {
@@ -251,6 +290,7 @@
                 }
             }
             Timer::Report(index) => self.send_report(index, now),
+            Timer::Sweep => self.sweep(now),
             Timer::WarmingTimeout(index, id) => {
                 let follower = &mut self.followers[index];
                 if follower.warming_id == Some(id) {
@@ -541,13 +581,7 @@
                 Ok(Some(message)) if message.uri().path() == load::PATH => self.add_report(message.body()),
                 Ok(Some(_)) => (StatusCode::NOT_FOUND, Vec::new()),
                 Ok(None) => break,
-                Err(error) => {
-                    let answer = response(error.status(), &[], error.to_string().as_bytes());
-                    let _ = self.reactor.send(conn, [answer]);
-                    self.proxies.remove(&conn);
-                    self.reactor.close_gracefully(conn);
-                    return;
-                }
+                Err(error) => return self.reject_proxy(conn, error.status(), &error.to_string()),
             };
             if self.reactor.send(conn, [response(status, &[JSON], &body)]).is_err() {
                 self.proxies.remove(&conn);
@@ -555,6 +589,11 @@
                 return;
             }
         }
+        if let Some(proxy) = self.proxies.get(&conn) {
+            let held_bytes = proxy.reader.held_bytes();
+            let unfinished = proxy.reader.partial_since().map(|since| Unfinished { since, held_bytes });
+            self.reactor.set_unfinished(conn, unfinished);
+        }
         self.reactor.input_consumed(conn);
     }
 
--- a/crates/craneknot-coordinator/src/shell.rs
+++ b/crates/craneknot-coordinator/src/shell.rs
@@ -17,7 +17,7 @@
 };
 use craneknot_reactor::{
     read_regular_file, Clock, ConnId, Counter, FolderWatch, Limits, ListenerId, Reactor, ReactorEvent,
-    SignalFlags,
+    SignalFlags, Unfinished,
 };
 use craneknot_settings::{parse, CoordinatorSettings, SharedSettings};
 use craneknot_store::{replace, RealDisk, Store, StoreError};
@@ -163,6 +163,7 @@
         let limits = Limits {
             input: settings.streams.request_bytes.max(64 * 1024),
             connections: settings.streams.connections,
+            buffered: settings.streams.buffered_bytes,
             ..Limits::default()
         };
         let mut reactor = Reactor::new(clock, limits)?;
@@ -347,9 +348,23 @@
                 }
             }
         }
+        self.close_over_budget();
         Ok(true)
     }
 
+    /// Closes connections while all of them together leave too much unfinished or unread.
+    fn close_over_budget(&mut self) {
+        for conn in self.reactor.over_budget() {
+            if self.reactor.unsent_bytes(conn) > 0 {
+                self.drop_peer(conn, "the peer does not read, and unread answers take too much memory");
+                self.reactor.close(conn);
+            } else {
+                let cause = "unfinished requests take too much memory";
+                self.reject(conn, StatusCode::SERVICE_UNAVAILABLE, cause);
+            }
+        }
+    }
+
     /// Runs a turn of the engine and carries out its outputs.
     fn turn(&mut self) {
         let now = self.reactor.now();
@@ -527,6 +542,11 @@
                 Err(error) => return self.reject(conn, error.status(), &error.to_string()),
             }
         }
+        if let Some(peer) = self.peers.get(&conn) {
+            let held_bytes = peer.reader.held_bytes();
+            let unfinished = peer.reader.partial_since().map(|since| Unfinished { since, held_bytes });
+            self.reactor.set_unfinished(conn, unfinished);
+        }
         self.reactor.input_consumed(conn);
     }
 
@@ -596,6 +616,7 @@
                 if first {
                     peer.joined = true;
                     self.conns.insert(stream, conn);
+                    self.reactor.set_output_shared(conn);
                     info!(proxy = self.engine.proxy_name(stream), stream = stream.0, "a proxy joined");
                 }
                 match outcome {
--- a/crates/craneknot-http/src/reader.rs
+++ b/crates/craneknot-http/src/reader.rs
@@ -22,6 +22,8 @@
 }
 
 const MAX_HEADERS: usize = 64; // per message, more than any peer needs
+/// Memory of one parsed header besides its text: its entry in the map, and its share of the map's index.
+const HEADER_OVERHEAD_BYTES: usize = 128;
 const MAX_CHUNK_LINE_BYTES: usize = 256; // of a chunk size line, including extensions
 
 /// Why a message can't be parsed; the connection can't be used any further.
@@ -85,6 +87,8 @@
     limits: Limits,
     stage: Stage,
     head: Option<H>,
+    /// Memory of the parsed head.
+    head_bytes: usize,
     body: BytesMut,
     /// Number of input bytes already searched for the end of the head.
     searched: usize,
@@ -94,7 +98,15 @@
 
 impl<H> Reader<H> {
     fn new(limits: Limits) -> Self {
-        Reader { limits, stage: Stage::Head, head: None, body: BytesMut::new(), searched: 0, since: None }
+        Reader {
+            limits,
+            stage: Stage::Head,
+            head: None,
+            head_bytes: 0,
+            body: BytesMut::new(),
+            searched: 0,
+            since: None,
+        }
     }
 
     /// The bytes of the head, once it is complete.
@@ -123,13 +135,14 @@
         }
     }
 
-    fn begin_body(&mut self, head: H, stage: Stage) -> Result<(), ParseError> {
+    fn begin_body(&mut self, head: H, stage: Stage, head_bytes: usize) -> Result<(), ParseError> {
         if let Stage::Length(length) = stage {
             if length > self.limits.body {
                 return Err(ParseError::BodyTooLarge);
             }
         }
         self.head = Some(head);
+        self.head_bytes = head_bytes;
         self.stage = stage;
         Ok(())
     }
@@ -202,11 +215,17 @@
 
     fn complete_message(&mut self) -> Option<(H, Bytes)> {
         self.stage = Stage::Head;
+        self.head_bytes = 0;
         self.since = None;
         let body = std::mem::take(&mut self.body).freeze();
         self.head.take().map(|head| (head, body))
     }
 
+    /// Memory that the unfinished message takes, besides the unconsumed input.
+    fn held_bytes(&self) -> usize {
+        self.head_bytes + self.body.capacity()
+    }
+
     fn update_since(&mut self, input: &BytesMut, now: Nanos) {
         let is_partial = !input.is_empty() || !matches!(self.stage, Stage::Head);
         self.since = if is_partial { self.since.or(Some(now)) } else { None };
@@ -236,6 +255,11 @@
     Ok(headers)
 }
 
+/// The memory of a parsed head, from the length of its text.
+fn head_memory(text_bytes: usize, headers: &HeaderMap) -> usize {
+    text_bytes + headers.len() * HEADER_OVERHEAD_BYTES
+}
+
 /// How the body is delimited; `None` if there is neither a length nor a transfer coding.
 fn framing(headers: &HeaderMap) -> Result<Option<Stage>, ParseError> {
     let mut lengths = headers.get_all(header::CONTENT_LENGTH).iter();
@@ -288,7 +312,8 @@
         if let Stage::Head = self.0.stage {
             if let Some(bytes) = self.0.head_bytes(input)? {
                 let (head, stage) = request_head(&bytes)?;
-                self.0.begin_body(head, stage)?;
+                let head_bytes = head_memory(bytes.len(), head.headers());
+                self.0.begin_body(head, stage, head_bytes)?;
             }
         }
         let message = self.0.read_body(input)?;
@@ -301,6 +326,16 @@
         self.0.since.map_or(Nanos(0), |since| now - since)
     }
 
+    /// When the first byte of the incomplete message was received, if there is one.
+    pub fn partial_since(&self) -> Option<Nanos> {
+        self.0.since
+    }
+
+    /// Memory that the incomplete message takes, in bytes, besides the unconsumed input.
+    pub fn held_bytes(&self) -> usize {
+        self.0.held_bytes()
+    }
+
     /// Whether the connection stays open after the response to this request.
     pub fn is_persistent<B>(request: &Request<B>) -> bool {
         request.extensions().get::<Persistent>().is_none_or(|persistent| persistent.0)
@@ -347,7 +382,8 @@
         if let Stage::Head = self.0.stage {
             if let Some(bytes) = self.0.head_bytes(input)? {
                 let (head, stage) = response_head(&bytes)?;
-                self.0.begin_body(head, stage)?;
+                let head_bytes = head_memory(bytes.len(), head.headers());
+                self.0.begin_body(head, stage, head_bytes)?;
             }
         }
         let mut message = self.0.read_body(input)?;
--- a/crates/craneknot-http/tests/malformed_input.rs
+++ b/crates/craneknot-http/tests/malformed_input.rs
@@ -135,3 +135,21 @@
         }
     }
 }
+
+/// Guards against heads of very many short fields, which take far more memory than their text.
+#[test]
+fn the_memory_of_an_unfinished_request_includes_its_parsed_head() {
+    let fields: String = (0..60).map(|number| format!("a{number}:\r\n")).collect();
+    let head = format!("POST /a HTTP/1.1\r\n{fields}content-length: 400\r\n\r\n");
+    let (mut reader, mut buffer) = (RequestReader::new(LIMITS), BytesMut::from(head.as_str()));
+    assert_eq!((reader.held_bytes(), reader.partial_since()), (0, None));
+    assert!(reader.next(&mut buffer, Nanos(7)).unwrap().is_none() && buffer.is_empty());
+    assert!(reader.held_bytes() > 60 * 100, "{}", reader.held_bytes());
+    assert_eq!(reader.partial_since(), Some(Nanos(7)));
+    buffer.extend_from_slice(&[b'x'; 399]);
+    assert!(reader.next(&mut buffer, Nanos(8)).unwrap().is_none());
+    assert!(reader.held_bytes() > 60 * 100 + 399);
+    buffer.extend_from_slice(b"x");
+    assert!(reader.next(&mut buffer, Nanos(9)).unwrap().is_some());
+    assert_eq!((reader.held_bytes(), reader.partial_since()), (0, None));
+}
--- a/crates/craneknot-node/src/clients.rs
+++ b/crates/craneknot-node/src/clients.rs
@@ -89,12 +89,14 @@
     max_unidentified: usize,
     /// Reports that were skipped because they were malformed.
     pub malformed_reports: u64,
+    /// Clients closed because unfinished input took too much memory.
+    pub closed_over_budget: u64,
 }
 
 impl Clients {
     /// `max_unidentified`: limit on concurrent clients that have not identified themselves.
     pub fn new(max_unidentified: usize) -> Self {
-        Clients { clients: BTreeMap::new(), max_unidentified, malformed_reports: 0 }
+        Clients { clients: BTreeMap::new(), max_unidentified, malformed_reports: 0, closed_over_budget: 0 }
     }
 
     /// Input limit in bytes of a new connection.
@@ -237,6 +239,24 @@
         closable.min_by_key(rank).copied()
     }
 
+    /// Ends the connection of a client whose unfinished message, together with all others, takes too much
+    /// memory.
+    pub fn end_over_budget(
+        &mut self,
+        id: ClientId,
+        pending: &mut PendingWork,
+        actions: &mut Vec<ClientAction>,
+    ) {
+        self.closed_over_budget += 1;
+        pending.set_partial(id, false);
+        self.end_connection(id, "unfinished messages take too much memory".into(), actions);
+    }
+
+    /// When the first byte of a client's partial line arrived.
+    pub fn partial_since(&self, id: ClientId) -> Option<Nanos> {
+        self.clients.get(&id).and_then(|client| client.line_started)
+    }
+
     /// Ends a connection. An unidentified client receives the reason, a collector does not.
     fn end_connection(&mut self, id: ClientId, cause: String, actions: &mut Vec<ClientAction>) {
         let Some(client) = self.clients.remove(&id) else { return };
--- a/crates/craneknot-node/src/coordinator.rs
+++ b/crates/craneknot-node/src/coordinator.rs
@@ -182,6 +182,16 @@
         }
     }
 
+    /// When the first byte of a client's partial line arrived.
+    pub fn client_partial_since(&self, id: ClientId) -> Option<Nanos> {
+        self.clients.partial_since(id)
+    }
+
+    /// A client's unfinished message has to go, because all of them together take too much memory.
+    pub fn client_over_budget(&mut self, id: ClientId) {
+        self.clients.end_over_budget(id, &mut self.pending, &mut self.actions.client_actions);
+    }
+
     /// Whether a link carries an event stream: its response never ends and is read as it arrives.
     pub fn is_event_stream(&self, link: LinkId) -> bool {
         self.event_streams.has(link)
@@ -639,6 +649,7 @@
             clients_pending: self.pending.clients(),
             reports: self.reports,
             reports_malformed: self.clients.malformed_reports,
+            closed_over_budget: self.clients.closed_over_budget,
             orders: self.orders,
             orders_waiting: self.order_queue.waiting(),
             orders_rejected: self.order_queue.rejected,
--- a/crates/craneknot-node/src/shell.rs
+++ b/crates/craneknot-node/src/shell.rs
@@ -16,7 +16,7 @@
 use craneknot_reactor::system_errors::{is_local_failure, is_transient_at_start};
 use craneknot_reactor::{
     read_regular_file, Clock, CloseCause, ConnId, Counter, Limits, ListenerId, Reactor, ReactorEvent,
-    SendError, SignalFlags,
+    SendError, SignalFlags, Unfinished,
 };
 use tracing::{debug, error, info, warn};
 
@@ -30,6 +30,7 @@
 
 const MAX_INPUT_BYTES: usize = 256 * 1024; // bytes read ahead from a collector or on an outgoing connection
 const MAX_OUTPUT_BYTES: usize = 512 * 1024; // bytes queued for a peer: far more than a call or the lines of a client
+const BUFFER_DIVISOR: usize = 8; // of the memory limit: the share for what clients leave unfinished or unread
 const SHUTDOWN_TIMEOUT: Nanos = Nanos::from_millis(900); // ms; clients may use their connections until the
                                                          // platform kills the process, 700 ms after SIGTERM
                                                          // at the earliest
@@ -178,7 +179,13 @@
         let config = retry_until(deadline, is_transient, || read_config(file, |file| fs::read(file)))
             .map_err(|cause| StartError::Config(cause.into_text()))?;
         let Descriptors { connections, accepts, .. } = Descriptors::divide(config.socket_limit);
-        let limits = Limits { input: MAX_INPUT_BYTES, output: MAX_OUTPUT_BYTES, connections, accepts };
+        let limits = Limits {
+            input: MAX_INPUT_BYTES,
+            output: MAX_OUTPUT_BYTES,
+            connections,
+            buffered: config.memory_limit / BUFFER_DIVISOR,
+            accepts,
+        };
         let listen = || -> io::Result<(Reactor<Timer>, ListenerId, SocketAddr)> {
             let mut reactor = Reactor::new(clock.clone(), limits)?;
             let (listener, address) = reactor.listen(config.listen)?;
@@ -251,9 +258,30 @@
                 return Ok(false);
             }
         }
+        self.close_over_budget();
         Ok(true)
     }
 
+    /// Closes clients while all of them together leave too much unfinished or unread.
+    fn close_over_budget(&mut self) {
+        for conn in self.reactor.over_budget() {
+            let Some(client) = self.clients.get(&conn).copied() else { continue };
+            if self.reactor.unsent_bytes(conn) > 0 {
+                self.close_unread(client);
+            } else {
+                self.coordinator.client_over_budget(client);
+            }
+        }
+    }
+
+    /// Closes the connection of a client that does not read its answers.
+    fn close_unread(&mut self, id: ClientId) {
+        self.log.write(&LogEvent::ClientClosed { client: id, cause: UNREAD_ANSWERS.to_owned() });
+        if let Some(conn) = self.remove_client(id, CloseReason::ByPeer) {
+            self.reactor.close(conn);
+        }
+    }
+
     /// Handles an event of the reactor; false: the shutdown has timed out.
     fn handle(&mut self, happened: ReactorEvent<Timer>) -> bool {
         match happened {
@@ -385,6 +413,7 @@
     fn process_figures(&self) -> ProcessFigures {
         ProcessFigures {
             connections: self.reactor.connections(),
+            buffered_bytes: self.reactor.buffered_bytes(),
             system_calls_retried: self.reactor.system_calls_retried(),
             log_lines_dropped: self.log_lines_dropped.get(),
         }
@@ -443,6 +472,8 @@
             if let Some(input) = self.reactor.input(conn) {
                 self.coordinator.client_input(now, *client, input);
             }
+            let since = self.coordinator.client_partial_since(*client);
+            self.reactor.set_unfinished(conn, since.map(|since| Unfinished { since, held_bytes: 0 }));
             self.reactor.input_consumed(conn);
         } else if self.links.contains_key(&conn) {
             self.read_link(conn);
@@ -557,14 +588,6 @@
         }
     }
 
-    /// Closes the connection of a client that does not read its answers.
-    fn close_unread(&mut self, id: ClientId) {
-        self.log.write(&LogEvent::ClientClosed { client: id, cause: UNREAD_ANSWERS.to_owned() });
-        if let Some(conn) = self.remove_client(id, CloseReason::ByPeer) {
-            self.reactor.close(conn);
-        }
-    }
-
     /// Removes a client and returns its connection, which the caller closes.
     fn remove_client(&mut self, id: ClientId, reason: CloseReason) -> Option<ConnId> {
         self.coordinator.client_closed(id, reason);
--- a/crates/craneknot-node/src/status.rs
+++ b/crates/craneknot-node/src/status.rs
@@ -8,6 +8,7 @@
 use crate::log_event::{millis, sanitized_prefix};
 use crate::pending::Violations;
 
+const BYTES_PER_KIB: usize = 1_024;
 const MAX_CLASS_CHARS: usize = 11; // of a class's name in a status line, which has the most fields
 
 /// Summary of a coordinator for its operator.
@@ -22,6 +23,8 @@
     pub clients_pending: usize,
     pub reports: u64,
     pub reports_malformed: u64,
+    /// Clients closed because unfinished input took too much memory.
+    pub closed_over_budget: u64,
     pub orders: u64,
     pub orders_waiting: usize,
     pub orders_rejected: u64,
@@ -58,6 +61,8 @@
 pub struct ProcessFigures {
     /// Open connections, outgoing ones included.
     pub connections: usize,
+    /// Bytes that clients' unfinished messages and unread answers take.
+    pub buffered_bytes: usize,
     /// System calls that failed transiently and were retried.
     pub system_calls_retried: u64,
     /// Log lines that were dropped because standard error did not accept them.
@@ -66,7 +71,7 @@
 
 /// Writes the status lines: possible faults first, then orders, clients and input.
 pub fn write_status(status: &Status, process: ProcessFigures) {
-    let ProcessFigures { connections, system_calls_retried, log_lines_dropped } = process;
+    let ProcessFigures { connections, buffered_bytes, system_calls_retried, log_lines_dropped } = process;
     let Violations { closed_unanswered, orders_forbidden, orders_overtaken, .. } = status.violations;
     info!(
         uncovered = status.coverage.uncovered,
@@ -116,6 +121,11 @@
         log_lines_dropped,
         "status of input"
     );
+    info!(
+        buffered_kib = buffered_bytes / BYTES_PER_KIB,
+        closed_over_budget = status.closed_over_budget,
+        "status of memory"
+    );
 }
 
 /// Writes the last lines of a process: the longest time that a proxy had no line, and the work left undone.
--- a/crates/craneknot-node/tests/observability.rs
+++ b/crates/craneknot-node/tests/observability.rs
@@ -153,6 +153,7 @@
         clients_pending: 1_000,
         reports: many,
         reports_malformed: many,
+        closed_over_budget: many,
         orders: many,
         orders_waiting: 1_000_000,
         orders_rejected: 1_000_000,
@@ -180,14 +181,18 @@
     for is_json in [false, true] {
         let mut log = EventLog::default();
         let lines = logged(is_json, || {
-            let process =
-                ProcessFigures { connections: 1_024, system_calls_retried: many, log_lines_dropped: many };
+            let process = ProcessFigures {
+                connections: 1_024,
+                buffered_bytes: 1 << 40,
+                system_calls_retried: many,
+                log_lines_dropped: many,
+            };
             write_status(&status, process);
             write_end(&status, status.violations);
             write_end(&status, Violations::default());
             all_events().iter().for_each(|event| assert!(log.write(event)));
         });
-        assert_eq!(lines.len(), 7 + 4 + all_events().len(), "one line per event");
+        assert_eq!(lines.len(), 8 + 4 + all_events().len(), "one line per event");
         for line in lines {
             assert!(line.len() <= MAX_LINE_BYTES, "{} bytes: {line}", line.len());
         }
--- a/crates/craneknot-platform/src/config.rs
+++ b/crates/craneknot-platform/src/config.rs
@@ -12,6 +12,12 @@
 /// Minimum and maximum of the file descriptor limit that the platform may set for a coordinator.
 const SOCKET_LIMIT_RANGE: (u64, u64) = (16, 1 << 20);
 
+/// Minimum and maximum of the memory limit that the platform may set for a coordinator, in MiB.
+const MEMORY_LIMIT_RANGE: (u64, u64) = (16, 1 << 20);
+/// Memory limit in MiB of a configuration that sets none.
+const DEFAULT_MEMORY_LIMIT: u64 = 64;
+const MIB: usize = 1024 * 1024;
+
 /// The parsed configuration of one coordinator.
 pub struct Config {
     pub name: String,
@@ -22,6 +28,8 @@
     pub seed: u64,
     /// Number of file descriptors that the process may hold.
     pub socket_limit: usize,
+    /// Number of bytes of memory that the process may use.
+    pub memory_limit: usize,
     pub settings: Settings,
     pub names: InstanceNames,
     /// The list of servers as this coordinator last knew it; it may be outdated.
@@ -40,6 +48,10 @@
         };
         let relay = Object::new("configuration: distributor", object.required("distributor")?)?;
         let limits = Object::new("configuration: limits", object.required("limits")?)?;
+        let memory_mb = match limits.get("memory_mb") {
+            Some(_) => limits.integer("memory_mb", MEMORY_LIMIT_RANGE.1)?,
+            None => DEFAULT_MEMORY_LIMIT,
+        };
         let seed = object.text("seed")?;
         let seed =
             u64::from_str_radix(seed, 16).map_err(|_| object.invalid("seed", "up to 16 hex digits"))?;
@@ -68,6 +80,7 @@
             relay: address(&relay, "address")?,
             seed,
             socket_limit: limits.integer("sockets", SOCKET_LIMIT_RANGE.1)?.max(SOCKET_LIMIT_RANGE.0) as usize,
+            memory_limit: memory_mb.max(MEMORY_LIMIT_RANGE.0) as usize * MIB,
             settings,
             names,
             known_roster,
--- a/crates/craneknot-reactor/src/conn.rs
+++ b/crates/craneknot-reactor/src/conn.rs
@@ -7,7 +7,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 use craneknot::interface::Nanos;
 
-use crate::reactor::CloseCause;
+use crate::reactor::{CloseCause, Unfinished};
 use crate::system_errors::{is_soft_network_error, is_transient};
 
 const MAX_READS: usize = 16; // of 16 KiB per event, so that a fast peer does not hold up the others
@@ -46,6 +46,14 @@
     pub registered_interest: (bool, bool),
     /// Limit of the bytes buffered for reading.
     pub input_limit: usize,
+    /// Bytes in `input` when the owner was last told of them.
+    pub received_len: usize,
+    /// The message that the owner has read in part.
+    pub unfinished: Option<Unfinished>,
+    /// The memory of the output is shared with other connections.
+    pub is_output_shared: bool,
+    /// Bytes counted towards the budget of all connections.
+    pub counted: usize,
 }
 
 impl Conn {
@@ -66,9 +74,24 @@
             paused: false,
             registered_interest: (!connecting, connecting),
             input_limit,
+            received_len: 0,
+            unfinished: None,
+            is_output_shared: false,
+            counted: 0,
         }
     }
 
+    /// Releases the memory of input that the owner has consumed. What is left is copied, because consumed bytes at the
+    /// front would keep the whole allocation.
+    pub fn release_consumed(&mut self) {
+        if self.input.is_empty() {
+            self.input = BytesMut::new();
+        } else if self.input.len() < self.received_len {
+            self.input = BytesMut::from(&self.input[..]);
+        }
+        self.received_len = self.input.len();
+    }
+
     /// The interest that the poller should have.
     pub fn interest(&self) -> (bool, bool) {
         if self.ended {
--- a/crates/craneknot-reactor/src/lib.rs
+++ b/crates/craneknot-reactor/src/lib.rs
@@ -15,7 +15,9 @@
 pub use clock::{Clock, ManualClock, SteadyClock};
 pub use counter::Counter;
 pub use files::read_regular_file;
-pub use reactor::{reserve, CloseCause, ConnId, Limits, ListenerId, Reactor, ReactorEvent, SendError};
+pub use reactor::{
+    reserve, CloseCause, ConnId, Limits, ListenerId, Reactor, ReactorEvent, SendError, Unfinished,
+};
 pub use signals::SignalFlags;
 pub use timers::{TimerId, Timers};
 pub use watch::FolderWatch;
--- a/crates/craneknot-reactor/src/reactor/connections.rs
+++ b/crates/craneknot-reactor/src/reactor/connections.rs
@@ -120,6 +120,7 @@
             // The poller reports an error again.
             let _ = conn.write_available(now);
         }
+        self.update_buffered(id.key);
         self.rearm(id.key);
         Ok(())
     }
@@ -143,7 +144,10 @@
     pub fn close_gracefully(&mut self, id: ConnId) {
         let Some(conn) = self.conn_mut(id) else { return };
         conn.closing = Closing::AfterOutput;
-        if conn.unsent == 0 {
+        (conn.input, conn.unfinished) = (BytesMut::new(), None);
+        let is_written = conn.unsent == 0;
+        self.update_buffered(id.key);
+        if is_written {
             self.linger(id.key);
         } else {
             self.rearm(id.key);
@@ -188,6 +192,7 @@
             let _ = self.poller.delete(&conn.socket);
             self.connection_count -= 1;
             self.accepted_count -= usize::from(conn.accepted);
+            self.buffered -= conn.counted;
         }
     }
 
@@ -218,7 +223,10 @@
             // The poller reports an end or an error again.
             let _ = conn.read_available();
         }
-        conn.input.len() > before
+        conn.received_len = conn.input.len();
+        let has_received = conn.input.len() > before;
+        self.update_buffered(id.key);
+        has_received
     }
 
     pub(super) fn handle_socket_event(&mut self, key: usize, event: Event) {
@@ -238,13 +246,9 @@
         let mut end = self.write_unsent(key);
         let Some(Source::Conn(conn)) = self.sources.get_mut(key) else { return };
         let id = ConnId { key, generation: conn.generation };
-        if event.readable && !conn.paused && end.is_none() && conn.closing == Closing::No && !conn.read_closed
-        {
-            let before = conn.input.len();
-            end = conn.read_available();
-            if conn.input.len() > before {
-                self.pending_events.push_back(ReactorEvent::Received { conn: id });
-            }
+        let is_wanted = !conn.paused && conn.closing == Closing::No && !conn.read_closed;
+        if event.readable && is_wanted && end.is_none() && self.may_read(id) {
+            end = self.read_conn(id);
         }
         let Some(Source::Conn(conn)) = self.sources.get_mut(key) else { return };
         match end {
@@ -259,6 +263,20 @@
         self.rearm(key);
     }
 
+    /// Reads the available bytes and reports them; returns the cause if the connection ends.
+    fn read_conn(&mut self, id: ConnId) -> Option<CloseCause> {
+        let conn = self.conn_mut(id)?;
+        let before = conn.input.len();
+        let end = conn.read_available();
+        conn.received_len = conn.input.len();
+        let has_received = conn.input.len() > before;
+        self.update_buffered(id.key);
+        if has_received {
+            self.pending_events.push_back(ReactorEvent::Received { conn: id });
+        }
+        end
+    }
+
     /// Checks the outcome of a connect; true if the connection is established.
     pub(super) fn check_connect(&mut self, key: usize) -> bool {
         let Some(Source::Conn(conn)) = self.sources.get_mut(key) else { return false };
@@ -290,6 +308,7 @@
         let id = ConnId { key, generation: conn.generation };
         let written = conn.write_available(now);
         let (is_empty, closing, read_closed) = (conn.unsent == 0, conn.closing, conn.read_closed);
+        self.update_buffered(key);
         match (written, closing) {
             (Ok(()), Closing::AfterOutput) if is_empty => {
                 self.linger(key);
@@ -308,9 +327,12 @@
         }
     }
 
-    /// Resumes reading where the buffer was full; to be called after consuming input.
+    /// Resumes reading where the buffer was full, and releases the memory of consumed input; to be called after
+    /// consuming input.
     pub fn input_consumed(&mut self, id: ConnId) {
-        if self.conn(id).is_some() {
+        if let Some(conn) = self.conn_mut(id) {
+            conn.release_consumed();
+            self.update_buffered(id.key);
             self.rearm(id.key);
         }
     }
--- a/crates/craneknot-reactor/src/reactor/mod.rs
+++ b/crates/craneknot-reactor/src/reactor/mod.rs
@@ -1,5 +1,6 @@
 //! The event loop.
 
+mod buffers;
 mod connections;
 mod listeners;
 
@@ -22,6 +23,8 @@
 use crate::system_errors::is_transient;
 use crate::timers::{TimerId, Timers};
 
+pub use buffers::Unfinished;
+
 /// Limits of one event loop and of each connection.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -32,13 +35,22 @@
     /// Concurrent accepted connections; further ones wait in the listen backlog. Outgoing connections do not count,
     /// so that incoming ones can't keep the owner from connecting out.
     pub connections: usize,
+    /// Bytes that all accepted connections may hold together: input, unfinished messages and output that is not
+    /// shared. Nothing is read from them at this limit; see [`Reactor::over_budget`].
+    pub buffered: usize,
     /// Connections accepted in one poll, so that the owner handles these before more arrive.
     pub accepts: usize,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { input: 256 * 1024, output: 16 * 1024 * 1024, connections: 16_000, accepts: 256 }
+        Limits {
+            input: 256 * 1024,
+            output: 16 * 1024 * 1024,
+            connections: 16_000,
+            buffered: 256 * 1024 * 1024,
+            accepts: 256,
+        }
     }
 }
 
@@ -134,6 +146,8 @@
     pending_events: VecDeque<ReactorEvent<T>>,
     connection_count: usize,
     accepted_count: usize,
+    /// Bytes that the accepted connections hold.
+    buffered: usize,
     last_generation: u64,
     listeners: Vec<usize>,
     /// Accepted connections that could not be registered with the poller yet, for lack of system resources.
@@ -164,6 +178,7 @@
             pending_events: VecDeque::new(),
             connection_count: 0,
             accepted_count: 0,
+            buffered: 0,
             last_generation: 0,
             listeners: Vec::new(),
             unregistered: Vec::new(),
--- a/crates/craneknot-reactor/tests/sockets.rs
+++ b/crates/craneknot-reactor/tests/sockets.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use craneknot::interface::Nanos;
 use craneknot_reactor::{
-    CloseCause, FolderWatch, Limits, ManualClock, Reactor, ReactorEvent, SendError, SteadyClock,
+    CloseCause, FolderWatch, Limits, ManualClock, Reactor, ReactorEvent, SendError, SteadyClock, Unfinished,
 };
 
 fn any_port() -> SocketAddr {
@@ -353,3 +353,59 @@
     });
     assert_eq!(reader.join().unwrap().unwrap(), LENGTH);
 }
+
+/// Guards against limits that hold for a connection alone: what all of them hold together is bounded, and the ones that
+/// have held theirs the longest are named.
+#[test]
+fn connections_share_one_budget_for_what_their_peers_leave_unfinished() {
+    const PART: usize = 64 * 1024;
+    const BUDGET: usize = 4 * PART;
+    let mut reactor = reactor(Limits { input: PART, buffered: BUDGET, ..Limits::default() });
+    let (_, address) = reactor.listen(any_port()).unwrap();
+    let mut clients: Vec<TcpStream> = (0..8).map(|_| TcpStream::connect(address).unwrap()).collect();
+    clients.iter_mut().for_each(|client| client.write_all(&vec![b'x'; PART]).unwrap());
+    let mut order = Vec::new();
+    for _ in 0..200 {
+        let is_full = reactor.buffered_bytes() >= BUDGET;
+        reactor.poll(Some(Duration::ZERO)).unwrap();
+        while let Some(event) = reactor.next_event() {
+            let ReactorEvent::Received { conn } = event else { continue };
+            assert!(!is_full, "nothing is read at the limit");
+            if !order.contains(&conn) {
+                order.push(conn);
+            }
+            let place = order.iter().position(|other| *other == conn).unwrap();
+            let since = Nanos::from_millis(place as u64);
+            reactor.set_unfinished(conn, Some(Unfinished { since, held_bytes: 0 }));
+            reactor.input_consumed(conn);
+        }
+    }
+    assert!(reactor.buffered_bytes() >= BUDGET, "{}", reactor.buffered_bytes());
+    assert!(reactor.buffered_bytes() < BUDGET + PART, "{}", reactor.buffered_bytes());
+    let over = reactor.over_budget();
+    assert_eq!(over, order[..over.len()], "the longest unfinished first");
+    over.iter().for_each(|conn| reactor.close_gracefully(*conn));
+    assert!(!over.is_empty() && reactor.over_budget().is_empty());
+    assert!(reactor.buffered_bytes() <= BUDGET / 4 * 3);
+}
+
+/// Output that waits for its peer counts towards the budget, unless its memory is shared.
+#[test]
+fn unread_output_counts_unless_it_is_shared() {
+    let mut reactor = reactor(Limits { buffered: 1024 * 1024, ..Limits::default() });
+    let (_, address) = reactor.listen(any_port()).unwrap();
+    let _client = TcpStream::connect(address).unwrap();
+    let mut accepted = None;
+    until(&mut reactor, |_, event| {
+        if let ReactorEvent::Accepted { conn, .. } = event {
+            accepted = Some(conn);
+        }
+        accepted.is_some()
+    });
+    let conn = accepted.unwrap();
+    reactor.send(conn, [Bytes::from(vec![0; 12 * 1024 * 1024])]).unwrap();
+    assert_eq!(reactor.buffered_bytes(), reactor.unsent_bytes(conn));
+    assert_eq!(reactor.over_budget(), [conn], "more than the system's buffers take");
+    reactor.set_output_shared(conn);
+    assert_eq!((reactor.buffered_bytes(), reactor.over_budget()), (0, Vec::new()));
+}
--- a/crates/craneknot-settings/src/coordinator.rs
+++ b/crates/craneknot-settings/src/coordinator.rs
@@ -178,6 +178,9 @@
     "RANDOM".to_owned()
 }
 
+/// Largest requests that the budget of all connections must hold.
+const MIN_BUFFERED_REQUESTS: usize = 2;
+
 /// Limits on the connections to the coordinator.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
@@ -188,6 +191,9 @@
     pub request_bytes: usize,
     /// A request must be complete this long after its first byte.
     pub request_within: Span,
+    /// Bytes that all connections together may hold in unfinished requests and unread answers; at three quarters of
+    /// it, the connections that have held theirs the longest are closed.
+    pub buffered_bytes: usize,
     /// A stream whose pending bytes cannot be sent for this long is closed.
     pub stuck_after: Span,
 }
@@ -198,6 +204,7 @@
             connections: 16_000,
             request_bytes: 4 * 1024 * 1024,
             request_within: Span::millis(5_000),
+            buffered_bytes: 32 * 1024 * 1024,
             stuck_after: Span::millis(10_000),
         }
     }
@@ -578,6 +585,11 @@
         found.extend(require_positive("/probes/time_out", self.probes.time_out));
         found.extend(require_positive("/streams/request_within", self.streams.request_within));
         found.extend(require_positive("/streams/stuck_after", self.streams.stuck_after));
+        if self.streams.buffered_bytes < MIN_BUFFERED_REQUESTS * self.streams.request_bytes {
+            let message = format!("{} bytes do not hold two requests", self.streams.buffered_bytes);
+            let least = MIN_BUFFERED_REQUESTS * self.streams.request_bytes;
+            found.push(Problem::new("/streams/buffered_bytes", message, format!("give at least {least}")));
+        }
         // Bindings cannot be delayed, so the queue must hold one for each class of each proxy of a coordinator, plus the
         // message headers.
         let proxies = f64::from(self.fleet.proxies) / f64::from(self.fleet.coordinators);
