A graceful close no longer waits for ever for a peer that never reads

Callers saw: descriptors of connections that were answered and closed by us stay taken, as long as the peer neither reads nor leaves; found as a test of peers that never read hung. Cause: close_gracefully waits until the last bytes are written, without a limit, and the owner has forgotten the connection by then. Evidence: the reactor's test, red before (1 connection open for ever). Fix: such a connection is closed once its peer has read nothing of the queued bytes for 2 s. node closes those it has forgotten when the budget of buffers asks for it. Why it works: every way of closing has a deadline now, for the linger as before. Test: a_graceful_close_does_not_wait_for_a_peer_that_never_reads. Measured here (arm64): the reactor's tests pass.

--- a/crates/craneknot-node/src/shell.rs
+++ b/crates/craneknot-node/src/shell.rs
@@ -265,7 +265,10 @@
     /// Closes clients while all of them together leave too much unfinished or unread.
     fn close_over_budget(&mut self) {
         for conn in self.reactor.over_budget() {
-            let Some(client) = self.clients.get(&conn).copied() else { continue };
+            let Some(client) = self.clients.get(&conn).copied() else {
+                self.reactor.close(conn);
+                continue;
+            };
             if self.reactor.unsent_bytes(conn) > 0 {
                 self.close_unread(client);
             } else {
--- a/crates/craneknot-reactor/src/reactor/connections.rs
+++ b/crates/craneknot-reactor/src/reactor/connections.rs
@@ -11,7 +11,7 @@
 
 use super::{
     CloseCause, ConnId, Reactor, ReactorEvent, SendError, Source, CROWDED_LINGER_TIMEOUT, LINGER_TIMEOUT,
-    MAX_LINGERING,
+    MAX_LINGERING, UNREAD_CLOSE_TIMEOUT,
 };
 use crate::conn::{Closing, Conn};
 
@@ -140,7 +140,8 @@
         }
     }
 
-    /// Closes once all queued bytes are written and the peer has seen the end of the stream, or 300 ms have passed.
+    /// Closes once all queued bytes are written and the peer has seen the end of the stream, or 300 ms have passed; at
+    /// the latest when the peer has read none of the queued bytes for 2 s.
     pub fn close_gracefully(&mut self, id: ConnId) {
         let Some(conn) = self.conn_mut(id) else { return };
         conn.closing = Closing::AfterOutput;
@@ -150,6 +151,7 @@
         if is_written {
             self.linger(id.key);
         } else {
+            self.closing.push(id);
             self.rearm(id.key);
         }
     }
@@ -167,24 +169,37 @@
         self.rearm(key);
     }
 
-    /// When a lingering connection is closed; sooner while the limit of connections is reached, since others wait for
-    /// its slot.
-    pub(super) fn linger_deadline(&self, conn: &Conn) -> Option<Nanos> {
-        let Closing::Lingering { since } = conn.closing else { return None };
+    /// When a connection that the owner has finished with is closed at the latest; sooner while the limit of
+    /// connections is reached, since others wait for its slot.
+    pub(super) fn close_deadline(&self, conn: &Conn) -> Option<Nanos> {
         let is_full = self.accepted_count >= self.limits.connections;
-        Some(since + if is_full { CROWDED_LINGER_TIMEOUT } else { LINGER_TIMEOUT })
+        match conn.closing {
+            Closing::No => None,
+            Closing::AfterOutput => Some(conn.last_progress + UNREAD_CLOSE_TIMEOUT),
+            Closing::Lingering { since } => {
+                Some(since + if is_full { CROWDED_LINGER_TIMEOUT } else { LINGER_TIMEOUT })
+            }
+        }
+    }
+
+    /// Closes the connections that the owner has finished with and whose timeout has expired.
+    pub(super) fn close_expired(&mut self, now: Nanos) {
+        let (lingering, closing) = (std::mem::take(&mut self.lingering), std::mem::take(&mut self.closing));
+        self.lingering = self.close_expired_of(lingering, now);
+        self.closing = self.close_expired_of(closing, now);
     }
 
-    /// Closes the connections whose linger timeout has expired.
-    pub(super) fn close_expired_lingering(&mut self, now: Nanos) {
-        for id in std::mem::take(&mut self.lingering) {
-            let deadline = self.conn(id).and_then(|conn| self.linger_deadline(conn));
-            match deadline {
+    /// Closes those of the connections whose timeout has expired; returns the others.
+    fn close_expired_of(&mut self, ids: Vec<ConnId>, now: Nanos) -> Vec<ConnId> {
+        let mut remaining = Vec::with_capacity(ids.len());
+        for id in ids {
+            match self.conn(id).and_then(|conn| self.close_deadline(conn)) {
                 None => {}
                 Some(deadline) if deadline <= now => self.remove_conn(id.key),
-                Some(_) => self.lingering.push(id),
+                Some(_) => remaining.push(id),
             }
         }
+        remaining
     }
 
     pub(super) fn remove_conn(&mut self, key: usize) {
--- a/crates/craneknot-reactor/src/reactor/mod.rs
+++ b/crates/craneknot-reactor/src/reactor/mod.rs
@@ -155,6 +155,8 @@
     /// Connections whose interest could not be updated in the poller.
     unarmed: Vec<usize>,
     lingering: Vec<ConnId>,
+    /// Connections that close once their last bytes are written.
+    closing: Vec<ConnId>,
     signals: SignalFlags,
     system_calls_retried: u64,
 }
@@ -164,6 +166,7 @@
 const LINGER_TIMEOUT: Nanos = Nanos::from_millis(300); // for a peer to see our end of stream before the close
 const FLUSH_POLL_INTERVAL: Duration = Duration::from_millis(10); // between checks of the deadline of a flush
 const CROWDED_LINGER_TIMEOUT: Nanos = Nanos::from_millis(50); // the same while the connection limit is reached
+const UNREAD_CLOSE_TIMEOUT: Nanos = Nanos::from_millis(2_000); // for a peer to read some of the last bytes
 const MAX_LINGERING: usize = 32; // concurrent lingering connections, since each holds a descriptor
 
 impl<T> Reactor<T> {
@@ -184,6 +187,7 @@
             unregistered: Vec::new(),
             unarmed: Vec::new(),
             lingering: Vec::new(),
+            closing: Vec::new(),
             signals: SignalFlags::default(),
             system_calls_retried: 0,
         })
@@ -285,7 +289,7 @@
         }
         self.pending_events.extend(self.signals.take().into_iter().map(ReactorEvent::Signal));
         let now = self.clock.now();
-        self.close_expired_lingering(now);
+        self.close_expired(now);
         while let Some(payload) = self.timers.pop_due(now) {
             self.pending_events.push_back(ReactorEvent::Timer(payload));
         }
@@ -311,8 +315,9 @@
             return Some(Duration::ZERO);
         }
         let now = self.clock.now();
-        let linger_deadlines = self.lingering.iter().filter_map(|id| self.linger_deadline(self.conn(*id)?));
-        let deadline = self.timers.next_at().into_iter().chain(linger_deadlines).min();
+        let closing = self.lingering.iter().chain(&self.closing);
+        let close_deadlines = closing.filter_map(|id| self.close_deadline(self.conn(*id)?));
+        let deadline = self.timers.next_at().into_iter().chain(close_deadlines).min();
         let until_deadline = deadline.map(|at| Duration::from_nanos((at - now).0));
         let is_backing_off =
             |key: &usize| matches!(self.sources.get(*key), Some(Source::Listener(l)) if l.backing_off);
--- a/crates/craneknot-reactor/tests/sockets.rs
+++ b/crates/craneknot-reactor/tests/sockets.rs
@@ -409,3 +409,30 @@
     reactor.set_output_shared(conn);
     assert_eq!((reactor.buffered_bytes(), reactor.over_budget()), (0, Vec::new()));
 }
+
+/// Guards against connections that are never closed: one whose peer read nothing waited for its last bytes to be written
+/// for ever.
+#[test]
+fn a_graceful_close_does_not_wait_for_a_peer_that_never_reads() {
+    let clock = Arc::new(ManualClock::at(Nanos(5)));
+    let mut reactor: Reactor<u32> = Reactor::new(clock.clone(), Limits::default()).unwrap();
+    let (_, address) = reactor.listen(any_port()).unwrap();
+    let _client = TcpStream::connect(address).unwrap();
+    let mut accepted = None;
+    until(&mut reactor, |_, event| {
+        if let ReactorEvent::Accepted { conn, .. } = event {
+            accepted = Some(conn);
+        }
+        accepted.is_some()
+    });
+    let conn = accepted.unwrap();
+    reactor.send(conn, [Bytes::from(vec![0; 12 * 1024 * 1024])]).unwrap();
+    reactor.close_gracefully(conn);
+    for _ in 0..100 {
+        reactor.poll(Some(Duration::ZERO)).unwrap();
+    }
+    assert_eq!(reactor.connections(), 1, "the peer has time to read");
+    clock.advance(Nanos::from_millis(2_000));
+    reactor.poll(Some(Duration::ZERO)).unwrap();
+    assert_eq!(reactor.connections(), 0);
+}
