Requests of one connection are served in turns with those of others

Cause: all requests that one read brought (up to 256 KiB) are answered before any other connection gets its turn, and answers that the client does not read are queued up to 16 MiB. Fix: the reactor allows four requests of a connection in a turn, and none while it has over 16 KiB of answers unread; what is left is reported again in the next turn, or once the peer has read. Both services ask it. Why it works: the wait of a neighbour no longer depends on how much one client has sent.

--- a/crates/craneknot-agent/src/shell.rs
+++ b/crates/craneknot-agent/src/shell.rs
@@ -265,13 +265,20 @@
         self.reactor.close_gracefully(conn);
     }
 
-    /// Closes the connections of proxies whose requests are not complete in time.
+    /// Closes the connections of proxies whose requests are not complete in time, or that do not read answers.
     fn sweep(&mut self, now: Nanos) {
-        let is_slow = |proxy: &ProxyConnection| proxy.reader.partial_message_age(now) >= REQUEST_TIMEOUT;
-        let slow = self.proxies.iter().filter(|(_, proxy)| is_slow(proxy)).map(|(conn, _)| *conn);
-        for conn in slow.collect::<Vec<ConnId>>() {
+        let slow = |(conn, proxy): (&ConnId, &ProxyConnection)| {
+            let is_slow = proxy.reader.partial_message_age(now) >= REQUEST_TIMEOUT;
+            (is_slow && self.reactor.unsent_bytes(*conn) == 0).then_some(*conn)
+        };
+        for conn in self.proxies.iter().filter_map(slow).collect::<Vec<ConnId>>() {
             self.reject_proxy(conn, StatusCode::REQUEST_TIMEOUT, "the request did not come whole in time");
         }
+        let is_stuck = |conn: &&ConnId| self.reactor.write_stalled_for(**conn) >= REQUEST_TIMEOUT;
+        for conn in self.proxies.keys().filter(is_stuck).copied().collect::<Vec<ConnId>>() {
+            self.proxies.remove(&conn);
+            self.reactor.close(conn);
+        }
         self.reactor.set_timer(now + REQUEST_TIMEOUT, Timer::Sweep);
     }
 
@@ -573,7 +580,8 @@
     }
 
     fn read_proxy(&mut self, conn: ConnId) {
-        loop {
+        let mut served = 0;
+        while self.reactor.may_serve(conn, served) {
             let now = self.reactor.now();
             let Some(connection) = self.proxies.get_mut(&conn) else { return };
             let Some(input) = self.reactor.input(conn) else { return };
@@ -588,6 +596,7 @@
                 self.reactor.close(conn);
                 return;
             }
+            served += 1;
         }
         if let Some(proxy) = self.proxies.get(&conn) {
             let held_bytes = proxy.reader.held_bytes();
--- a/crates/craneknot-coordinator/src/shell.rs
+++ b/crates/craneknot-coordinator/src/shell.rs
@@ -532,12 +532,16 @@
     }
 
     fn read(&mut self, conn: ConnId) {
-        loop {
+        let mut served = 0;
+        while self.reactor.may_serve(conn, served) {
             let now = self.reactor.now();
             let Some(peer) = self.peers.get_mut(&conn) else { return };
             let Some(input) = self.reactor.input(conn) else { return };
             match peer.reader.next(input, now) {
-                Ok(Some(message)) => self.serve(conn, now, &message),
+                Ok(Some(message)) => {
+                    self.serve(conn, now, &message);
+                    served += 1;
+                }
                 Ok(None) => break,
                 Err(error) => return self.reject(conn, error.status(), &error.to_string()),
             }
@@ -715,12 +719,12 @@
     fn sweep(&mut self) {
         let now = self.reactor.now();
         let (within, stuck) = (self.settings.streams.request_within.0, self.settings.streams.stuck_after.0);
-        let slow: Vec<ConnId> = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.reader.partial_message_age(now) > within)
-            .map(|(c, _)| *c)
-            .collect();
+        // The requests of a peer that does not read its answers wait, however complete they are.
+        let is_slow = |conn: &ConnId, peer: &Peer| {
+            peer.reader.partial_message_age(now) > within && self.reactor.unsent_bytes(*conn) == 0
+        };
+        let slow = self.peers.iter().filter(|(conn, peer)| is_slow(conn, peer)).map(|(conn, _)| *conn);
+        let slow: Vec<ConnId> = slow.collect();
         for conn in slow {
             self.reject(conn, StatusCode::REQUEST_TIMEOUT, "the request did not come whole in time");
         }
--- a/crates/craneknot-reactor/src/conn.rs
+++ b/crates/craneknot-reactor/src/conn.rs
@@ -52,6 +52,10 @@
     pub unfinished: Option<Unfinished>,
     /// The memory of the output is shared with other connections.
     pub is_output_shared: bool,
+    /// The owner has left input for its next turn.
+    pub is_deferred: bool,
+    /// The owner has left input until the peer has read its answers.
+    pub awaits_output: bool,
     /// Bytes counted towards the budget of all connections.
     pub counted: usize,
 }
@@ -77,6 +81,8 @@
             received_len: 0,
             unfinished: None,
             is_output_shared: false,
+            is_deferred: false,
+            awaits_output: false,
             counted: 0,
         }
     }
@@ -105,7 +111,8 @@
             Closing::AfterOutput => (false, self.unsent > 0),
             Closing::No => {
                 let has_space = self.input.len() < self.input_limit;
-                (has_space && !self.paused && !self.read_closed, self.unsent > 0)
+                let is_read = !self.paused && !self.awaits_output && !self.read_closed;
+                (has_space && is_read, self.unsent > 0)
             }
         }
     }
--- a/crates/craneknot-reactor/src/reactor/connections.rs
+++ b/crates/craneknot-reactor/src/reactor/connections.rs
@@ -121,6 +121,7 @@
             let _ = conn.write_available(now);
         }
         self.update_buffered(id.key);
+        self.resume_after_output(id.key);
         self.rearm(id.key);
         Ok(())
     }
@@ -261,7 +262,8 @@
         let mut end = self.write_unsent(key);
         let Some(Source::Conn(conn)) = self.sources.get_mut(key) else { return };
         let id = ConnId { key, generation: conn.generation };
-        let is_wanted = !conn.paused && conn.closing == Closing::No && !conn.read_closed;
+        let is_left = conn.is_deferred || conn.awaits_output;
+        let is_wanted = !conn.paused && !is_left && conn.closing == Closing::No && !conn.read_closed;
         if event.readable && is_wanted && end.is_none() && self.may_read(id) {
             end = self.read_conn(id);
         }
@@ -324,6 +326,7 @@
         let written = conn.write_available(now);
         let (is_empty, closing, read_closed) = (conn.unsent == 0, conn.closing, conn.read_closed);
         self.update_buffered(key);
+        self.resume_after_output(key);
         match (written, closing) {
             (Ok(()), Closing::AfterOutput) if is_empty => {
                 self.linger(key);
--- a/crates/craneknot-reactor/src/reactor/mod.rs
+++ b/crates/craneknot-reactor/src/reactor/mod.rs
@@ -3,6 +3,7 @@
 mod buffers;
 mod connections;
 mod listeners;
+mod turns;
 
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind};
@@ -157,6 +158,8 @@
     lingering: Vec<ConnId>,
     /// Connections that close once their last bytes are written.
     closing: Vec<ConnId>,
+    /// Connections whose input was left for the next turn.
+    deferred: Vec<ConnId>,
     signals: SignalFlags,
     system_calls_retried: u64,
 }
@@ -188,6 +191,7 @@
             unarmed: Vec::new(),
             lingering: Vec::new(),
             closing: Vec::new(),
+            deferred: Vec::new(),
             signals: SignalFlags::default(),
             system_calls_retried: 0,
         })
@@ -287,6 +291,7 @@
         for event in ready {
             self.dispatch(event);
         }
+        self.report_deferred();
         self.pending_events.extend(self.signals.take().into_iter().map(ReactorEvent::Signal));
         let now = self.clock.now();
         self.close_expired(now);
@@ -311,7 +316,7 @@
 
     /// The timeout of the next wait.
     fn poll_timeout(&self, max_wait: Option<Duration>) -> Option<Duration> {
-        if self.clock.is_manual() || !self.pending_events.is_empty() {
+        if self.clock.is_manual() || !self.pending_events.is_empty() || !self.deferred.is_empty() {
             return Some(Duration::ZERO);
         }
         let now = self.clock.now();
