JSON with very many small values is refused before it is parsed

Cause: limits count the bytes of a text, not the values that it is parsed into, which take thirty times as much. Evidence: the trial script; a body of 1,390,000 items was taken with 200. Fix: the values are counted before parsing, in one pass over the bytes: 65,536 and one for each 16 bytes in a request of run and agent (413), 4,096 in a message of the platform (malformed, skipped). Why it works: what is parsed is bounded by the same order as its text. Tests: a_request_of_very_many_small_items_is_refused, red before (200); a_message_with_very_many_values_is_malformed.

--- a/crates/craneknot-agent/src/shell.rs
+++ b/crates/craneknot-agent/src/shell.rs
@@ -12,6 +12,7 @@
 use craneknot::interface::Nanos;
 use craneknot_http::{request, response, Limits as HttpLimits, RequestReader, ResponseReader};
 use craneknot_reactor::{Clock, ConnId, Limits, Reactor, ReactorEvent, SignalFlags, Unfinished};
+use craneknot_settings::json_size::has_too_many_values;
 use craneknot_settings::{AgentSettings, NodeSettings};
 use craneknot_store::{replace, Disk, RealDisk, TEMPORARY_SUFFIX};
 use craneknot_xds::discovery::{DiscoveryRequest, DiscoveryResponse, Kind, Locality, Node, Status};
@@ -607,6 +608,9 @@
     }
 
     fn add_report(&mut self, body: &[u8]) -> (StatusCode, Vec<u8>) {
+        if has_too_many_values(body) {
+            return (StatusCode::PAYLOAD_TOO_LARGE, b"the report has too many values".to_vec());
+        }
         let report: LoadStatsRequest = match serde_json::from_slice(body) {
             Ok(report) => report,
             Err(cause) => return (StatusCode::BAD_REQUEST, cause.to_string().into_bytes()),
--- a/crates/craneknot-cli/tests/unfinished_input.rs
+++ b/crates/craneknot-cli/tests/unfinished_input.rs
@@ -17,6 +17,8 @@
 
 /// The platform kills a process that uses more.
 const MAX_MEMORY_KIB: u64 = 192 * 1024;
+/// At most 64 MB above rest, however rude the clients are; a process at rest takes some 10 MB.
+const MAX_MEMORY_FOR_A_REQUEST_KIB: u64 = 74 * 1024;
 const MIB: usize = 1024 * 1024;
 const WRITERS: usize = 32; // threads that connect clients and write for them
 const WRITE_TIMEOUT: Duration = Duration::from_millis(300); // the process need not read on
@@ -148,3 +150,25 @@
         assert!(peak_memory(&node) <= MAX_MEMORY_KIB, "{name}: {} KiB", peak_memory(&node));
     }
 }
+
+/// Guards against parsed messages that take thirty times their text: one request of 4 MB took 132 MB, and held up the
+/// others meanwhile.
+#[test]
+fn a_request_of_very_many_small_items_is_refused() {
+    const PATH: &str = "/envoy.service.load_stats.v3.LoadReportingService/StreamLoadStats";
+    let items = "{},".repeat(1_390_000);
+    let body = format!(
+        "{{\"cluster_stats\":[{{\"upstream_locality_stats\":[{{\"upstream_endpoint_stats\":[{items}{{}}]}}]}}]}}"
+    );
+    for (name, settings) in [("run", coordinator_settings()), ("agent", agent_settings())] {
+        let folder = tempfile::tempdir().unwrap();
+        let node = start_service(name, folder.path(), &settings, Stdio::null());
+        let mut stream = with_read_timeout(node.connect());
+        let head = format!("POST {PATH} HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\n\r\n", body.len());
+        stream.write_all(format!("{head}{body}").as_bytes()).unwrap();
+        let mut answer = [0; 12];
+        stream.read_exact(&mut answer).unwrap();
+        assert_eq!(String::from_utf8_lossy(&answer), "HTTP/1.1 413", "{name}");
+        assert!(peak_memory(&node) <= MAX_MEMORY_FOR_A_REQUEST_KIB, "{name}: {} KiB", peak_memory(&node));
+    }
+}
--- a/crates/craneknot-coordinator/src/shell.rs
+++ b/crates/craneknot-coordinator/src/shell.rs
@@ -19,6 +19,7 @@
     read_regular_file, Clock, ConnId, Counter, FolderWatch, Limits, ListenerId, Reactor, ReactorEvent,
     SignalFlags, Unfinished,
 };
+use craneknot_settings::json_size::has_too_many_values;
 use craneknot_settings::{parse, CoordinatorSettings, SharedSettings};
 use craneknot_store::{replace, RealDisk, Store, StoreError};
 use craneknot_xds::discovery::{DiscoveryRequest, Kind};
@@ -555,6 +556,9 @@
     }
 
     fn serve(&mut self, conn: ConnId, now: Nanos, message: &Request<Bytes>) {
+        if has_too_many_values(message.body()) {
+            return self.reject(conn, StatusCode::PAYLOAD_TOO_LARGE, "the request has too many values");
+        }
         let (method, path) = (message.method(), message.uri().path());
         if let Some(kind) = Kind::from_path(path).filter(|_| method == Method::POST) {
             self.discovery(conn, now, kind, message.body());
--- a/crates/craneknot-platform/src/messages.rs
+++ b/crates/craneknot-platform/src/messages.rs
@@ -4,12 +4,15 @@
 
 use craneknot::interface::*;
 use craneknot_settings::instance::InstanceNames;
+use craneknot_settings::json_size::max_value_count;
 use serde_json::{json, Value};
 
 use crate::fields::Object;
 
 /// Maximum length of a message, including the line break.
 pub const MAX_MESSAGE_BYTES: usize = 1 << 20;
+/// Values in a message: far more than a report has, whose metrics the settings name.
+const MAX_MESSAGE_VALUES: usize = 4_096;
 const MAX_COUNT: u64 = 1 << 32; // of tries or operations in one report; a larger count is invalid
 const MAX_DURATION: Nanos = Nanos::from_millis(3_600_000); // one hour, for intervals and latencies; more is invalid
 const MAX_LOAD_VALUE: f64 = 1e9; // of any value in a load report
@@ -62,6 +65,9 @@
 
 /// Parses one line, without its line break; `proxies` is the number of proxies of the instance.
 pub fn parse(line: &[u8], names: &InstanceNames, proxies: u32) -> Result<Message, MessageError> {
+    if max_value_count(line) > MAX_MESSAGE_VALUES {
+        return Err(MessageError::Malformed("a message with too many values".to_owned()));
+    }
     let value: Value =
         serde_json::from_slice(line).map_err(|cause| MessageError::Corrupt(format!("not JSON: {cause}")))?;
     let object = Object::new("message", &value).map_err(MessageError::Corrupt)?;
--- a/crates/craneknot-platform/tests/messages.rs
+++ b/crates/craneknot-platform/tests/messages.rs
@@ -243,3 +243,12 @@
     let (mut decoder, mut names) = (Decoder::default(), config().names);
     assert!(decoder.decode(b"event: \xff\n\n", &mut names, 150).is_err(), "not UTF-8: the stream ends");
 }
+
+/// Guards against parsed messages that take thirty times their text: a line of 1 MiB took 20 MB.
+#[test]
+fn a_message_with_very_many_values_is_malformed() {
+    let names = config().names;
+    let line = format!("{{\"type\":\"upstream_stats\",\"x\":[{}0]}}", "0,".repeat(500_000));
+    let parsed = messages::parse(line.as_bytes(), &names, 150);
+    assert!(matches!(parsed, Err(MessageError::Malformed(cause)) if cause.contains("too many values")));
+}
--- a/crates/craneknot-settings/src/lib.rs
+++ b/crates/craneknot-settings/src/lib.rs
@@ -6,6 +6,7 @@
 mod check;
 mod coordinator;
 pub mod instance;
+pub mod json_size;
 mod span;
 
 pub use agent::{AgentSettings, CoordinatorAddress, NodeSettings};
