Requests of a client that has reset its connection take no effect

A join of such a client would end the stream of the proxy that is there. Cause: the system hands out what was sent before a reset, and the loop learns of the reset only from the read that fails after it; what had been read was served whole. Fix: the poller's error flag is kept with the connection; run and agent close such a connection before they read a further request. node goes on taking the lines that a collector sent whole, which are facts and not requests. Why it works: the flag is there as soon as the reset is, whatever input lies before it. Test: requests_of_a_client_that_has_reset_its_connection_take_no_effect, red before (3). A half-closed client is answered to the end, as the test of turns asks.

--- a/crates/craneknot-agent/src/shell.rs
+++ b/crates/craneknot-agent/src/shell.rs
@@ -581,6 +581,10 @@
     }
 
     fn read_proxy(&mut self, conn: ConnId) {
+        if self.reactor.is_reset(conn) {
+            self.proxies.remove(&conn);
+            return self.reactor.close(conn);
+        }
         let mut served = 0;
         while self.reactor.may_serve(conn, served) {
             let now = self.reactor.now();
--- a/crates/craneknot-cli/tests/fairness.rs
+++ b/crates/craneknot-cli/tests/fairness.rs
@@ -12,6 +12,7 @@
 use craneknot_coordinator::shell::Shell as CoordinatorShell;
 use craneknot_reactor::SteadyClock;
 use craneknot_settings::{parse, AgentSettings};
+use craneknot_xds::load;
 use serde_json::{json, Value};
 use tempfile::TempDir;
 
@@ -57,6 +58,20 @@
     }
 }
 
+impl Service {
+    /// The number of repeated load reports in the coordinator's status.
+    fn reports_repeated(&mut self, address: SocketAddr) -> u64 {
+        let mut observer = Client::connect(address);
+        observer.stream.write_all(b"GET /status HTTP/1.1\r\n\r\n").unwrap();
+        while observer.answers() == 0 {
+            self.turn();
+        }
+        let text = String::from_utf8_lossy(&observer.received).into_owned();
+        let status: Value = serde_json::from_str(text.split_once("\r\n\r\n").unwrap().1).unwrap();
+        status["reports_repeated"].as_u64().unwrap()
+    }
+}
+
 /// A client that reads what has arrived.
 struct Client {
     stream: TcpStream,
@@ -122,3 +137,37 @@
         assert_eq!(client.answers(), REQUESTS, "a client that has ended its side may still read");
     }
 }
+
+fn post(path: &str, body: &Value) -> Vec<u8> {
+    let body = body.to_string();
+    format!("POST {path} HTTP/1.1\r\ncontent-length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
+
+/// Guards against serving a client that has gone: its requests that lay unread took effect after it had reset its
+/// connection, up to 256 KiB of them at once.
+#[test]
+fn requests_of_a_client_that_has_reset_its_connection_take_no_effect() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut service, address) = Service::coordinator(&folder);
+    let mut proxy = Client::connect(address);
+    let node = json!({"id": "proxy", "locality": {"zone": "north"}, "metadata": {"usual_rate": 5}});
+    proxy.stream.write_all(&post("/v3/discovery:endpoints", &json!({"node": node}))).unwrap();
+    while proxy.answers() == 0 {
+        service.turn();
+    }
+    // Of equal reports the first counts, and the others are counted as repeated.
+    let closed_at = json!({"id": "proxy", "metadata": {"report_closed_ms": 1}});
+    let report = post(load::PATH, &json!({"node": closed_at, "cluster_stats": []}));
+    let mut gone = TcpStream::connect(address).unwrap();
+    gone.write_all(&report.repeat(400)).unwrap();
+    socket2::SockRef::from(&gone).set_linger(Some(Duration::ZERO)).unwrap();
+    drop(gone);
+    assert_eq!(service.reports_repeated(address), 0, "reports taken from a client that has gone");
+    // The same requests of a client that stays take effect.
+    let mut client = Client::connect(address);
+    client.stream.write_all(&report.repeat(400)).unwrap();
+    while client.answers() < 400 {
+        service.turn();
+    }
+    assert_eq!(service.reports_repeated(address), 399);
+}
--- a/crates/craneknot-coordinator/src/shell.rs
+++ b/crates/craneknot-coordinator/src/shell.rs
@@ -533,6 +533,10 @@
     }
 
     fn read(&mut self, conn: ConnId) {
+        if self.reactor.is_reset(conn) {
+            self.drop_peer(conn, "the peer has reset the connection");
+            return self.reactor.close(conn);
+        }
         let mut served = 0;
         while self.reactor.may_serve(conn, served) {
             let now = self.reactor.now();
--- a/crates/craneknot-reactor/src/conn.rs
+++ b/crates/craneknot-reactor/src/conn.rs
@@ -52,6 +52,8 @@
     pub unfinished: Option<Unfinished>,
     /// The memory of the output is shared with other connections.
     pub is_output_shared: bool,
+    /// The peer has reset the connection; input that it sent before may still be read.
+    pub is_reset: bool,
     /// The owner has left input for its next turn.
     pub is_deferred: bool,
     /// The owner has left input until the peer has read its answers.
@@ -81,6 +83,7 @@
             received_len: 0,
             unfinished: None,
             is_output_shared: false,
+            is_reset: false,
             is_deferred: false,
             awaits_output: false,
             counted: 0,
--- a/crates/craneknot-reactor/src/reactor/connections.rs
+++ b/crates/craneknot-reactor/src/reactor/connections.rs
@@ -259,6 +259,7 @@
         if conn.connecting && !self.check_connect(key) {
             return;
         }
+        self.note_reset(key, event);
         let mut end = self.write_unsent(key);
         let Some(Source::Conn(conn)) = self.sources.get_mut(key) else { return };
         let id = ConnId { key, generation: conn.generation };
@@ -294,6 +295,18 @@
         end
     }
 
+    /// Whether the peer has reset the connection, so that nobody waits for an answer any more, though input that was
+    /// sent before may still be read.
+    pub fn is_reset(&self, id: ConnId) -> bool {
+        self.conn(id).is_some_and(|conn| conn.is_reset)
+    }
+
+    fn note_reset(&mut self, key: usize, event: Event) {
+        if let Some(Source::Conn(conn)) = self.sources.get_mut(key) {
+            conn.is_reset |= event.is_err() == Some(true);
+        }
+    }
+
     /// Checks the outcome of a connect; true if the connection is established.
     pub(super) fn check_connect(&mut self, key: usize) -> bool {
         let Some(Source::Conn(conn)) = self.sources.get_mut(key) else { return false };
