run: a connection that sends no request in time is closed

Callers saw: 900 clients that connect to run and say nothing keep their descriptors for as long as they like; connections beyond the limit wait. Fix: a connection whose first request is not complete within streams.request_within of its connecting is answered 408 and closed. One that has asked once may stay. Why it works: agents send their first request as they connect; whoever does not is no agent. Test: a_connection_that_sends_no_request_is_closed, which holds too that a stream may wait.

--- a/crates/craneknot-cli/tests/peers.rs
+++ b/crates/craneknot-cli/tests/peers.rs
@@ -161,6 +161,20 @@
     assert!(endpoints.resources[0].get().contains("9001"));
 }
 
+/// Guards against connections that say nothing and are never closed: they held the descriptors for as long as they liked.
+#[test]
+fn a_connection_that_sends_no_request_is_closed() {
+    let folder = tempfile::tempdir().unwrap();
+    write_server_list(folder.path(), 1, &[9001]);
+    let coordinator = Coordinator::start(folder.path());
+    let (mut stream, _) = join(&coordinator, "good");
+    let answer = send_and_read(coordinator.connect(), b"");
+    assert!(answer.starts_with("HTTP/1.1 408") && answer.contains("no request came in time"), "{answer}");
+    stream.set_nonblocking(true).unwrap();
+    let unread = stream.read(&mut [0]).map_err(|cause| cause.kind());
+    assert_ne!(unread, Ok(0), "a stream may wait for as long as it likes");
+}
+
 /// A proxy that reconnects before its old connection is known to be closed counts once.
 #[test]
 fn a_reconnecting_proxy_replaces_its_old_stream() {
--- a/crates/craneknot-coordinator/src/shell.rs
+++ b/crates/craneknot-coordinator/src/shell.rs
@@ -76,6 +76,8 @@
     stream: StreamId,
     joined: bool,
     from: SocketAddr,
+    /// When it connected, until its first request is complete.
+    silent_since: Option<Nanos>,
     /// Requests without a response so far, in order.
     requests: VecDeque<Kind>,
 }
@@ -318,7 +320,9 @@
                         HttpLimits { body: self.settings.streams.request_bytes, ..HttpLimits::default() };
                     let reader = RequestReader::new(limits);
                     let (stream, requests) = (StreamId(self.next_stream), VecDeque::new());
-                    self.peers.insert(conn, Peer { reader, stream, joined: false, from, requests });
+                    let silent_since = Some(self.reactor.now());
+                    let peer = Peer { reader, stream, joined: false, from, silent_since, requests };
+                    self.peers.insert(conn, peer);
                 }
                 ReactorEvent::Connected { conn } => self.send_probe(conn),
                 ReactorEvent::Received { conn } if self.probes.contains(conn) => self.read_probe(conn, false),
@@ -544,6 +548,7 @@
             let Some(input) = self.reactor.input(conn) else { return };
             match peer.reader.next(input, now) {
                 Ok(Some(message)) => {
+                    peer.silent_since = None;
                     self.serve(conn, now, &message);
                     served += 1;
                 }
@@ -736,6 +741,11 @@
         for conn in slow {
             self.reject(conn, StatusCode::REQUEST_TIMEOUT, "the request did not come whole in time");
         }
+        let is_silent = |peer: &Peer| peer.silent_since.is_some_and(|since| now - since > within);
+        let silent = self.peers.iter().filter(|(_, peer)| is_silent(peer)).map(|(conn, _)| *conn);
+        for conn in silent.collect::<Vec<ConnId>>() {
+            self.reject(conn, StatusCode::REQUEST_TIMEOUT, "no request came in time");
+        }
         let stalled: Vec<ConnId> = self
             .peers
             .keys()
