--- a/crates/craneknot-node/src/link.rs
+++ b/crates/craneknot-node/src/link.rs
@@ -43,6 +43,10 @@
         PeerConnection { address, link: None }
     }
 
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// The value of the `Host` header.
     pub fn host(&self) -> String {
         self.address.to_string()
--- a/crates/craneknot-node/src/list_watch.rs
+++ b/crates/craneknot-node/src/list_watch.rs
@@ -64,7 +64,6 @@
 
 /// The watch of the list, and the state of its calls in flight.
 pub struct ListWatch {
-    address: SocketAddr,
     discovery: PeerConnection,
     state: State,
     revision: Option<u64>,
@@ -82,7 +81,6 @@
     pub fn new(address: SocketAddr, revision: Option<u64>) -> Self {
         let discovery = PeerConnection::new(address);
         ListWatch {
-            address,
             discovery,
             state: State::Idle,
             revision,
@@ -112,7 +110,6 @@
         if !self.discovery.move_to(address, link_actions) {
             return;
         }
-        self.address = address;
         let is_idle = matches!(self.state, State::Idle);
         self.end_recovery(None, link_actions);
         if !is_idle {
@@ -138,7 +135,7 @@
             }
             State::InFlight(call) if now < call.deadline() => false,
             State::InFlight(call) if call.is_recoverable() => {
-                self.state = State::Recovering(WatchRecovery::new(self.address, now));
+                self.state = State::Recovering(WatchRecovery::new(self.discovery.address(), now));
                 self.turn(now, links, link_actions)
             }
             State::InFlight(_) => {
--- a/crates/craneknot-reactor/tests/sockets.rs
+++ b/crates/craneknot-reactor/tests/sockets.rs
@@ -9,7 +9,8 @@
 use bytes::Bytes;
 use craneknot::interface::Nanos;
 use craneknot_reactor::{
-    CloseCause, FolderWatch, Limits, ManualClock, Reactor, ReactorEvent, SendError, SteadyClock, Unfinished,
+    CloseCause, ConnId, FolderWatch, Limits, ManualClock, Reactor, ReactorEvent, SendError, SteadyClock,
+    Unfinished,
 };
 
 fn any_port() -> SocketAddr {
@@ -33,6 +34,18 @@
     panic!("the expected event did not occur");
 }
 
+/// Waits for the next connection.
+fn accept(reactor: &mut Reactor<u32>) -> ConnId {
+    let mut accepted = None;
+    until(reactor, |_, event| {
+        if let ReactorEvent::Accepted { conn, .. } = event {
+            accepted = Some(conn);
+        }
+        accepted.is_some()
+    });
+    accepted.unwrap()
+}
+
 #[test]
 fn two_thousand_connections_are_served_by_one_loop() {
     const COUNT: usize = 2_000;
@@ -75,14 +88,7 @@
     let mut reactor = reactor(limits);
     let (_, address) = reactor.listen(any_port()).unwrap();
     let mut peer = TcpStream::connect(address).unwrap();
-    let mut accepted = None;
-    until(&mut reactor, |_, event| {
-        if let ReactorEvent::Accepted { conn, .. } = event {
-            accepted = Some(conn);
-        }
-        accepted.is_some()
-    });
-    let conn = accepted.unwrap();
+    let conn = accept(&mut reactor);
     let chunk = Bytes::from(vec![7; 64 * 1024]);
     let mut sent = 0;
     let full = loop {
@@ -395,14 +401,7 @@
     let mut reactor = reactor(Limits { buffered: 1024 * 1024, ..Limits::default() });
     let (_, address) = reactor.listen(any_port()).unwrap();
     let _client = TcpStream::connect(address).unwrap();
-    let mut accepted = None;
-    until(&mut reactor, |_, event| {
-        if let ReactorEvent::Accepted { conn, .. } = event {
-            accepted = Some(conn);
-        }
-        accepted.is_some()
-    });
-    let conn = accepted.unwrap();
+    let conn = accept(&mut reactor);
     reactor.send(conn, [Bytes::from(vec![0; 12 * 1024 * 1024])]).unwrap();
     assert_eq!(reactor.buffered_bytes(), reactor.unsent_bytes(conn));
     assert_eq!(reactor.over_budget(), [conn], "more than the system's buffers take");
@@ -418,14 +417,7 @@
     let mut reactor: Reactor<u32> = Reactor::new(clock.clone(), Limits::default()).unwrap();
     let (_, address) = reactor.listen(any_port()).unwrap();
     let _client = TcpStream::connect(address).unwrap();
-    let mut accepted = None;
-    until(&mut reactor, |_, event| {
-        if let ReactorEvent::Accepted { conn, .. } = event {
-            accepted = Some(conn);
-        }
-        accepted.is_some()
-    });
-    let conn = accepted.unwrap();
+    let conn = accept(&mut reactor);
     reactor.send(conn, [Bytes::from(vec![0; 12 * 1024 * 1024])]).unwrap();
     reactor.close_gracefully(conn);
     for _ in 0..100 {
