--- a/crates/craneknot-platform/src/config.rs
+++ b/crates/craneknot-platform/src/config.rs
@@ -13,10 +13,10 @@
 const SOCKET_LIMIT_RANGE: (u64, u64) = (16, 1 << 20);
 
 /// Minimum and maximum of the memory limit that the platform may set for a coordinator, in MiB.
-const MEMORY_LIMIT_RANGE: (u64, u64) = (16, 1 << 20);
+const MEMORY_LIMIT_RANGE: (f64, f64) = (16.0, 1_048_576.0);
 /// Memory limit in MiB of a configuration that sets none.
-const DEFAULT_MEMORY_LIMIT: u64 = 64;
-const MIB: usize = 1024 * 1024;
+const DEFAULT_MEMORY_LIMIT: f64 = 64.0;
+const BYTES_PER_MIB: f64 = 1_048_576.0;
 
 /// The parsed configuration of one coordinator.
 pub struct Config {
@@ -49,7 +49,7 @@
         let relay = Object::new("configuration: distributor", object.required("distributor")?)?;
         let limits = Object::new("configuration: limits", object.required("limits")?)?;
         let memory_mb = match limits.get("memory_mb") {
-            Some(_) => limits.integer("memory_mb", MEMORY_LIMIT_RANGE.1)?,
+            Some(_) => limits.number("memory_mb", MEMORY_LIMIT_RANGE.1)?,
             None => DEFAULT_MEMORY_LIMIT,
         };
         let seed = object.text("seed")?;
@@ -80,7 +80,7 @@
             relay: address(&relay, "address")?,
             seed,
             socket_limit: limits.integer("sockets", SOCKET_LIMIT_RANGE.1)?.max(SOCKET_LIMIT_RANGE.0) as usize,
-            memory_limit: memory_mb.max(MEMORY_LIMIT_RANGE.0) as usize * MIB,
+            memory_limit: (memory_mb.max(MEMORY_LIMIT_RANGE.0) * BYTES_PER_MIB) as usize,
             settings,
             names,
             known_roster,
--- a/crates/craneknot-platform/tests/messages.rs
+++ b/crates/craneknot-platform/tests/messages.rs
@@ -23,6 +23,7 @@
     let config = config();
     assert_eq!((config.seed, config.socket_limit), (0x8c1f_30d2_7a5b_e964, 256));
     assert_eq!((config.settings.proxies, config.settings.classes.len()), (150, 2));
+    assert_eq!(config.memory_limit, 64 * 1024 * 1024);
     let known = config.known_roster.unwrap();
     assert_eq!((known.revision, known.servers[0].0.started), (41, None));
     assert_eq!(known.servers[1].0.started, Some(Nanos::from_millis(1_700_000_000_000)));
@@ -32,6 +33,7 @@
         ("/distributor/address", json!(7), "address must be text"),
         ("/settings/extra/bare", Value::Null, "setting extra.bare must be a number"),
         ("/limits/sockets", json!("many"), "sockets must be a whole number"),
+        ("/limits/memory_mb", json!("much"), "memory_mb must be a number"),
     ] {
         let mut value = configuration();
         *value.pointer_mut(pointer).unwrap() = bad;
@@ -252,3 +254,19 @@
     let parsed = messages::parse(line.as_bytes(), &names, 150);
     assert!(matches!(parsed, Err(MessageError::Malformed(cause)) if cause.contains("too many values")));
 }
+
+/// The limit of memory may be a fraction or absent: what only sizes a budget must not keep a coordinator from starting.
+#[test]
+fn a_limit_of_memory_is_any_number_or_absent() {
+    const MIB: usize = 1024 * 1024;
+    for (memory, expected) in [
+        (json!(192), 192 * MIB),
+        (json!(0.5), 16 * MIB),
+        (json!(32.5), 32 * MIB + MIB / 2),
+        (Value::Null, 64 * MIB),
+    ] {
+        let mut value = configuration();
+        value["limits"]["memory_mb"] = memory;
+        assert_eq!(Config::parse(value.to_string().as_bytes()).unwrap().memory_limit, expected);
+    }
+}
